--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions and daemons of marjoramfall."""
--- /dev/null
+++ b/marjoramfall/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule requests between callers and backend servers of unequal speed."""
--- /dev/null
+++ b/marjoramfall/borders/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to callers, operators and the platform."""
--- /dev/null
+++ b/marjoramfall/borders/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the operator interface and its server."""
--- /dev/null
+++ b/marjoramfall/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Track and use the connections to backend servers."""
--- /dev/null
+++ b/marjoramfall/process/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives as long as an entry process."""
--- /dev/null
+++ b/marjoramfall/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay recorded traces and report their outcomes."""
--- /dev/null
+++ b/marjoramfall/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Load and check the settings of a process."""
--- /dev/null
+++ b/marjoramfall/version/__init__.py
@@ -0,0 +1,1 @@
+"""Move traffic between versions of a service."""
--- /dev/null
+++ b/marjoramfall_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide stand-ins for the platform and the backend servers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of marjoramfall."""
