--- /dev/null
+++ b/marjoramfall/request/events.py
@@ -0,0 +1,116 @@
+"""Define the events and actions of the dispatcher of an engine group."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class WorkEstimate:
+    """Estimate the work of a request in tokens."""
+
+    prefill_tokens: int
+    decode_tokens: int
+
+    @property
+    def total_tokens(self) -> int:
+        """Return prefill and decode tokens together."""
+        return self.prefill_tokens + self.decode_tokens
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingRequest:
+    """Describe a request that waits for a grant; times are monotonic."""
+
+    request_id: str
+    entry_id: str
+    tier_rank: int
+    team_id: str
+    team_weight: float
+    deadline_ms: float
+    arrived_ms: float
+    work: WorkEstimate
+    prefix_hashes: tuple[int, ...] = ()
+    route: str = ''
+    excluded_server_ids: frozenset[str] = frozenset()
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerInfo:
+    """Describe a backend server of the group as configured."""
+
+    server_id: str
+    version_id: str
+    data_centre: str
+    max_concurrency: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Carry what a backend server said of its own load, maybe long ago."""
+
+    server_id: str
+    running: int
+    waiting: int
+    queued_prefill_tokens: int
+    measured_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CacheEvent:
+    """Report that a server stored or evicted a prompt prefix block."""
+
+    server_id: str
+    sequence: int
+    prefix_hash: int
+    stored: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FinishReport:
+    """Report how a granted request ended; times are in milliseconds."""
+
+    request_id: str
+    server_id: str
+    version_id: str
+    route: str
+    succeeded: bool
+    dispatched: bool
+    first_token_ms: float | None
+    total_ms: float
+    work: WorkEstimate
+    cached_tokens: int = 0
+    decode_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """Allow a request to be sent to a server until a monotonic time."""
+
+    request_id: str
+    entry_id: str
+    server_id: str
+    version_id: str
+    expires_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Shed:
+    """Refuse a waiting request under pressure."""
+
+    request_id: str
+    entry_id: str
+    tier_rank: int
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Expire:
+    """Refuse a waiting request whose deadline can no longer be met."""
+
+    request_id: str
+    entry_id: str
+
+
+Action = Grant | Shed | Expire
--- /dev/null
+++ b/marjoramfall/request/grants.py
@@ -0,0 +1,94 @@
+"""Define how a request asks for, uses and returns a grant."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from marjoramfall.errors import RefusedError
+
+
+class ShedError(RefusedError):
+    """Report a request that was shed under pressure before dispatch."""
+
+    code = 'shed'
+
+
+class DeadlineExceededError(RefusedError):
+    """Report a request that could not be dispatched before its deadline."""
+
+    code = 'deadline_exceeded'
+    http_status = 504
+
+
+class NoBackendServerError(RefusedError):
+    """Report that no backend server of the service can take a request."""
+
+    code = 'no_backend_server'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GrantAsk:
+    """Describe the work of a request that asks for a backend server."""
+
+    request_id: str
+    service_id: str
+    tier_rank: int
+    team_id: str
+    team_weight: float
+    deadline_ms: float
+    prefill_tokens: int
+    decode_tokens: int
+    prefix_hashes: tuple[int, ...] = ()
+    route: str = ''
+    excluded_server_ids: tuple[str, ...] = ()
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldGrant:
+    """Allow one dispatch to one backend server until a monotonic time."""
+
+    request_id: str
+    service_id: str
+    server_id: str
+    version_id: str
+    address: str
+    expires_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DispatchResult:
+    """Report how a dispatch ended; times are in milliseconds."""
+
+    succeeded: bool
+    dispatched: bool
+    first_token_ms: float | None = None
+    total_ms: float = 0
+    cached_tokens: int = 0
+    decode_tokens: int = 0
+
+
+class GrantClient(ABC):
+    """Obtain grants from the dispatcher of a service and report on them."""
+
+    @abstractmethod
+    def acquire(self, ask: GrantAsk) -> HeldGrant:
+        """Wait for a grant.
+
+        Raises `ShedError`, `DeadlineExceededError` or `NoBackendServerError`.
+        """
+
+    @abstractmethod
+    def confirm(self, grant: HeldGrant) -> bool:
+        """Return whether the grant may be used now; call just before dispatch.
+
+        It may not when it expired, its version was withdrawn or its server
+        is leaving; the caller then acquires another one.
+        """
+
+    @abstractmethod
+    def finish(self, grant: HeldGrant, ask: GrantAsk, result: DispatchResult) -> None:
+        """Return the grant with the result of its dispatch."""
+
+    @abstractmethod
+    def withdraw(self, ask: GrantAsk) -> None:
+        """Give up waiting, as the caller went away."""
