Add the grant exchange between entries and the peer transport

Cause: requests of all entries must be ordered at one place per group. Ruled out: queueing asks for a group that another member dispatches, since two queues would break the tier order; such asks are repeated after 150 ms. Conclusion: the pure exchange is ready for the dispatcher.

--- a/marjoramfall/messages.py
+++ b/marjoramfall/messages.py
@@ -97,6 +97,14 @@
     route: str
     excluded_server_ids: list[str] = []
     idempotent: bool = True
+    insist: bool = False
+
+
+class AsksReceived(Message):
+    """Confirm that the dispatcher knows the asks of these requests."""
+
+    group_id: str
+    request_ids: list[str]
 
 
 class GrantReply(Message):
@@ -217,6 +225,7 @@
     | ConfigEntries
     | ConfigRequest
     | AskGrant
+    | AsksReceived
     | GrantReply
     | ShedReply
     | WithdrawRequest
--- /dev/null
+++ b/marjoramfall/process/group_client.py
@@ -0,0 +1,233 @@
+"""Hold the asks and grants of one entry towards the groups' dispatchers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from marjoramfall.messages import (
+    AsksReceived,
+    GrantReply,
+    GroupState,
+    RequestFinished,
+    RequestStarted,
+    ShedReply,
+    WithdrawRequest,
+)
+from marjoramfall.process.actions import ResolveAsk, Send
+from marjoramfall.process.directory import MemberDirectory
+from marjoramfall.process.group_messages import (
+    active_grant,
+    ask_message,
+    finish_message,
+    refusal_of,
+)
+from marjoramfall.request.grants import (
+    DeadlineExceededError,
+    DispatchResult,
+    GrantAsk,
+    HeldGrant,
+)
+
+ACKNOWLEDGE_WITHIN_MS = 150
+RESENDS_BEFORE_INSISTING = 3
+
+ClientAction = Send | ResolveAsk
+
+
+@dataclass(slots=True)
+class PendingAsk:
+    """Track an ask until it is granted, refused or withdrawn."""
+
+    ask: GrantAsk
+    dispatcher: str
+    sent_ms: float
+    acknowledged: bool = False
+    resends: int = 0
+
+
+@dataclass(slots=True)
+class OpenGrant:
+    """Track a grant until its request has finished."""
+
+    grant: HeldGrant
+    ask: GrantAsk
+    dispatcher: str
+    started: bool = False
+
+
+@dataclass(slots=True)
+class UsableServers:
+    """Say where requests may go, as this entry knows it."""
+
+    address_by_server_id: dict[str, str] = field(default_factory=dict)
+    leaving_server_ids: set[str] = field(default_factory=set)
+    withdrawn_version_ids: set[str] = field(default_factory=set)
+
+    def admits(self, server_id: str, version_id: str) -> bool:
+        """Return whether a new request may go to this server and version."""
+        return (
+            server_id in self.address_by_server_id
+            and server_id not in self.leaving_server_ids
+            and version_id not in self.withdrawn_version_ids
+        )
+
+
+class GroupClient:
+    """Ask for grants, use them and return them; holds no clock."""
+
+    def __init__(self, directory: MemberDirectory, servers: UsableServers) -> None:
+        self._directory = directory
+        self._servers = servers
+        self._pending_by_id: dict[str, PendingAsk] = {}
+        self._open_by_id: dict[str, OpenGrant] = {}
+
+    @property
+    def held(self) -> int:
+        """Return how many requests wait or run."""
+        return len(self._pending_by_id) + len(self._open_by_id)
+
+    def ask(self, ask: GrantAsk, now_ms: float) -> list[ClientAction]:
+        """Ask the dispatcher of the request's group for a grant."""
+        dispatcher = self._directory.dispatcher_of(ask.service_id)
+        self._pending_by_id[ask.request_id] = PendingAsk(ask, dispatcher, now_ms)
+        return [Send(dispatcher, ask_message(ask, now_ms))]
+
+    def withdraw(self, request_id: str) -> list[ClientAction]:
+        """Give up waiting for a grant."""
+        pending = self._pending_by_id.pop(request_id, None)
+        if pending is None:
+            return []
+        message = WithdrawRequest(
+            group_id=pending.ask.service_id, request_id=request_id
+        )
+        return [Send(pending.dispatcher, message)]
+
+    def confirm(self, request_id: str, now_ms: float) -> list[ClientAction] | None:
+        """Start using a grant; None if it must not be used any more."""
+        held = self._open_by_id.get(request_id)
+        if held is None or now_ms >= held.grant.expires_ms:
+            return None
+        if not self._servers.admits(held.grant.server_id, held.grant.version_id):
+            return None
+        held.started = True
+        message = RequestStarted(
+            group_id=held.ask.service_id,
+            request_id=request_id,
+            server_id=held.grant.server_id,
+        )
+        return [Send(held.dispatcher, message)]
+
+    def finish(self, request_id: str, result: DispatchResult) -> list[ClientAction]:
+        """Return a grant with its result, to whoever dispatches the group now."""
+        held = self._open_by_id.pop(request_id, None)
+        if held is None:
+            return []
+        dispatcher = self._directory.dispatcher_of(held.ask.service_id)
+        return [Send(dispatcher, finish_message(held.grant, held.ask, result))]
+
+    def on_grant(
+        self, sender: str, reply: GrantReply, now_ms: float
+    ) -> list[ClientAction]:
+        """Take a grant; one that nobody waits for is returned at once."""
+        pending = self._pending_by_id.pop(reply.request_id, None)
+        if pending is None:
+            return self._return_unwanted(sender, reply)
+        address = self._servers.address_by_server_id.get(reply.server_id, '')
+        grant = HeldGrant(
+            request_id=reply.request_id,
+            service_id=reply.group_id,
+            server_id=reply.server_id,
+            version_id=reply.version_id,
+            address=address,
+            expires_ms=now_ms + reply.valid_ms,
+        )
+        self._open_by_id[reply.request_id] = OpenGrant(grant, pending.ask, sender)
+        return [ResolveAsk(reply.request_id, grant)]
+
+    def on_shed(self, sender: str, reply: ShedReply) -> list[ClientAction]:
+        """Take a refusal from the dispatcher that was asked last."""
+        pending = self._pending_by_id.get(reply.request_id)
+        if pending is None or pending.dispatcher != sender:
+            return []
+        self._pending_by_id.pop(reply.request_id)
+        return [ResolveAsk(reply.request_id, refusal_of(reply))]
+
+    def on_received(self, sender: str, message: AsksReceived) -> None:
+        """Stop repeating asks that the dispatcher knows."""
+        for request_id in message.request_ids:
+            pending = self._pending_by_id.get(request_id)
+            if pending is not None and pending.dispatcher == sender:
+                pending.acknowledged = True
+
+    def on_members_changed(
+        self, group_ids: Iterable[str], previous: dict[str, str], now_ms: float
+    ) -> list[ClientAction]:
+        """Tell each group's new dispatcher all that this entry has in it.
+
+        `previous` maps groups to the dispatchers before the change.
+        """
+        actions: list[ClientAction] = []
+        for group_id in group_ids:
+            dispatcher = self._directory.dispatcher_of(group_id)
+            if previous.get(group_id) != dispatcher:
+                actions.append(self._send_state(group_id, dispatcher, now_ms))
+        return actions
+
+    def tick(self, now_ms: float) -> list[ClientAction]:
+        """Repeat unacknowledged asks and refuse those past their deadline."""
+        actions: list[ClientAction] = []
+        for pending in list(self._pending_by_id.values()):
+            if now_ms >= pending.ask.deadline_ms:
+                error = DeadlineExceededError('no grant before the deadline')
+                actions.extend(self.withdraw(pending.ask.request_id))
+                actions.append(ResolveAsk(pending.ask.request_id, error))
+            elif self._is_overdue(pending, now_ms):
+                actions.append(self._repeat(pending, now_ms))
+        return actions
+
+    def _is_overdue(self, pending: PendingAsk, now_ms: float) -> bool:
+        waited_ms = now_ms - pending.sent_ms
+        return not pending.acknowledged and waited_ms >= ACKNOWLEDGE_WITHIN_MS
+
+    def _repeat(self, pending: PendingAsk, now_ms: float) -> Send:
+        pending.resends += 1
+        pending.sent_ms = now_ms
+        pending.dispatcher = self._directory.dispatcher_of(pending.ask.service_id)
+        message = ask_message(pending.ask, now_ms)
+        message.insist = pending.resends >= RESENDS_BEFORE_INSISTING
+        return Send(pending.dispatcher, message)
+
+    def _send_state(self, group_id: str, dispatcher: str, now_ms: float) -> Send:
+        waiting = []
+        for pending in self._pending_by_id.values():
+            if pending.ask.service_id == group_id:
+                pending.dispatcher = dispatcher
+                pending.sent_ms = now_ms
+                pending.acknowledged = False
+                waiting.append(ask_message(pending.ask, now_ms))
+        active = [
+            active_grant(held.grant, held.ask)
+            for held in self._open_by_id.values()
+            if held.ask.service_id == group_id
+        ]
+        state = GroupState(group_id=group_id, waiting=waiting, active=active)
+        return Send(dispatcher, state)
+
+    def _return_unwanted(self, sender: str, reply: GrantReply) -> list[ClientAction]:
+        held = self._open_by_id.get(reply.request_id)
+        if held is not None and held.grant.server_id == reply.server_id:
+            return []
+        unused = RequestFinished(
+            group_id=reply.group_id,
+            request_id=reply.request_id,
+            server_id=reply.server_id,
+            version_id=reply.version_id,
+            route='',
+            succeeded=False,
+            dispatched=False,
+            first_token_ms=None,
+            total_ms=0,
+            prefill_tokens=0,
+            cached_tokens=0,
+            decode_tokens=0,
+        )
+        return [Send(sender, unused)]
--- /dev/null
+++ b/marjoramfall/process/group_exchange.py
@@ -0,0 +1,151 @@
+"""Join the client and the host side of the grant protocol in one process."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from functools import singledispatchmethod
+
+from marjoramfall.messages import (
+    AskGrant,
+    AsksReceived,
+    GrantReply,
+    GroupState,
+    Message,
+    RequestFinished,
+    RequestStarted,
+    ShedReply,
+    WithdrawRequest,
+)
+from marjoramfall.process.actions import ResolveAsk, Send
+from marjoramfall.process.directory import MemberDirectory
+from marjoramfall.process.group_client import GroupClient, UsableServers
+from marjoramfall.process.group_host import GroupDispatcher, GroupHost
+from marjoramfall.request.events import ServerInfo
+
+ExchangeAction = Send | ResolveAsk
+
+
+class GroupExchange:
+    """Handle grant messages; messages to the process itself stay inside."""
+
+    def __init__(
+        self,
+        own_incarnation: str,
+        make_dispatcher: Callable[[str], GroupDispatcher],
+    ) -> None:
+        self.directory = MemberDirectory(own_incarnation)
+        self.servers = UsableServers()
+        self.client = GroupClient(self.directory, self.servers)
+        self.host = GroupHost(self.directory, make_dispatcher)
+        self._group_ids: tuple[str, ...] = ()
+
+    @property
+    def group_ids(self) -> tuple[str, ...]:
+        """Return all groups of the configuration."""
+        return self._group_ids
+
+    def set_groups(
+        self, servers_by_group: dict[str, Sequence[ServerInfo]], now_ms: float
+    ) -> list[ExchangeAction]:
+        """Replace the groups and their servers."""
+        previous = self._dispatchers()
+        self._group_ids = tuple(sorted(servers_by_group))
+        opened = self.host.on_members_changed(self._group_ids, (), now_ms)
+        decided = self.host.set_servers(servers_by_group, now_ms)
+        told = self.client.on_members_changed(self._group_ids, previous, now_ms)
+        return self.settle([*opened, *decided, *told], now_ms)
+
+    def set_members(self, live: Iterable[str], now_ms: float) -> list[ExchangeAction]:
+        """Replace the live members."""
+        previous = self._dispatchers()
+        before = self.directory.live
+        self.directory.replace(live)
+        removed = sorted(before - self.directory.live)
+        opened = self.host.on_members_changed(self._group_ids, removed, now_ms)
+        told = self.client.on_members_changed(self._group_ids, previous, now_ms)
+        return self.settle([*opened, *told], now_ms)
+
+    def tick(self, now_ms: float) -> list[ExchangeAction]:
+        """Let time pass."""
+        return self.settle([*self.host.tick(now_ms), *self.client.tick(now_ms)], now_ms)
+
+    def receive(
+        self, sender: str, message: Message, now_ms: float
+    ) -> list[ExchangeAction]:
+        """Handle a message of another member."""
+        return self.settle(self._handle(message, sender, now_ms), now_ms)
+
+    def settle(
+        self, actions: Iterable[ExchangeAction], now_ms: float
+    ) -> list[ExchangeAction]:
+        """Handle the messages to the process itself and return the rest."""
+        outgoing: list[ExchangeAction] = []
+        queue = deque(actions)
+        own = self.directory.own_incarnation
+        while queue:
+            action = queue.popleft()
+            if isinstance(action, Send) and action.incarnation == own:
+                queue.extend(self._handle(action.message, own, now_ms))
+            else:
+                outgoing.append(action)
+        return outgoing
+
+    def _dispatchers(self) -> dict[str, str]:
+        return {
+            group_id: self.directory.dispatcher_of(group_id)
+            for group_id in self._group_ids
+        }
+
+    @singledispatchmethod
+    def _handle(
+        self, message: Message, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return ()
+
+    @_handle.register
+    def _on_ask(
+        self, message: AskGrant, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.host.on_ask(sender, message, now_ms)
+
+    @_handle.register
+    def _on_received(
+        self, message: AsksReceived, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        self.client.on_received(sender, message)
+        return ()
+
+    @_handle.register
+    def _on_grant(
+        self, message: GrantReply, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.client.on_grant(sender, message, now_ms)
+
+    @_handle.register
+    def _on_shed(
+        self, message: ShedReply, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.client.on_shed(sender, message)
+
+    @_handle.register
+    def _on_withdraw(
+        self, message: WithdrawRequest, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.host.on_withdraw(sender, message, now_ms)
+
+    @_handle.register
+    def _on_started(
+        self, message: RequestStarted, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.host.on_started(message, now_ms)
+
+    @_handle.register
+    def _on_finished(
+        self, message: RequestFinished, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.host.on_finished(message, now_ms)
+
+    @_handle.register
+    def _on_group_state(
+        self, message: GroupState, sender: str, now_ms: float
+    ) -> Sequence[ExchangeAction]:
+        return self.host.on_group_state(sender, message, now_ms)
--- /dev/null
+++ b/marjoramfall/process/group_host.py
@@ -0,0 +1,299 @@
+"""Run the dispatchers of those groups that this process dispatches."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from marjoramfall.messages import (
+    ActiveGrant,
+    AskGrant,
+    GroupState,
+    RequestFinished,
+    RequestStarted,
+    WithdrawRequest,
+)
+from marjoramfall.process.actions import Send
+from marjoramfall.process.directory import MemberDirectory
+from marjoramfall.process.group_messages import (
+    acknowledge,
+    concerns,
+    finish_report,
+    reply_to,
+    waiting_request,
+)
+from marjoramfall.request.events import (
+    Action,
+    CacheEvent,
+    FinishReport,
+    LoadReport,
+    ServerInfo,
+    WaitingRequest,
+    WorkEstimate,
+)
+
+COLLECT_STATE_MS = 500
+IDLE_TAKEOVER_KEEP_MS = 5000
+
+
+class GroupDispatcher(Protocol):
+    """Decide which waiting request of a group goes to which server."""
+
+    def enqueue(self, waiting: WaitingRequest, now_ms: float) -> list[Action]:
+        """Add a waiting request."""
+
+    def withdraw(self, request_id: str, now_ms: float) -> list[Action]:
+        """Remove a waiting request."""
+
+    def on_started(self, request_id: str, now_ms: float) -> list[Action]:
+        """Note that a grant is in use."""
+
+    def on_finished(self, report: FinishReport, now_ms: float) -> list[Action]:
+        """Take back a grant with its result."""
+
+    def on_load_report(self, report: LoadReport, now_ms: float) -> list[Action]:
+        """Take a server's own load report."""
+
+    def on_cache_event(self, event: CacheEvent, now_ms: float) -> list[Action]:
+        """Take a server's cache event."""
+
+    def set_servers(self, servers: Sequence[ServerInfo], now_ms: float) -> list[Action]:
+        """Replace the servers of the group."""
+
+    def adopt_active(
+        self,
+        entry_id: str,
+        request_id: str,
+        server_id: str,
+        version_id: str,
+        work: WorkEstimate,
+        now_ms: float,
+    ) -> list[Action]:
+        """Count a grant that an earlier dispatcher made."""
+
+    def release_entry(self, entry_id: str, now_ms: float) -> list[Action]:
+        """Forget the requests and grants of a dead entry."""
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Expire grants and requests."""
+
+
+@dataclass(slots=True)
+class HostedGroup:
+    """Hold a dispatcher and what it waits for before it grants."""
+
+    dispatcher: GroupDispatcher
+    opened_ms: float
+    last_ask_ms: float
+    missing: set[str]
+    held: list[WaitingRequest] = field(default_factory=list)
+
+    def is_collecting(self, now_ms: float) -> bool:
+        """Return whether some entry's work in flight is still unknown."""
+        return bool(self.missing) and now_ms - self.opened_ms < COLLECT_STATE_MS
+
+
+class GroupHost:
+    """Feed messages to the hosted dispatchers and send their decisions."""
+
+    def __init__(
+        self,
+        directory: MemberDirectory,
+        make_dispatcher: Callable[[str], GroupDispatcher],
+    ) -> None:
+        self._directory = directory
+        self._make_dispatcher = make_dispatcher
+        self._groups_by_id: dict[str, HostedGroup] = {}
+        self._servers_by_group: Mapping[str, Sequence[ServerInfo]] = {}
+
+    @property
+    def hosted_group_ids(self) -> list[str]:
+        """Return the groups that this process dispatches."""
+        return list(self._groups_by_id)
+
+    def dispatcher(self, group_id: str) -> GroupDispatcher | None:
+        """Return the hosted dispatcher of a group, if there is one."""
+        group = self._groups_by_id.get(group_id)
+        return group.dispatcher if group else None
+
+    def set_servers(
+        self, servers_by_group: Mapping[str, Sequence[ServerInfo]], now_ms: float
+    ) -> list[Send]:
+        """Replace the servers of all groups."""
+        self._servers_by_group = servers_by_group
+        actions: list[Send] = []
+        for group_id, group in self._groups_by_id.items():
+            servers = servers_by_group.get(group_id, ())
+            decided = group.dispatcher.set_servers(servers, now_ms)
+            actions.extend(self._replies(group_id, decided, now_ms))
+        return actions
+
+    def on_members_changed(
+        self, group_ids: Sequence[str], removed: Sequence[str], now_ms: float
+    ) -> list[Send]:
+        """Open and close groups, and release the grants of dead entries.
+
+        Entries repeat their waiting requests to the new dispatcher, so a
+        closed group has nothing to hand over.
+        """
+        for group_id in list(self._groups_by_id):
+            if not self._is_own(group_id):
+                self._groups_by_id.pop(group_id)
+        for group_id in group_ids:
+            if self._is_own(group_id):
+                self._open(group_id, now_ms)
+        actions: list[Send] = []
+        for group_id, group in self._groups_by_id.items():
+            group.missing.intersection_update(self._directory.live)
+            for incarnation in removed:
+                decided = group.dispatcher.release_entry(incarnation, now_ms)
+                actions.extend(self._replies(group_id, decided, now_ms))
+        return actions
+
+    def on_ask(self, sender: str, ask: AskGrant, now_ms: float) -> list[Send]:
+        """Queue a request; one for another dispatcher is left to repeat.
+
+        The views of members differ for a moment after a change. An entry
+        that insists has asked several times, so its view is taken as right.
+        """
+        if ask.insist and ask.group_id not in self._groups_by_id:
+            self._open(ask.group_id, now_ms)
+        group = self._groups_by_id.get(ask.group_id)
+        if group is None:
+            return []
+        group.last_ask_ms = now_ms
+        waiting = waiting_request(sender, ask, now_ms)
+        if group.is_collecting(now_ms):
+            group.held.append(waiting)
+            return [acknowledge(sender, ask)]
+        decided = group.dispatcher.enqueue(waiting, now_ms)
+        replies = self._replies(ask.group_id, decided, now_ms)
+        if not any(concerns(reply, ask.request_id) for reply in replies):
+            replies.append(acknowledge(sender, ask))
+        return replies
+
+    def on_withdraw(
+        self, sender: str, message: WithdrawRequest, now_ms: float
+    ) -> list[Send]:
+        """Remove a waiting request."""
+        group = self._groups_by_id.get(message.group_id)
+        if group is None:
+            return []
+        group.held = [
+            waiting
+            for waiting in group.held
+            if waiting.request_id != message.request_id
+        ]
+        decided = group.dispatcher.withdraw(message.request_id, now_ms)
+        return self._replies(message.group_id, decided, now_ms)
+
+    def on_started(self, message: RequestStarted, now_ms: float) -> list[Send]:
+        """Note that a grant is in use."""
+        group = self._groups_by_id.get(message.group_id)
+        if group is None:
+            return []
+        decided = group.dispatcher.on_started(message.request_id, now_ms)
+        return self._replies(message.group_id, decided, now_ms)
+
+    def on_finished(self, message: RequestFinished, now_ms: float) -> list[Send]:
+        """Take back a grant with its result."""
+        group = self._groups_by_id.get(message.group_id)
+        if group is None:
+            return []
+        decided = group.dispatcher.on_finished(finish_report(message), now_ms)
+        return self._replies(message.group_id, decided, now_ms)
+
+    def on_group_state(
+        self, sender: str, state: GroupState, now_ms: float
+    ) -> list[Send]:
+        """Adopt what an entry has waiting and running in a group."""
+        group = self._groups_by_id.get(state.group_id)
+        if group is None:
+            return []
+        actions: list[Send] = []
+        for active in state.active:
+            decided = self._adopt(group, sender, active, now_ms)
+            actions.extend(self._replies(state.group_id, decided, now_ms))
+        group.missing.discard(sender)
+        for ask in state.waiting:
+            actions.extend(self.on_ask(sender, ask, now_ms))
+        actions.extend(self._release_held(state.group_id, group, now_ms))
+        return actions
+
+    def on_load_report(
+        self, group_id: str, report: LoadReport, now_ms: float
+    ) -> list[Send]:
+        """Pass a server's load report to its group's dispatcher."""
+        group = self._groups_by_id.get(group_id)
+        if group is None:
+            return []
+        decided = group.dispatcher.on_load_report(report, now_ms)
+        return self._replies(group_id, decided, now_ms)
+
+    def on_cache_event(
+        self, group_id: str, event: CacheEvent, now_ms: float
+    ) -> list[Send]:
+        """Pass a server's cache event to its group's dispatcher."""
+        group = self._groups_by_id.get(group_id)
+        if group is None:
+            return []
+        decided = group.dispatcher.on_cache_event(event, now_ms)
+        return self._replies(group_id, decided, now_ms)
+
+    def tick(self, now_ms: float) -> list[Send]:
+        """Let time pass in all hosted groups."""
+        actions: list[Send] = []
+        for group_id, group in list(self._groups_by_id.items()):
+            actions.extend(self._release_held(group_id, group, now_ms))
+            decided = group.dispatcher.tick(now_ms)
+            actions.extend(self._replies(group_id, decided, now_ms))
+            idle_ms = now_ms - group.last_ask_ms
+            if not self._is_own(group_id) and idle_ms > IDLE_TAKEOVER_KEEP_MS:
+                self._groups_by_id.pop(group_id)
+        return actions
+
+    def _is_own(self, group_id: str) -> bool:
+        dispatcher = self._directory.dispatcher_of(group_id)
+        return dispatcher == self._directory.own_incarnation
+
+    def _open(self, group_id: str, now_ms: float) -> None:
+        if group_id in self._groups_by_id:
+            return
+        dispatcher = self._make_dispatcher(group_id)
+        dispatcher.set_servers(self._servers_by_group.get(group_id, ()), now_ms)
+        self._groups_by_id[group_id] = HostedGroup(
+            dispatcher=dispatcher,
+            opened_ms=now_ms,
+            last_ask_ms=now_ms,
+            missing=set(self._directory.live),
+        )
+
+    def _release_held(
+        self, group_id: str, group: HostedGroup, now_ms: float
+    ) -> list[Send]:
+        if not group.held or group.is_collecting(now_ms):
+            return []
+        # Highest tier first, or a lower one would take the free credits.
+        held = sorted(group.held, key=lambda waiting: waiting.tier_rank)
+        group.held.clear()
+        actions: list[Send] = []
+        for waiting in held:
+            decided = group.dispatcher.enqueue(waiting, now_ms)
+            actions.extend(self._replies(group_id, decided, now_ms))
+        return actions
+
+    def _replies(
+        self, group_id: str, decided: Sequence[Action], now_ms: float
+    ) -> list[Send]:
+        return [reply_to(group_id, action, now_ms) for action in decided]
+
+    def _adopt(
+        self, group: HostedGroup, sender: str, active: ActiveGrant, now_ms: float
+    ) -> list[Action]:
+        return group.dispatcher.adopt_active(
+            sender,
+            active.request_id,
+            active.server_id,
+            active.version_id,
+            WorkEstimate(active.prefill_tokens, active.decode_tokens),
+            now_ms,
+        )
--- /dev/null
+++ b/marjoramfall/process/group_messages.py
@@ -0,0 +1,177 @@
+"""Translate between messages and the dispatcher's events and actions."""
+
+from marjoramfall.errors import RefusedError
+from marjoramfall.messages import (
+    ActiveGrant,
+    AskGrant,
+    AsksReceived,
+    GrantReply,
+    RequestFinished,
+    ShedReply,
+)
+from marjoramfall.process.actions import Send
+from marjoramfall.request.events import (
+    Action,
+    Expire,
+    FinishReport,
+    Grant,
+    Shed,
+    WaitingRequest,
+    WorkEstimate,
+)
+from marjoramfall.request.grants import (
+    DeadlineExceededError,
+    DispatchResult,
+    GrantAsk,
+    HeldGrant,
+    NoBackendServerError,
+    ShedError,
+)
+
+
+def reply_to(group_id: str, action: Action, now_ms: float) -> Send:
+    """Return the message that carries a dispatcher's decision."""
+    if isinstance(action, Grant):
+        return Send(
+            action.entry_id,
+            GrantReply(
+                group_id=group_id,
+                request_id=action.request_id,
+                server_id=action.server_id,
+                version_id=action.version_id,
+                valid_ms=action.expires_ms - now_ms,
+            ),
+        )
+    if isinstance(action, Shed):
+        return Send(
+            action.entry_id,
+            ShedReply(
+                group_id=group_id,
+                request_id=action.request_id,
+                reason=action.reason,
+                retry_after_ms=action.retry_after_ms,
+            ),
+        )
+    return _expiry(group_id, action)
+
+
+def _expiry(group_id: str, action: Expire) -> Send:
+    message = ShedReply(
+        group_id=group_id,
+        request_id=action.request_id,
+        reason='deadline',
+        retry_after_ms=0,
+    )
+    return Send(action.entry_id, message)
+
+
+def acknowledge(sender: str, ask: AskGrant) -> Send:
+    """Return the confirmation that an ask is queued."""
+    message = AsksReceived(group_id=ask.group_id, request_ids=[ask.request_id])
+    return Send(sender, message)
+
+
+def concerns(reply: Send, request_id: str) -> bool:
+    """Return whether a reply decides on this request."""
+    message = reply.message
+    if isinstance(message, (GrantReply, ShedReply)):
+        return message.request_id == request_id
+    return False
+
+
+def waiting_request(sender: str, ask: AskGrant, now_ms: float) -> WaitingRequest:
+    """Return the dispatcher's event for an ask, in the dispatcher's time."""
+    return WaitingRequest(
+        request_id=ask.request_id,
+        entry_id=sender,
+        tier_rank=ask.tier_rank,
+        team_id=ask.team_id,
+        team_weight=ask.team_weight,
+        deadline_ms=now_ms + ask.slack_ms,
+        arrived_ms=now_ms,
+        work=WorkEstimate(ask.prefill_tokens, ask.decode_tokens),
+        prefix_hashes=tuple(ask.prefix_hashes),
+        route=ask.route,
+        excluded_server_ids=frozenset(ask.excluded_server_ids),
+        idempotent=ask.idempotent,
+    )
+
+
+def finish_report(message: RequestFinished) -> FinishReport:
+    """Return the dispatcher's event for a finished request."""
+    return FinishReport(
+        request_id=message.request_id,
+        server_id=message.server_id,
+        version_id=message.version_id,
+        route=message.route,
+        succeeded=message.succeeded,
+        dispatched=message.dispatched,
+        first_token_ms=message.first_token_ms,
+        total_ms=message.total_ms,
+        work=WorkEstimate(message.prefill_tokens, message.decode_tokens),
+        cached_tokens=message.cached_tokens,
+        decode_tokens=message.decode_tokens,
+    )
+
+
+def ask_message(ask: GrantAsk, now_ms: float) -> AskGrant:
+    """Return the message of an ask; its slack is relative to the sending."""
+    return AskGrant(
+        group_id=ask.service_id,
+        request_id=ask.request_id,
+        tier_rank=ask.tier_rank,
+        team_id=ask.team_id,
+        team_weight=ask.team_weight,
+        slack_ms=ask.deadline_ms - now_ms,
+        prefill_tokens=ask.prefill_tokens,
+        decode_tokens=ask.decode_tokens,
+        prefix_hashes=list(ask.prefix_hashes),
+        route=ask.route,
+        excluded_server_ids=list(ask.excluded_server_ids),
+        idempotent=ask.idempotent,
+    )
+
+
+def active_grant(grant: HeldGrant, ask: GrantAsk) -> ActiveGrant:
+    """Return what a new dispatcher must know of an open grant."""
+    return ActiveGrant(
+        request_id=grant.request_id,
+        server_id=grant.server_id,
+        version_id=grant.version_id,
+        prefill_tokens=ask.prefill_tokens,
+        decode_tokens=ask.decode_tokens,
+    )
+
+
+def finish_message(
+    grant: HeldGrant, ask: GrantAsk, result: DispatchResult
+) -> RequestFinished:
+    """Return the message that gives a grant back."""
+    return RequestFinished(
+        group_id=ask.service_id,
+        request_id=grant.request_id,
+        server_id=grant.server_id,
+        version_id=grant.version_id,
+        route=ask.route,
+        succeeded=result.succeeded,
+        dispatched=result.dispatched,
+        first_token_ms=result.first_token_ms,
+        total_ms=result.total_ms,
+        prefill_tokens=ask.prefill_tokens,
+        cached_tokens=result.cached_tokens,
+        decode_tokens=result.decode_tokens,
+    )
+
+
+def refusal_of(reply: ShedReply) -> RefusedError:
+    """Return the error that a caller sees for a refusal."""
+    if reply.reason == 'deadline':
+        return DeadlineExceededError('the deadline can no longer be met')
+    if reply.reason == 'no_server':
+        return NoBackendServerError(
+            'no backend server can take the request',
+            retry_after_ms=reply.retry_after_ms,
+        )
+    return ShedError(
+        f'shed under load: {reply.reason}', retry_after_ms=reply.retry_after_ms
+    )
--- /dev/null
+++ b/marjoramfall/process/metrics.py
@@ -0,0 +1,62 @@
+"""Define the metrics of an entry process."""
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.76, 1, 2.5, 5, 10, 30, 60)
+
+
+class Metrics:
+    """Hold the registry of one process and its metrics."""
+
+    def __init__(self, *, vm: str, data_centre: str) -> None:
+        self._registry = Registry()
+        self._labels = {'vm': vm, 'data_centre': data_centre}
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self.requests = self._counter(
+            'marjoramfall_requests_total', 'Requests by outcome, service and tier.'
+        )
+        self.request_seconds = self._histogram(
+            'marjoramfall_request_seconds', 'Seconds until the whole response.'
+        )
+        self.peer_messages = self._counter(
+            'marjoramfall_peer_messages_total', 'Messages by direction and kind.'
+        )
+        self.peer_bytes = self._counter(
+            'marjoramfall_peer_bytes_total', 'Bytes between entries by direction.'
+        )
+        self.peer_drops = self._counter(
+            'marjoramfall_peer_drops_total', 'Messages dropped, by reason.'
+        )
+        self.config_changes = self._counter(
+            'marjoramfall_config_changes_total', 'Changes submitted, by outcome.'
+        )
+        self.withdrawals = self._counter(
+            'marjoramfall_version_withdrawals_total', 'Versions withdrawn, by version.'
+        )
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show the value of a callable whenever metrics are read."""
+        gauge = Gauge(name, text, const_labels=self._labels, registry=self._registry)
+        self._gauges.append((gauge, read))
+
+    def render(self, accept: str) -> tuple[bytes, list[tuple[str, str]]]:
+        """Return the body and headers of a scrape."""
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        body, headers = render(self._registry, [accept or '*/*'])
+        return body, [(name, str(text)) for name, text in headers.items()]
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(name, text, const_labels=self._labels, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            name,
+            text,
+            const_labels=self._labels,
+            registry=self._registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
