--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,85 @@
+import unittest
+
+from marjoramfall.request.dispatcher import Dispatcher
+from marjoramfall.request.events import (
+    Expire,
+    Grant,
+    ServerInfo,
+    WaitingRequest,
+    WorkEstimate,
+)
+from marjoramfall.version.router import SingleVersionRouter
+
+
+def waiting_request(request_id, **options):
+    """Return a request of the middle tier."""
+    defaults = {
+        'entry_id': 'entry-1',
+        'tier_rank': 1,
+        'team_id': 'team-1',
+        'team_weight': 1.0,
+        'deadline_ms': 10000.0,
+        'arrived_ms': 0.0,
+        'work': WorkEstimate(100, 50),
+    }
+    return WaitingRequest(request_id=request_id, **(defaults | options))
+
+
+def server(server_id, *, max_concurrency=1, leaving=False):
+    """Return a server of version v1."""
+    return ServerInfo(
+        server_id=server_id,
+        version_id='v1',
+        data_centre='dc-1',
+        max_concurrency=max_concurrency,
+        leaving=leaving,
+    )
+
+
+class DispatcherTest(unittest.TestCase):
+    """Check the order of grants and the return of credits."""
+
+    def setUp(self):
+        self.dispatcher = Dispatcher('group', SingleVersionRouter('v1'))
+        self.dispatcher.set_servers([server('s1')], 0)
+
+    def granted(self, actions):
+        return [action.request_id for action in actions if isinstance(action, Grant)]
+
+    def test_tier_order(self):
+        """Guards against a lower tier that is granted before a higher one."""
+        self.dispatcher.enqueue(waiting_request('first'), 0)
+        for rank in (3, 0, 2):
+            self.dispatcher.enqueue(waiting_request(f'tier-{rank}', tier_rank=rank), 1)
+        self.assertEqual(self.granted(self.dispatcher.withdraw('first', 2)), ['tier-0'])
+
+    def test_repeated_enqueue(self):
+        """Guards against two grants for one request."""
+        grants = self.dispatcher.enqueue(waiting_request('first'), 0)
+        self.assertEqual(self.dispatcher.enqueue(waiting_request('first'), 1), grants)
+        self.dispatcher.on_started('first', 2)
+        self.assertEqual(self.dispatcher.enqueue(waiting_request('first'), 3), [])
+
+    def test_unstarted_grant_returns_credits(self):
+        """Guards against credits that leak when an entry never starts."""
+        self.dispatcher.enqueue(waiting_request('first'), 0)
+        self.dispatcher.enqueue(waiting_request('second'), 0)
+        self.assertEqual(self.granted(self.dispatcher.tick(400)), [])
+        self.assertEqual(self.granted(self.dispatcher.tick(500)), ['second'])
+
+    def test_leaving_server(self):
+        """Guards against new work for a server that leaves."""
+        self.dispatcher.set_servers([server('s1', leaving=True)], 0)
+        self.assertEqual(self.dispatcher.enqueue(waiting_request('first'), 0), [])
+        self.assertEqual(
+            self.dispatcher.tick(10000),
+            [Expire(request_id='first', entry_id='entry-1')],
+        )
+
+    def test_dead_entry(self):
+        """Guards against credits that a dead entry keeps for ever."""
+        self.dispatcher.enqueue(waiting_request('first'), 0)
+        self.dispatcher.on_started('first', 0)
+        self.dispatcher.enqueue(waiting_request('second', entry_id='entry-2'), 0)
+        released = self.dispatcher.release_entry('entry-1', 1)
+        self.assertEqual(self.granted(released), ['second'])
