--- a/marjoramfall/identifiers.py
+++ b/marjoramfall/identifiers.py
@@ -17,7 +17,7 @@
     """Return the members of a group, the preferred one first."""
     return sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f'{group_id}/{member}'), member),
+        key=lambda member: (_weight(group_id, member), member),
         reverse=True,
     )
 
@@ -33,3 +33,7 @@
         """Return the next request id."""
         self._issued += 1
         return f'{self._incarnation}-{self._issued:x}'
+
+
+def _weight(group_id: str, member: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{group_id}/{member}'.encode())
