--- /dev/null
+++ b/marjoramfall_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for a model engine with continuous batching."""
