--- /dev/null
+++ b/marjoramfall/process/grant_gateway.py
@@ -0,0 +1,93 @@
+"""Let the greenlets of requests wait for grants."""
+
+from collections.abc import Callable, Iterable
+
+from gevent.event import AsyncResult
+
+from marjoramfall.clock import Clock
+from marjoramfall.process.actions import ResolveAsk, Send
+from marjoramfall.process.group_exchange import ExchangeAction, GroupExchange
+from marjoramfall.request.grants import (
+    DispatchResult,
+    GrantAsk,
+    GrantClient,
+    HeldGrant,
+)
+
+
+class GrantGateway(GrantClient):
+    """Pass asks to the exchange and wake the greenlets that wait.
+
+    The exchange is shared with the process's message task. No method of it
+    blocks, so each call is one step between two switches of greenlets.
+    """
+
+    def __init__(
+        self,
+        exchange: GroupExchange,
+        clock: Clock,
+        *,
+        send: Callable[[Send], None],
+    ) -> None:
+        self._exchange = exchange
+        self._clock = clock
+        self._send = send
+        self._waiters_by_id: dict[str, AsyncResult] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a grant."""
+        return len(self._waiters_by_id)
+
+    def acquire(self, ask: GrantAsk) -> HeldGrant:
+        """Wait for a grant; raises a `RefusedError`."""
+        now_ms = self._clock.monotonic_ms()
+        waiter = AsyncResult()
+        self._waiters_by_id[ask.request_id] = waiter
+        try:
+            self._settle(self._exchange.client.ask(ask, now_ms), now_ms)
+            return waiter.get()
+        finally:
+            self._waiters_by_id.pop(ask.request_id, None)
+
+    def confirm(self, grant: HeldGrant) -> bool:
+        """Return whether the grant may be used now, and mark it as used."""
+        now_ms = self._clock.monotonic_ms()
+        actions = self._exchange.client.confirm(grant.request_id, now_ms)
+        if actions is None:
+            return False
+        self._settle(actions, now_ms)
+        return True
+
+    def finish(self, grant: HeldGrant, ask: GrantAsk, result: DispatchResult) -> None:
+        """Return the grant with the result of its dispatch."""
+        actions = self._exchange.client.finish(grant.request_id, result)
+        self._settle(actions, self._clock.monotonic_ms())
+
+    def withdraw(self, ask: GrantAsk) -> None:
+        """Give up waiting; a grant that came meanwhile is returned unused."""
+        now_ms = self._clock.monotonic_ms()
+        unused = DispatchResult(succeeded=False, dispatched=False)
+        client = self._exchange.client
+        self._settle(client.withdraw(ask.request_id), now_ms)
+        self._settle(client.finish(ask.request_id, unused), now_ms)
+
+    def perform(self, actions: Iterable[ExchangeAction]) -> None:
+        """Send messages and wake waiting requests."""
+        for action in actions:
+            if isinstance(action, ResolveAsk):
+                self._wake(action)
+            else:
+                self._send(action)
+
+    def _settle(self, actions: Iterable[ExchangeAction], now_ms: float) -> None:
+        self.perform(self._exchange.settle(actions, now_ms))
+
+    def _wake(self, action: ResolveAsk) -> None:
+        waiter = self._waiters_by_id.get(action.request_id)
+        if waiter is None:
+            return
+        if isinstance(action.outcome, HeldGrant):
+            waiter.set(action.outcome)
+        else:
+            waiter.set_exception(action.outcome)
