Add the request path and the callers' interface

The daemon needs a thin working path: completions, chat and plain services go from the caller through a grant to a backend server and back. Grants are finished exactly once, and a caller that leaves withdraws its request or cancels its stream. Doing keyed work in the caller's own greenlet was ruled out: an interrupt in the middle of a claim or a release would leave the key undecided.

--- /dev/null
+++ b/marjoramfall/request/dispatch_attempt.py
@@ -0,0 +1,189 @@
+"""Measure one use of a grant and return the grant exactly once."""
+
+from collections.abc import Callable, Generator, Iterator
+from http import HTTPStatus
+
+import msgspec
+
+from marjoramfall.clock import Clock
+from marjoramfall.connection.backend_errors import BackendStatusError
+from marjoramfall.errors import BackendServerError, MarjoramfallError, RunState
+from marjoramfall.request.answer import StreamEvent
+from marjoramfall.request.grants import (
+    DispatchResult,
+    GrantAsk,
+    GrantClient,
+    HeldGrant,
+)
+
+USAGE_MARK = b'"usage"'
+
+
+class CallerGoneError(MarjoramfallError):
+    """Stop the work for a caller whose connection ended."""
+
+    code = 'caller_gone'
+    http_status = 499
+
+
+class TokenDetails(msgspec.Struct):
+    """Count the prompt tokens that the engine had cached."""
+
+    cached_tokens: int = 0
+
+
+class Usage(msgspec.Struct):
+    """Count the tokens of a response."""
+
+    completion_tokens: int = 0
+    prompt_tokens_details: TokenDetails | None = None
+
+
+class UsageCarrier(msgspec.Struct):
+    """Read the usage section of a response or an event."""
+
+    usage: Usage | None = None
+
+
+class DispatchAttempt:
+    """Hold a grant until the dispatch has ended."""
+
+    def __init__(
+        self, grants: GrantClient, clock: Clock, ask: GrantAsk, grant: HeldGrant
+    ) -> None:
+        self.ask = ask
+        self.grant = grant
+        self._grants = grants
+        self._clock = clock
+        self._started_ms = clock.monotonic_ms()
+        self._first_token_ms: float | None = None
+        self._usage = Usage()
+        self._event_count = 0
+        self._is_finished = False
+
+    def is_permitted(self) -> bool:
+        """Return whether the grant may be used now."""
+        self._started_ms = self._clock.monotonic_ms()
+        return not self._is_finished and self._grants.confirm(self.grant)
+
+    def on_event(self, event: StreamEvent) -> None:
+        """Count an event of the stream."""
+        if self._first_token_ms is None:
+            self._first_token_ms = self._elapsed_ms()
+        if not event.is_done:
+            self._event_count += 1
+            self.on_body(event.data)
+
+    def on_body(self, body: bytes) -> None:
+        """Take the usage section of a response, if it has one."""
+        if USAGE_MARK not in body:
+            return
+        try:
+            self._usage = msgspec.json.decode(body, type=UsageCarrier).usage or Usage()
+        except msgspec.MsgspecError:
+            self._usage = Usage()
+
+    def finish(self, *, succeeded: bool, run_state: RunState = RunState.RUN) -> None:
+        """Return the grant; later calls do nothing."""
+        if self._is_finished:
+            return
+        self._is_finished = True
+        details = self._usage.prompt_tokens_details or TokenDetails()
+        result = DispatchResult(
+            succeeded=succeeded,
+            dispatched=run_state is not RunState.NOT_RUN,
+            first_token_ms=self._first_token_ms,
+            total_ms=self._elapsed_ms(),
+            cached_tokens=details.cached_tokens,
+            decode_tokens=self._usage.completion_tokens or self._event_count,
+        )
+        self._grants.finish(self.grant, self.ask, result)
+
+    def finish_cancelled(self) -> None:
+        """Return the grant after the caller went away.
+
+        That is a failure of the server only if the deadline had passed, so
+        that callers who leave early do not discredit a version.
+        """
+        in_time = self._clock.monotonic_ms() < self.ask.deadline_ms
+        self.finish(succeeded=in_time, run_state=RunState.UNKNOWN)
+
+    def _elapsed_ms(self) -> float:
+        return self._clock.monotonic_ms() - self._started_ms
+
+
+class FinishOnFailure:
+    """Return the grant when the dispatch fails; success is left to the body."""
+
+    def __init__(self, attempt: DispatchAttempt) -> None:
+        self._attempt = attempt
+
+    def __enter__(self) -> None:
+        """Start the dispatch."""
+
+    def __exit__(
+        self, kind: object, error: BaseException | None, trace: object
+    ) -> None:
+        """Report a failed dispatch."""
+        if error is None or isinstance(error, StopIteration):
+            return
+        if isinstance(error, BackendServerError):
+            self._attempt.finish(
+                succeeded=is_callers_fault(error), run_state=error.actual_run_state
+            )
+        else:
+            self._attempt.finish_cancelled()
+
+
+class AnswerStream(Iterator[StreamEvent]):
+    """Yield the events of a dispatched stream; must be read or closed."""
+
+    def __init__(
+        self,
+        first: StreamEvent,
+        events: Generator[StreamEvent, None, None],
+        attempt: DispatchAttempt,
+    ) -> None:
+        self._first: StreamEvent | None = first
+        self._events = events
+        self._attempt = attempt
+        self._on_end: Callable[[], None] | None = None
+        attempt.on_event(first)
+
+    def on_end(self, callback: Callable[[], None]) -> None:
+        """Call back once when the stream has ended or was closed."""
+        self._on_end = callback
+
+    def __next__(self) -> StreamEvent:
+        """Return the next event; raises a `BackendServerError`."""
+        first = self._first
+        if first is not None:
+            self._first = None
+            return first
+        with FinishOnFailure(self._attempt):
+            event = next(self._events, None)
+        if event is None:
+            self._attempt.finish(succeeded=True)
+            self._end()
+            raise StopIteration
+        self._attempt.on_event(event)
+        return event
+
+    def close(self) -> None:
+        """Cancel the stream at its server if it has not ended."""
+        self._events.close()
+        self._attempt.finish_cancelled()
+        self._end()
+
+    def _end(self) -> None:
+        callback = self._on_end
+        self._on_end = None
+        if callback is not None:
+            callback()
+
+
+def is_callers_fault(error: BackendServerError) -> bool:
+    """Return whether the server answered that the request was wrong."""
+    if not isinstance(error, BackendStatusError):
+        return False
+    return error.status < HTTPStatus.INTERNAL_SERVER_ERROR
--- /dev/null
+++ b/marjoramfall/request/keyed_work.py
@@ -0,0 +1,132 @@
+"""Run a request that holds an idempotency key to a recorded end."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import Generic, TypeVar
+
+import gevent
+
+from marjoramfall.errors import MarjoramfallError, RunState
+from marjoramfall.model import Delivery
+from marjoramfall.request.dispatch_attempt import CallerGoneError
+from marjoramfall.request.key_claim import (
+    MAX_KEY_LENGTH,
+    ClaimOutcome,
+    InvalidKeyError,
+    KeyClaims,
+    KeyRequiredError,
+    KeyScope,
+)
+from marjoramfall.request.parsed_request import ParsedRequest
+
+MAX_RECORDED_BYTES = 16 * 1024
+
+Result = TypeVar('Result')
+
+
+class WorkPhase(Enum):
+    """Say how far a keyed request has come."""
+
+    CLAIMING = auto()
+    WAITING = auto()
+    DISPATCHED = auto()
+    ENDING = auto()
+
+
+class KeyedWork(Generic[Result]):
+    """Claim a key, work, and release the key, whether or not the caller stays.
+
+    The work runs in its own greenlet, because a caller that leaves must not
+    interrupt a claim or a release half way.
+    """
+
+    def __init__(
+        self,
+        claims: KeyClaims,
+        request: ParsedRequest,
+        work: Callable[[Callable[[], bool]], Result],
+        outcome_of: Callable[[Result], ClaimOutcome | None],
+    ) -> None:
+        """Prepare; `work` gets the function to call just before dispatch.
+
+        `outcome_of` returns None if the result releases the key itself.
+        """
+        self._claims = claims
+        self._request = request
+        self._work = work
+        self._outcome_of = outcome_of
+        self._scope = _scope_of(request)
+        self._phase = WorkPhase.CLAIMING
+        self._caller_is_gone = False
+
+    def run(self) -> Result:
+        """Return the result of the work; raises a `MarjoramfallError`."""
+        worker = gevent.spawn(self._guarded)
+        try:
+            outcome = worker.get()
+        except CallerGoneError:
+            self._on_caller_gone(worker)
+            raise
+        if isinstance(outcome, MarjoramfallError):
+            raise outcome
+        return outcome
+
+    def release(self, outcome: ClaimOutcome) -> None:
+        """Record how the work ended."""
+        self._phase = WorkPhase.ENDING
+        self._claims.release(self._scope, self._request.request_id, outcome)
+
+    def _guarded(self) -> Result | MarjoramfallError:
+        try:
+            return self._claim_and_work()
+        except MarjoramfallError as error:
+            return error
+
+    def _claim_and_work(self) -> Result:
+        self._claims.claim(self._scope, self._request.request_id)
+        try:
+            result = self._work_unless_gone()
+        except MarjoramfallError as error:
+            self._release_failed(error)
+            raise
+        outcome = self._outcome_of(result)
+        if outcome is not None:
+            self.release(outcome)
+        return result
+
+    def _work_unless_gone(self) -> Result:
+        self._phase = WorkPhase.WAITING
+        if self._caller_is_gone:
+            raise CallerGoneError('the caller left', run_state=RunState.NOT_RUN)
+        return self._work(self._on_dispatch)
+
+    def _on_dispatch(self) -> bool:
+        self._phase = WorkPhase.DISPATCHED
+        return True
+
+    def _release_failed(self, error: MarjoramfallError) -> None:
+        never_sent = self._phase is WorkPhase.WAITING
+        was_run = error.actual_run_state is not RunState.NOT_RUN and not never_sent
+        self.release(ClaimOutcome(dispatched=was_run))
+
+    def _on_caller_gone(self, worker: gevent.Greenlet) -> None:
+        self._caller_is_gone = True
+        # A posting that was sent goes on, so that its response is recorded.
+        must_end = self._request.service.delivery is Delivery.RUN_ONCE
+        is_sent = self._phase is WorkPhase.DISPATCHED
+        if self._phase is WorkPhase.WAITING or (is_sent and not must_end):
+            worker.kill(CallerGoneError('the caller went away'), block=False)
+
+
+def _scope_of(request: ParsedRequest) -> KeyScope:
+    key = request.idempotency_key
+    if not key:
+        raise KeyRequiredError('the service requires an Idempotency-Key')
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        raise InvalidKeyError(f'a key has at most {MAX_KEY_LENGTH} characters')
+    return KeyScope(
+        team_id=request.team_id,
+        service_id=request.service.service_id,
+        key=key,
+        fingerprint=request.fingerprint,
+    )
--- /dev/null
+++ b/marjoramfall/request/parsed_request.py
@@ -0,0 +1,61 @@
+"""Describe a caller's request after it was checked."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from marjoramfall.model import Delivery, Service
+from marjoramfall.request.grants import GrantAsk
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ParsedRequest:
+    """Hold what is needed to serve a request.
+
+    `deadline_ms` is a monotonic time; `headers` are those for the backend.
+    """
+
+    request_id: str
+    service: Service
+    team_id: str
+    team_weight: float
+    tier_rank: int
+    deadline_ms: float
+    method: str
+    path: str
+    route: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    prefill_tokens: int = 1
+    decode_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    idempotency_key: str | None = None
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether the request may be dispatched again."""
+        return self.service.delivery is Delivery.IDEMPOTENT
+
+    @property
+    def fingerprint(self) -> str:
+        """Return a hash that tells a repeated request from a changed one."""
+        digest = xxhash.xxh3_128(f'{self.method} {self.path}\n')
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    def ask(self, excluded_server_ids: tuple[str, ...]) -> GrantAsk:
+        """Return the ask for a grant on any but the excluded servers."""
+        return GrantAsk(
+            request_id=self.request_id,
+            service_id=self.service.service_id,
+            tier_rank=self.tier_rank,
+            team_id=self.team_id,
+            team_weight=self.team_weight,
+            deadline_ms=self.deadline_ms,
+            prefill_tokens=self.prefill_tokens,
+            decode_tokens=self.decode_tokens,
+            prefix_hashes=self.prefix_hashes,
+            route=self.route,
+            excluded_server_ids=excluded_server_ids,
+            idempotent=self.is_idempotent,
+        )
--- /dev/null
+++ b/marjoramfall/request/request_path.py
@@ -0,0 +1,230 @@
+"""Take one request from its grant to its complete response."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import TypeVar
+
+import gevent
+
+from marjoramfall.clock import Clock
+from marjoramfall.connection.backend_client import (
+    BackendClient,
+    BackendRequest,
+    BackendResponse,
+)
+from marjoramfall.connection.backend_errors import (
+    BackendStatusError,
+    DispatchNotPermittedError,
+)
+from marjoramfall.errors import BackendServerError, MarjoramfallError, RunState
+from marjoramfall.model import Configuration, ServiceKind
+from marjoramfall.request.dispatch_attempt import (
+    AnswerStream,
+    CallerGoneError,
+    DispatchAttempt,
+    FinishOnFailure,
+    is_callers_fault,
+)
+from marjoramfall.request.grants import GrantClient
+from marjoramfall.request.key_claim import ClaimOutcome, KeyClaims
+from marjoramfall.request.keyed_work import KeyedWork
+from marjoramfall.request.parsed_request import ParsedRequest
+
+# Grants that lapsed or met a refused connection cost the server nothing, so
+# they are not taken from the retry budget, only bounded per request.
+MAX_UNSENT_ATTEMPTS = 8
+
+Result = TypeVar('Result')
+
+
+class RetryAllowance(ABC):
+    """Limit retries to a share of the recent requests of a service."""
+
+    @abstractmethod
+    def on_request(self, service_id: str) -> None:
+        """Count a first attempt."""
+
+    @abstractmethod
+    def take_retry(self, service_id: str) -> bool:
+        """Return whether one more retry is allowed, and count it."""
+
+
+class RequestPath:
+    """Serve requests: grant, dispatch, retry within the allowance, finish.
+
+    A caller that goes away is signalled by raising `CallerGoneError` in the
+    greenlet that runs `send` or iterates over `stream`.
+    """
+
+    def __init__(
+        self,
+        *,
+        grants: GrantClient,
+        backend: BackendClient,
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+        retries: RetryAllowance,
+        claims: KeyClaims,
+    ) -> None:
+        self._grants = grants
+        self._backend = backend
+        self._configuration = configuration
+        self._clock = clock
+        self._retries = retries
+        self._claims = claims
+
+    def send(self, request: ParsedRequest) -> BackendResponse:
+        """Return the complete response; raises a `MarjoramfallError`."""
+        if request.is_idempotent:
+            return self._send_from(request, _always_permitted)
+        work = KeyedWork(
+            self._claims, request, partial(self._send_from, request), _recorded
+        )
+        return work.run()
+
+    def stream(self, request: ParsedRequest) -> AnswerStream:
+        """Return the events, after waiting for the first one.
+
+        Raises a `MarjoramfallError` here or while iterating. Closing the
+        iterator cancels the stream.
+        """
+        if request.is_idempotent:
+            return self._stream_from(request, _always_permitted)
+        work = KeyedWork(
+            self._claims, request, partial(self._stream_from, request), _not_yet
+        )
+        events = work.run()
+        outcome = ClaimOutcome(dispatched=True)
+        events.on_end(partial(gevent.spawn, work.release, outcome))
+        return events
+
+    def _send_from(
+        self, request: ParsedRequest, on_dispatch: Callable[[], bool]
+    ) -> BackendResponse:
+        return self._run(request, partial(self._send_once, on_dispatch))
+
+    def _stream_from(
+        self, request: ParsedRequest, on_dispatch: Callable[[], bool]
+    ) -> AnswerStream:
+        return self._run(request, partial(self._open_stream, on_dispatch))
+
+    def _run(
+        self,
+        request: ParsedRequest,
+        dispatch: Callable[[ParsedRequest, DispatchAttempt], Result],
+    ) -> Result:
+        self._retries.on_request(request.service.service_id)
+        policy = _AttemptPolicy(request, self._retries)
+        while True:
+            try:
+                return dispatch(request, self._acquire(request, policy))
+            except MarjoramfallError as error:
+                if not policy.allows_another(error):
+                    raise
+
+    def _acquire(
+        self, request: ParsedRequest, policy: '_AttemptPolicy'
+    ) -> DispatchAttempt:
+        ask = request.ask(policy.excluded_server_ids)
+        try:
+            grant = self._grants.acquire(ask)
+        except (CallerGoneError, GeneratorExit):
+            self._grants.withdraw(ask)
+            raise
+        policy.server_id = grant.server_id
+        return DispatchAttempt(self._grants, self._clock, ask, grant)
+
+    def _send_once(
+        self,
+        on_dispatch: Callable[[], bool],
+        request: ParsedRequest,
+        attempt: DispatchAttempt,
+    ) -> BackendResponse:
+        with FinishOnFailure(attempt):
+            response = self._backend.send(
+                attempt.grant.address, _backend_request(request, attempt, on_dispatch)
+            )
+            attempt.on_body(response.body)
+            if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                raise BackendStatusError(response.status, response.body)
+        attempt.finish(succeeded=True)
+        return response
+
+    def _open_stream(
+        self,
+        on_dispatch: Callable[[], bool],
+        request: ParsedRequest,
+        attempt: DispatchAttempt,
+    ) -> AnswerStream:
+        events = self._backend.stream(
+            attempt.grant.address, _backend_request(request, attempt, on_dispatch)
+        )
+        with FinishOnFailure(attempt):
+            first = next(events)
+        return AnswerStream(first, events, attempt)
+
+
+class _AttemptPolicy:
+    """Decide whether a failed request may be dispatched again."""
+
+    def __init__(self, request: ParsedRequest, retries: RetryAllowance) -> None:
+        self.excluded_server_ids: tuple[str, ...] = ()
+        self.server_id = ''
+        self._request = request
+        self._retries = retries
+        self._unsent = 0
+        self._sent = 0
+
+    def allows_another(self, error: MarjoramfallError) -> bool:
+        if not isinstance(error, BackendServerError):
+            self._correct_run_state(error)
+            return False
+        if not isinstance(error, DispatchNotPermittedError):
+            self.excluded_server_ids += (self.server_id,)
+        if error.actual_run_state is RunState.NOT_RUN:
+            self._unsent += 1
+            self._correct_run_state(error)
+            return self._unsent < MAX_UNSENT_ATTEMPTS
+        self._sent += 1
+        return self._may_repeat(error)
+
+    def _may_repeat(self, error: BackendServerError) -> bool:
+        if not self._request.is_idempotent or is_callers_fault(error):
+            return False
+        if self._sent >= self._request.service.max_attempts:
+            return False
+        return self._retries.take_retry(self._request.service.service_id)
+
+    def _correct_run_state(self, error: MarjoramfallError) -> None:
+        # A refusal of the second attempt says nothing about the first one.
+        if self._sent and error.actual_run_state is RunState.NOT_RUN:
+            error.actual_run_state = RunState.UNKNOWN
+
+
+def _always_permitted() -> bool:
+    return True
+
+
+def _recorded(response: BackendResponse) -> ClaimOutcome:
+    return ClaimOutcome(dispatched=True, status=response.status, body=response.body)
+
+
+def _not_yet(events: AnswerStream) -> None:
+    """Leave the release to the end of the stream."""
+
+
+def _backend_request(
+    request: ParsedRequest, attempt: DispatchAttempt, on_dispatch: Callable[[], bool]
+) -> BackendRequest:
+    return BackendRequest(
+        request_id=request.request_id,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        once=not request.is_idempotent,
+        is_cancellable=request.service.kind is ServiceKind.MODEL,
+        is_permitted=lambda: attempt.is_permitted() and on_dispatch(),
+    )
