--- /dev/null
+++ b/marjoramfall/process/config_draft.py
@@ -0,0 +1,118 @@
+"""Edit a copy of the configuration."""
+
+from dataclasses import replace
+from enum import StrEnum
+from types import MappingProxyType
+
+from marjoramfall.model import (
+    BackendServer,
+    Configuration,
+    Move,
+    Service,
+    Team,
+    Tier,
+    Version,
+)
+from marjoramfall.process.config_errors import (
+    EntityNotFoundError,
+    UnknownReferenceError,
+)
+
+Entity = Tier | Team | Service | Version | BackendServer | Move
+
+
+class EntityKind(StrEnum):
+    """Name the kinds of configuration entities."""
+
+    TIER = 'tier'
+    TEAM = 'team'
+    SERVICE = 'service'
+    VERSION = 'version'
+    BACKEND_SERVER = 'backend_server'
+    MOVE = 'move'
+
+    @property
+    def collection(self) -> str:
+        """Return the name of the collection in `Configuration`."""
+        return f'{self.value}s_by_id'
+
+
+ENTITY_TYPES = MappingProxyType(
+    {
+        EntityKind.TIER: Tier,
+        EntityKind.TEAM: Team,
+        EntityKind.SERVICE: Service,
+        EntityKind.VERSION: Version,
+        EntityKind.BACKEND_SERVER: BackendServer,
+        EntityKind.MOVE: Move,
+    }
+)
+_ID_FIELDS = MappingProxyType(
+    {
+        Tier: 'tier_id',
+        Team: 'team_id',
+        Service: 'service_id',
+        Version: 'version_id',
+        BackendServer: 'server_id',
+        Move: 'move_id',
+    }
+)
+
+
+def entity_id_of(entity: Entity) -> str:
+    """Return the key of an entity in its collection."""
+    return getattr(entity, _ID_FIELDS[type(entity)])
+
+
+def find_entity(
+    configuration: Configuration, kind: EntityKind, entity_id: str
+) -> Entity | None:
+    """Return an entity or None."""
+    return getattr(configuration, kind.collection).get(entity_id)
+
+
+def require_entity(
+    configuration: Configuration, kind: EntityKind, entity_id: str
+) -> Entity:
+    """Return an entity; raises `EntityNotFoundError`."""
+    entity = find_entity(configuration, kind, entity_id)
+    if entity is None:
+        raise EntityNotFoundError(f'there is no {kind} {entity_id!r}')
+    return entity
+
+
+def require_reference(
+    configuration: Configuration, kind: EntityKind, entity_id: str
+) -> Entity:
+    """Return a referenced entity; raises `UnknownReferenceError`."""
+    entity = find_entity(configuration, kind, entity_id)
+    if entity is None:
+        raise UnknownReferenceError(f'there is no {kind} {entity_id!r} to refer to')
+    return entity
+
+
+class ConfigDraft:
+    """Collect edits and make the next configuration of them."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._base = configuration
+        self._edited: dict[str, dict[str, Entity]] = {}
+
+    def collection(self, kind: EntityKind) -> dict[str, Entity]:
+        """Return an editable copy of one collection."""
+        name = kind.collection
+        if name not in self._edited:
+            self._edited[name] = dict(getattr(self._base, name))
+        return self._edited[name]
+
+    def put(self, kind: EntityKind, entity: Entity) -> None:
+        """Add or replace an entity."""
+        self.collection(kind)[entity_id_of(entity)] = entity
+
+    def drop(self, kind: EntityKind, entity_id: str) -> None:
+        """Remove an entity if it is there."""
+        self.collection(kind).pop(entity_id, None)
+
+    def finish(self, revision: int) -> Configuration:
+        """Return the edited configuration under its revision."""
+        return replace(self._base, revision=revision, **self._edited)
--- /dev/null
+++ b/marjoramfall/process/config_log.py
@@ -0,0 +1,266 @@
+"""Write and read the configuration log in the table service."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from marjoramfall.borders.platform import (
+    PlatformAnswerLostError,
+    PlatformError,
+    PlatformUnavailableError,
+    RowCondition,
+    RowWrite,
+    TableService,
+)
+from marjoramfall.clock import Clock
+from marjoramfall.model import Configuration
+from marjoramfall.process.config_changes import Change
+from marjoramfall.process.config_draft import ConfigDraft, find_entity
+from marjoramfall.process.config_errors import (
+    ChangeIdReusedError,
+    ChangeOutcomeUnknownError,
+    ConfigChangeError,
+    RevisionConflictError,
+)
+from marjoramfall.process.config_state import (
+    ConfigState,
+    LogRecord,
+    RecordCodec,
+)
+
+TABLE = 'config'
+HEAD_KEY = 'head'
+LOG_PREFIX = 'log/'
+# Rows are listed in key order, so revisions are padded to equal length.
+REVISION_DIGITS = 16
+MAX_TRIES = 6
+RETRY_DELAY_MS = 10
+READ_LIMIT = 100
+UNKNOWN_OUTCOME = 'the store did not answer; repeat with the same change id'
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """Describe a change that an operator or an entry asks for.
+
+    `base_revision` 0 stands for the current revision.
+    """
+
+    change: Change
+    change_id: str
+    operator: str
+    base_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WrittenChange:
+    """Say under which revision a change stands, and its log record text."""
+
+    revision: int
+    text: str
+    repeated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LogTail:
+    """Hold the head revision and consecutive log records read with it."""
+
+    head: int
+    first_revision: int
+    texts: list[str]
+
+
+def log_key(revision: int) -> str:
+    """Return the row key of a log record."""
+    return f'{LOG_PREFIX}{revision:0{REVISION_DIGITS}}'
+
+
+def change_key(change_id: str) -> str:
+    """Return the row key that names the revision of a change id."""
+    return f'change/{change_id}'
+
+
+class ConfigLog:
+    """Append changes to the log, one conditional transaction each."""
+
+    def __init__(self, tables: TableService, clock: Clock) -> None:
+        self._tables = tables
+        self._clock = clock
+
+    def read_head(self) -> int:
+        """Return the last revision; raises `PlatformUnavailableError`."""
+        text = self._tables.read(TABLE, HEAD_KEY)
+        return int(text) if text else 0
+
+    def read_tail(self, after_revision: int, *, limit: int = READ_LIMIT) -> LogTail:
+        """Return the head and the records after a revision, up to the limit.
+
+        Raises `PlatformUnavailableError`.
+        """
+        head = self.read_head()
+        texts = []
+        if head > after_revision:
+            rows = self._tables.scan(
+                TABLE, prefix=LOG_PREFIX, after=log_key(after_revision), limit=limit
+            )
+            for place, row in enumerate(rows, start=after_revision + 1):
+                if row.key != log_key(place):
+                    break
+                texts.append(row.value)
+        return LogTail(head, after_revision + 1, texts)
+
+    def catch_up(self, state: ConfigState) -> int:
+        """Apply the log to the state up to the head; return the head."""
+        while True:
+            tail = self.read_tail(state.revision)
+            state.offer(tail.first_revision, tail.texts)
+            if state.revision >= tail.head or not tail.texts:
+                return tail.head
+
+    def submit(self, submission: Submission, state: ConfigState) -> WrittenChange:
+        """Validate a change against the state and write it.
+
+        Raises a `ConfigChangeError` for a change that was not written,
+        `ChangeOutcomeUnknownError`, or `PlatformUnavailableError`.
+        """
+        written = self._find_written(submission)
+        uncertain = False
+        for attempt in range(MAX_TRIES):
+            if written is not None:
+                return written
+            self._clock.sleep_ms(attempt * RETRY_DELAY_MS)
+            try:
+                written = self._try_once(submission, state)
+            except PlatformAnswerLostError:
+                uncertain = True
+            except (ConfigChangeError, PlatformUnavailableError) as error:
+                if uncertain:
+                    return self._settle(submission, error)
+                raise
+        if written is None and uncertain:
+            raise ChangeOutcomeUnknownError(UNKNOWN_OUTCOME)
+        return written or self._settle_conflict(submission)
+
+    def _try_once(
+        self, submission: Submission, state: ConfigState
+    ) -> WrittenChange | None:
+        """Write once; None means that a rival took the revision.
+
+        After a lost response, trying again is safe: the conditions allow at
+        most one of the attempts, even if the first takes effect only now.
+        """
+        self._reach_base(submission, state)
+        submission.change.validate(state.configuration)
+        record = self._make_record(submission, state.configuration)
+        text = RecordCodec.encode(record)
+        if self._transact(record, text):
+            return WrittenChange(record.revision, text)
+        written = self._find_written(submission)
+        if written is None and submission.base_revision:
+            raise RevisionConflictError(
+                f'another change followed revision {submission.base_revision}'
+            )
+        return written
+
+    def _reach_base(self, submission: Submission, state: ConfigState) -> None:
+        base = submission.base_revision
+        if base == 0 or base > state.revision:
+            self.catch_up(state)
+        if base not in {0, state.revision}:
+            raise RevisionConflictError(
+                f'the base revision is {base}, the current one is {state.revision}'
+            )
+
+    def _make_record(
+        self, submission: Submission, configuration: Configuration
+    ) -> LogRecord:
+        change = submission.change
+        revision = configuration.revision + 1
+        draft = ConfigDraft(configuration)
+        change.edit(draft)
+        edited = draft.finish(revision)
+        return LogRecord(
+            revision=revision,
+            change_id=submission.change_id,
+            operator=submission.operator,
+            wall_ms=self._clock.wall_ms(),
+            change=change,
+            before=_as_dict(configuration, change),
+            after=_as_dict(edited, change),
+        )
+
+    def _transact(self, record: LogRecord, text: str) -> bool:
+        base = record.revision - 1
+        used_key = change_key(record.change_id)
+        conditions = (
+            RowCondition(TABLE, HEAD_KEY, str(base) if base else None),
+            RowCondition(TABLE, used_key, None),
+        )
+        writes = (
+            RowWrite(TABLE, log_key(record.revision), text),
+            RowWrite(TABLE, used_key, str(record.revision)),
+            RowWrite(TABLE, HEAD_KEY, str(record.revision)),
+        )
+        return self._tables.transact(conditions, writes)
+
+    def _settle(self, submission: Submission, error: Exception) -> WrittenChange:
+        """Return what an earlier attempt wrote, or report that it is unknown."""
+        try:
+            written = self._find_written(submission)
+        except PlatformError:
+            written = None
+        if written is None:
+            raise ChangeOutcomeUnknownError(UNKNOWN_OUTCOME) from error
+        return written
+
+    def _settle_conflict(self, submission: Submission) -> WrittenChange:
+        written = self._find_written(submission)
+        if written is None:
+            raise RevisionConflictError(
+                f'gave up after {MAX_TRIES} concurrent changes; repeat the change'
+            )
+        return written
+
+    def _find_written(self, submission: Submission) -> WrittenChange | None:
+        """Return the result of an earlier submission of the same change id.
+
+        A plain read may be stale; only a transaction shows that the row is
+        certainly absent.
+        """
+        used_key = change_key(submission.change_id)
+        try:
+            if self._tables.transact((RowCondition(TABLE, used_key, None),), ()):
+                return None
+        except PlatformAnswerLostError as error:
+            raise PlatformUnavailableError('the check was not answered') from error
+        for attempt in range(MAX_TRIES):
+            self._clock.sleep_ms(attempt * RETRY_DELAY_MS)
+            written = self._read_written(used_key)
+            if written is not None:
+                return _require_same_change(written, submission)
+        raise ChangeOutcomeUnknownError(UNKNOWN_OUTCOME)
+
+    def _read_written(self, used_key: str) -> WrittenChange | None:
+        revision_text = self._tables.read(TABLE, used_key)
+        if revision_text is None:
+            return None
+        revision = int(revision_text)
+        text = self._tables.read(TABLE, log_key(revision))
+        if text is None:
+            return None
+        return WrittenChange(revision, text, repeated=True)
+
+
+def _require_same_change(
+    written: WrittenChange, submission: Submission
+) -> WrittenChange:
+    if RecordCodec.decode(written.text).change != submission.change:
+        raise ChangeIdReusedError(
+            f'change id {submission.change_id!r} stands for another change'
+        )
+    return written
+
+
+def _as_dict(configuration: Configuration, change: Change) -> dict | None:
+    entity = find_entity(configuration, *change.target)
+    return None if entity is None else msgspec.to_builtins(entity)
--- /dev/null
+++ b/marjoramfall/process/config_state.py
@@ -0,0 +1,147 @@
+"""Apply the records of the configuration log strictly in order."""
+
+from typing import ClassVar
+
+import msgspec
+
+from marjoramfall.model import Configuration
+from marjoramfall.process.config_draft import ConfigDraft
+from marjoramfall.process.config_errors import (
+    ContradictingRecordError,
+    MalformedRecordError,
+)
+from marjoramfall.process.config_moves import AnyChange
+
+# A day has about 1,700 changes; a peer that is further behind loads a snapshot.
+MAX_RETAINED_RECORDS = 4096
+MAX_BUFFERED_RECORDS = 1024
+
+
+class LogRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Record a change and its audit: who, when, from what, to what.
+
+    `wall_ms` is Unix time; `before` and `after` are the changed entity,
+    None where it did not exist.
+    """
+
+    revision: int
+    change_id: str
+    operator: str
+    wall_ms: int
+    change: AnyChange
+    before: dict[str, object] | None
+    after: dict[str, object] | None
+
+
+class RecordCodec:
+    """Turn log records into JSON texts and back."""
+
+    _decoder: ClassVar[msgspec.json.Decoder] = msgspec.json.Decoder(LogRecord)
+
+    @classmethod
+    def encode(cls, record: LogRecord) -> str:
+        """Return the JSON text of a record."""
+        return msgspec.json.encode(record).decode()
+
+    @classmethod
+    def decode(cls, text: str) -> LogRecord:
+        """Return the record of a text; raises `MalformedRecordError`."""
+        try:
+            return cls._decoder.decode(text)
+        except msgspec.MsgspecError as error:
+            raise MalformedRecordError(f'log record: {error}') from error
+
+
+class ConfigState:
+    """Hold the configuration of one entry; its revision never goes back."""
+
+    def __init__(self, configuration: Configuration | None = None) -> None:
+        self._configuration = configuration or Configuration()
+        self._texts_by_revision: dict[int, str] = {}
+        self._buffered_by_revision: dict[int, str] = {}
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration of the applied revision."""
+        return self._configuration
+
+    @property
+    def revision(self) -> int:
+        """Return the applied revision; 0 before the first change."""
+        return self._configuration.revision
+
+    @property
+    def oldest_retained(self) -> int:
+        """Return the first revision that `records_after` can return."""
+        return min(self._texts_by_revision, default=self.revision + 1)
+
+    def restore(self, configuration: Configuration) -> bool:
+        """Take over a later snapshot; return whether it was later."""
+        if configuration.revision <= self.revision:
+            return False
+        self._configuration = configuration
+        self._texts_by_revision.clear()
+        self._apply_buffered()
+        return True
+
+    def offer(self, first_revision: int, texts: list[str]) -> int:
+        """Take consecutive records; return how many were applied.
+
+        Records ahead of a gap are kept until the gap is filled. Raises
+        `ContradictingRecordError` for a record that differs from the one
+        already held for its revision, and `MalformedRecordError`; records
+        before the faulty one are applied.
+        """
+        before = self.revision
+        for revision, text in enumerate(texts, start=first_revision):
+            self._take(revision, text)
+        return self.revision - before
+
+    def records_after(self, revision: int, *, limit: int = 100) -> list[str]:
+        """Return the texts of the following records that are retained.
+
+        The list is empty if the next record is not retained any more.
+        """
+        texts = []
+        following = revision + 1
+        while following in self._texts_by_revision and len(texts) < limit:
+            texts.append(self._texts_by_revision[following])
+            following += 1
+        return texts
+
+    def _take(self, revision: int, text: str) -> None:
+        self._require_same(revision, text)
+        if revision <= self.revision:
+            return
+        if revision - self.revision <= MAX_BUFFERED_RECORDS:
+            self._buffered_by_revision[revision] = text
+        self._apply_buffered()
+
+    def _require_same(self, revision: int, text: str) -> None:
+        for held in (self._texts_by_revision, self._buffered_by_revision):
+            if held.get(revision, text) != text:
+                self._buffered_by_revision.pop(revision, None)
+                raise ContradictingRecordError(
+                    f'another record of revision {revision} is held already'
+                )
+
+    def _apply_buffered(self) -> None:
+        following = self.revision + 1
+        while following in self._buffered_by_revision:
+            self._apply(following, self._buffered_by_revision.pop(following))
+            following += 1
+        for revision in tuple(self._buffered_by_revision):
+            if revision <= self.revision:
+                self._buffered_by_revision.pop(revision)
+
+    def _apply(self, revision: int, text: str) -> None:
+        record = RecordCodec.decode(text)
+        if record.revision != revision:
+            raise MalformedRecordError(
+                f'record of revision {record.revision} at place {revision}'
+            )
+        draft = ConfigDraft(self._configuration)
+        record.change.edit(draft)
+        self._configuration = draft.finish(revision)
+        self._texts_by_revision[revision] = text
+        self._texts_by_revision.pop(revision - MAX_RETAINED_RECORDS, None)
--- a/marjoramfall/settings/model.py
+++ b/marjoramfall/settings/model.py
@@ -1,9 +1,10 @@
 """Define the settings of an entry process."""
 
 import re
+from ipaddress import IPv4Address
 from typing import Annotated
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, BeforeValidator, ConfigDict, Field
 
 from marjoramfall.clock import MS_PER_SECOND
 
@@ -11,6 +12,7 @@
 SIZE = re.compile(r'(\d+)(B|KiB|MiB)')
 MS_BY_UNIT = {'ms': 1, 's': MS_PER_SECOND, 'min': 60 * MS_PER_SECOND}
 BYTES_BY_UNIT = {'B': 1, 'KiB': 1024, 'MiB': 1024 * 1024}
+MAX_PORT = 65_535
 PORT_PATTERN = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 
 
@@ -30,9 +32,21 @@
     return int(match.group(1)) * BYTES_BY_UNIT[match.group(2)]
 
 
+def check_address(address: str) -> str:
+    """Return the address if its IP and port are in range."""
+    host, port = address.rsplit(':', 1)
+    try:
+        IPv4Address(host)
+    except ValueError as error:
+        raise ValueError('expected an IPv4 address before the port') from error
+    if int(port) > MAX_PORT:
+        raise ValueError(f'expected a port up to {MAX_PORT}')
+    return address
+
+
 DurationMs = Annotated[int, BeforeValidator(parse_duration)]
 SizeBytes = Annotated[int, BeforeValidator(parse_size)]
-Address = Annotated[str, Field(pattern=PORT_PATTERN)]
+Address = Annotated[str, Field(pattern=PORT_PATTERN), AfterValidator(check_address)]
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
--- /dev/null
+++ b/tests/test_config_log.py
@@ -0,0 +1,114 @@
+import unittest
+
+from marjoramfall.clock import PausedClock
+from marjoramfall.model import Team, Tier
+from marjoramfall.process.config_changes import Delete, PutTeam, PutTier
+from marjoramfall.process.config_draft import EntityKind
+from marjoramfall.process.config_errors import (
+    ChangeIdReusedError,
+    ChangeOutcomeUnknownError,
+    ContradictingRecordError,
+    RevisionConflictError,
+    StillReferencedError,
+    UnknownReferenceError,
+)
+from marjoramfall.process.config_log import ConfigLog, Submission
+from marjoramfall.process.config_state import ConfigState
+from tests.fakes import FakeTableService
+
+GOLD = PutTier(entity=Tier('gold', 0, 5000))
+SILVER = PutTier(entity=Tier('silver', 1, 9000))
+
+
+def submission(change, change_id, base=0):
+    """Return a change of one operator."""
+    return Submission(change, change_id, 'ada', base)
+
+
+class ConfigLogTest(unittest.TestCase):
+    """Check that each change is written once, or reported as not written."""
+
+    def setUp(self):
+        self.tables = FakeTableService()
+        self.log = ConfigLog(self.tables, PausedClock())
+        self.state = ConfigState()
+
+    def submit(self, change, change_id, base=0):
+        written = self.log.submit(submission(change, change_id, base), self.state)
+        self.state.offer(written.revision, [written.text])
+        return written.revision
+
+    def test_repeated_change_id(self):
+        """Guards against a repeated command that applies twice."""
+        self.assertEqual(self.submit(GOLD, 'c1'), 1)
+        self.assertEqual(self.submit(SILVER, 'c2'), 2)
+        self.tables.faults.stale_reads = 1
+        self.assertEqual(self.submit(GOLD, 'c1', 1), 1)
+        self.assertEqual(self.log.read_head(), 2)
+        with self.assertRaises(ChangeIdReusedError):
+            self.submit(SILVER, 'c1')
+
+    def test_lost_answer(self):
+        """Guards against writing again after the response was lost."""
+        self.tables.faults.lost_answers = 1
+        self.assertEqual(self.submit(GOLD, 'c1'), 1)
+        self.tables.faults.lost_requests = 1
+        self.assertEqual(self.submit(SILVER, 'c2'), 2)
+        self.assertEqual(self.log.read_head(), 2)
+
+    def test_unknown_outcome(self):
+        """Guards against reporting an unanswered write as not written."""
+        self.tables.faults.lost_requests = 100
+        with self.assertRaises(ChangeOutcomeUnknownError):
+            self.submit(GOLD, 'c1')
+
+    def test_rivals(self):
+        """Guards against two winners on one base revision."""
+        self.submit(GOLD, 'c1')
+        rival = ConfigLog(self.tables, PausedClock())
+        rival.submit(submission(SILVER, 'c2', 1), ConfigState())
+        with self.assertRaises(RevisionConflictError):
+            self.submit(Delete(kind=EntityKind.TIER, entity_id='gold'), 'c3', 1)
+
+    def test_references(self):
+        """Guards against a configuration that names missing entities."""
+        team = PutTeam(entity=Team('crew', 'gold', 'a' * 64))
+        with self.assertRaises(UnknownReferenceError):
+            self.submit(team, 'c1')
+        self.submit(GOLD, 'c2')
+        self.submit(team, 'c3')
+        with self.assertRaises(StillReferencedError):
+            self.submit(Delete(kind=EntityKind.TIER, entity_id='gold'), 'c4')
+
+
+class ConfigStateTest(unittest.TestCase):
+    """Check that records are applied in order and never undone."""
+
+    def setUp(self):
+        log = ConfigLog(FakeTableService(), PausedClock())
+        source = ConfigState()
+        for number in range(4):
+            tier = PutTier(entity=Tier(f'tier-{number}', number, 1000))
+            written = log.submit(submission(tier, f'c{number}'), source)
+            source.offer(written.revision, [written.text])
+        self.texts = source.records_after(0)
+        self.state = ConfigState()
+
+    def test_gap(self):
+        """Guards against applying a record whose predecessor is missing."""
+        self.assertEqual(self.state.offer(3, self.texts[2:]), 0)
+        self.assertEqual(self.state.revision, 0)
+        self.assertEqual(self.state.offer(1, self.texts[:2]), 4)
+
+    def test_never_back(self):
+        """Guards against a late record that reverts a newer one."""
+        self.state.offer(1, self.texts)
+        latest = self.state.configuration
+        self.state.offer(1, self.texts[:2])
+        self.assertIs(self.state.configuration, latest)
+
+    def test_contradiction(self):
+        """Guards against two histories under the same revision."""
+        self.state.offer(1, self.texts)
+        with self.assertRaises(ContradictingRecordError):
+            self.state.offer(2, [self.texts[1].replace('tier-1', 'tier-x')])
