Add MoveRouter with evidence, share and end of a move

A move needs one place that limits the new version's share, judges it against the old version and ends the move by its deadline.

Failures, first-token latency and output rate are tested by betting (e-processes with restarts), per route, load and over all routes. A result belongs to the new version at most as often as its share says if it is no worse, so a general slowdown gives no evidence. Fixed thresholds on windowed averages were ruled out: they have no bound on false withdrawals when looked at after every request.

tests/test_move_router.py: without the relative test test_general_failure_is_not_blamed fails; without the token counter test_share_holds_in_tokens fails; without the deadline check test_deadline_without_evidence fails.

--- /dev/null
+++ b/marjoramfall/version/evidence.py
@@ -0,0 +1,178 @@
+"""Collect evidence on a new version against the old one, per route and load."""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjoramfall.model import MoveGuard
+from marjoramfall.request.events import FinishReport
+from marjoramfall.version.betting import BettingTest, RelativeTest
+
+# One good version in a thousand may be withdrawn by chance.
+FALSE_WITHDRAWAL_RATE = 0.001
+# Being worse than the old version is a weaker claim than breaking the guard,
+# which is tested beside it; it only has to rule out a general failure.
+FALSE_RELATIVE_RATE = 0.01
+SLOW_QUANTILE = 0.9
+QUANTILE_STEP = 0.05
+LEVEL_SMOOTHING = 0.1
+MIN_RATE_TOKENS = 4
+DECODE_COST = 20
+ALL = '*'
+
+
+class Metric(StrEnum):
+    """Name what a result is judged by."""
+
+    FAILURE = 'failure'
+    FIRST_TOKEN = 'first_token'
+    OUTPUT_RATE = 'output_rate'
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Say that the new version is worse than the guard allows, and where."""
+
+    metric: Metric
+    route: str
+    load: str
+    evidence: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Observation:
+    """Describe one finished request for the evidence."""
+
+    report: FinishReport
+    route: str
+    is_new: bool
+    high_load: bool
+    share: float
+
+
+class LatencyScale:
+    """Predict a latency of the old version from the size of the request.
+
+    Sizes differ by a factor of a hundred, so latencies are compared as
+    logarithms of the ratio to the prediction.
+    """
+
+    def __init__(self) -> None:
+        self._levels_by_bucket: dict[int, float] = {}
+        self._slow_residual = math.log(2)
+
+    def slow(self, size: int, duration_ms: float, allowance: float) -> bool | None:
+        """Return whether a latency is in the slow tail; None if unknown."""
+        level = self._levels_by_bucket.get(size.bit_length())
+        if level is None:
+            return None
+        return _log(duration_ms) - level - allowance > self._slow_residual
+
+    def learn(self, size: int, duration_ms: float) -> None:
+        """Take a latency of the old version."""
+        bucket = size.bit_length()
+        latency = _log(duration_ms)
+        level = self._levels_by_bucket.setdefault(bucket, latency)
+        is_slow = latency - level > self._slow_residual
+        change = SLOW_QUANTILE if is_slow else SLOW_QUANTILE - 1
+        self._slow_residual += QUANTILE_STEP * change
+        self._levels_by_bucket[bucket] += LEVEL_SMOOTHING * (latency - level)
+
+
+class EvidenceStream:
+    """Hold the tests of one route under one load."""
+
+    def __init__(self, guard: MoveGuard) -> None:
+        self._guard = guard
+        self._bound = BettingTest()
+        self._relative = {metric: RelativeTest() for metric in Metric}
+
+    def observe(self, seen: Observation, slow: dict[Metric, bool]) -> None:
+        """Take one result and which of its latencies were slow."""
+        failed = not seen.report.succeeded
+        if seen.is_new:
+            bound = self._guard.max_error_rate
+            self._bound.observe(happened=failed, probability=bound)
+        for metric, happened in ((Metric.FAILURE, failed), *slow.items()):
+            self._relative[metric].observe(
+                is_new=seen.is_new, happened=happened, share=seen.share
+            )
+
+    def worst(self, pending: int) -> tuple[Metric, float]:
+        """Return the metric with the most evidence and its e-value."""
+        relative = self._relative[Metric.FAILURE].evidence()
+        weight = FALSE_RELATIVE_RATE / FALSE_WITHDRAWAL_RATE
+        evidence_by_metric = {
+            metric: test.evidence() for metric, test in self._relative.items()
+        }
+        evidence_by_metric[Metric.FAILURE] = min(
+            self._bound.evidence(pending=pending), relative * weight
+        )
+        return max(evidence_by_metric.items(), key=lambda pair: pair[1])
+
+
+class VersionEvidence:
+    """Compare a new version with the old one over the same period."""
+
+    def __init__(self, guard: MoveGuard) -> None:
+        self._guard = guard
+        self._allowance = math.log(guard.max_latency_ratio)
+        self._streams: dict[tuple[str, str], EvidenceStream] = {}
+        self._scales: dict[tuple[str, Metric, bool], LatencyScale] = {}
+
+    def observe(self, seen: Observation) -> bool:
+        """Take a dispatched request's result; return whether it was clean."""
+        slow = self._judge(seen)
+        load = 'high' if seen.high_load else 'low'
+        for key in ((seen.route, load), (seen.route, ALL), (ALL, ALL)):
+            stream = self._streams.get(key)
+            if stream is None:
+                stream = EvidenceStream(self._guard)
+                self._streams[key] = stream
+            stream.observe(seen, slow)
+        return seen.report.succeeded and not any(slow.values())
+
+    def finding(self, route: str, pending: int = 0) -> Finding | None:
+        """Return the finding against the new version that a route supports."""
+        threshold = len(self._streams) * len(Metric) / FALSE_WITHDRAWAL_RATE
+        for key in ((route, 'high'), (route, 'low'), (route, ALL), (ALL, ALL)):
+            stream = self._streams.get(key)
+            if stream is None:
+                continue
+            metric, evidence = stream.worst(pending)
+            if evidence >= threshold:
+                return Finding(metric, key[0], key[1], evidence)
+        return None
+
+    def _judge(self, seen: Observation) -> dict[Metric, bool]:
+        slow: dict[Metric, bool] = {}
+        if not seen.report.succeeded:
+            return slow
+        for metric, size, duration_ms in _latencies(seen.report):
+            scale = self._scales.setdefault(
+                (seen.route, metric, seen.high_load), LatencyScale()
+            )
+            allowance = self._allowance if seen.is_new else 0
+            verdict = scale.slow(size, duration_ms, allowance)
+            if verdict is not None:
+                slow[metric] = verdict
+            if not seen.is_new:
+                scale.learn(size, duration_ms)
+        return slow
+
+
+def _latencies(report: FinishReport) -> list[tuple[Metric, int, float]]:
+    prefill = max(report.work.prefill_tokens - report.cached_tokens, 0) + 1
+    if report.first_token_ms is None:
+        size = prefill + DECODE_COST * report.decode_tokens
+        return [(Metric.FIRST_TOKEN, size, report.total_ms)]
+    latencies = [(Metric.FIRST_TOKEN, prefill, report.first_token_ms)]
+    if report.decode_tokens >= MIN_RATE_TOKENS:
+        output_ms = report.total_ms - report.first_token_ms
+        per_token = output_ms / (report.decode_tokens - 1)
+        latencies.append((Metric.OUTPUT_RATE, 1, per_token))
+    return latencies
+
+
+def _log(duration_ms: float) -> float:
+    return math.log(max(duration_ms, 0.01))
--- /dev/null
+++ b/marjoramfall/version/move.py
@@ -0,0 +1,50 @@
+"""Bring a move of traffic to its end by its deadline."""
+
+from marjoramfall.model import Move, MoveState
+from marjoramfall.version.actions import MoveFigures
+
+# The record of the end has to be written before the deadline passes.
+END_MARGIN_MS = 1000
+MARGIN_SHARE = 0.02
+
+
+class MoveController:
+    """Hold the state of one move: running, then completed or taken back."""
+
+    def __init__(self, move: Move, *, started_ms: float, deadline_ms: float) -> None:
+        self.move = move
+        self.state = move.state
+        self.reason = move.reason
+        self.figures = MoveFigures()
+        margin_ms = min(END_MARGIN_MS, (deadline_ms - started_ms) * MARGIN_SHARE)
+        self._end_ms = deadline_ms - max(margin_ms, 0)
+
+    @property
+    def running(self) -> bool:
+        """Return whether the move has not ended."""
+        return self.state is MoveState.RUNNING
+
+    @property
+    def completed(self) -> bool:
+        """Return whether the new version serves everything."""
+        return self.state is MoveState.COMPLETED
+
+    def remaining_ms(self, now_ms: float) -> float:
+        """Return the time left to decide, in milliseconds."""
+        return max(self._end_ms - now_ms, 0)
+
+    def complete(self, reason: str, figures: MoveFigures) -> bool:
+        """End the move at the new version; return whether that was news."""
+        return self._end(MoveState.COMPLETED, reason, figures)
+
+    def take_back(self, reason: str, figures: MoveFigures) -> bool:
+        """End the move at the old version; return whether that was news."""
+        return self._end(MoveState.TAKEN_BACK, reason, figures)
+
+    def _end(self, state: MoveState, reason: str, figures: MoveFigures) -> bool:
+        if not self.running:
+            return False
+        self.state = state
+        self.reason = reason
+        self.figures = figures
+        return True
--- /dev/null
+++ b/marjoramfall/version/move_router.py
@@ -0,0 +1,276 @@
+"""Route requests of one service between two versions during a move."""
+
+from collections.abc import Sequence
+
+from marjoramfall.model import Move
+from marjoramfall.request.events import FinishReport, WaitingRequest
+from marjoramfall.version.actions import (
+    MoveAction,
+    MoveAtRisk,
+    MoveCounts,
+    MoveEnded,
+    ShareChanged,
+    WithdrawVersion,
+)
+from marjoramfall.version.evidence import Observation, VersionEvidence
+from marjoramfall.version.move import MoveController
+from marjoramfall.version.router import VersionRouter
+from marjoramfall.version.share import ShareController
+from marjoramfall.version.traffic import GrantRecord, LoadClassifier, RouteTraffic
+
+# Routes come from callers' paths, so their number is bounded.
+MAX_ROUTES = 32
+OTHER_ROUTES = 'other'
+# A grant without a result, as its entry died, is forgotten after this time.
+MAX_PENDING_MS = 600_000
+RISK_PERIOD_SHARE = 0.1
+SMALL_ROUTE_SHARE = 0.1
+
+
+class MoveRouter(VersionRouter):
+    """Limit the new version's share, collect evidence and end the move.
+
+    `deadline_ms` is the move's deadline on the monotonic clock of `now_ms`.
+    Withdrawal takes effect at once; `tick` returns what has to be told.
+    """
+
+    def __init__(self, move: Move, *, now_ms: float, deadline_ms: float) -> None:
+        self.controller = MoveController(
+            move, started_ms=now_ms, deadline_ms=deadline_ms
+        )
+        self._move = move
+        self._started_ms = now_ms
+        self._evidence = VersionEvidence(move.guard)
+        self._load = LoadClassifier()
+        self._routes: dict[str, RouteTraffic] = {}
+        self._grants_by_request_id: dict[str, GrantRecord] = {}
+        self._counts = MoveCounts()
+        self._withdrawn: set[str] = set()
+        self._actions: list[MoveAction] = []
+        self._recorded_share = move.share
+        self._warned = False
+        self._told_end = False
+
+    def preferred_versions(
+        self, waiting: WaitingRequest, now_ms: float
+    ) -> Sequence[str]:
+        """Return the versions that may serve the request, best first."""
+        old, new = self._move.old_version_id, self._move.new_version_id
+        if new in self._withdrawn:
+            return _without((old,), self._withdrawn)
+        if self.controller.completed or old in self._withdrawn:
+            return (new,)
+        if not self.controller.running:
+            return (old,)
+        route = self._route(waiting.route, now_ms)
+        if route.share.allows(waiting.work.total_tokens):
+            return (new, old)
+        return (old,)
+
+    def on_granted(
+        self, waiting: WaitingRequest, version_id: str, now_ms: float
+    ) -> None:
+        """Count a grant, so that shares hold."""
+        is_new = version_id == self._move.new_version_id
+        route = self._route(waiting.route, now_ms)
+        self._grants_by_request_id[waiting.request_id] = GrantRecord(
+            route=self._route_name(waiting.route),
+            is_new=is_new,
+            level=route.share.level,
+            share=route.share.share,
+            high_load=self._load.is_high(len(self._grants_by_request_id), now_ms),
+            granted_ms=now_ms,
+        )
+        route.granted += 1
+        route.pending_new += is_new
+        route.share.on_granted(waiting.work.total_tokens, is_new=is_new)
+
+    def on_finished(self, report: FinishReport, now_ms: float) -> None:
+        """Take the result of a granted request as evidence.
+
+        A request that never reached its server says nothing of its version.
+        """
+        record = self._grants_by_request_id.pop(report.request_id, None)
+        if record is None:
+            return
+        route = self._routes[record.route]
+        route.pending_new -= record.is_new
+        if not report.dispatched or not self.controller.running:
+            return
+        seen = Observation(
+            report=report,
+            route=record.route,
+            is_new=record.is_new,
+            high_load=record.high_load,
+            share=record.share,
+        )
+        clean = self._evidence.observe(seen)
+        self._counts.count(
+            is_new=record.is_new, failed=not report.succeeded, clean=clean
+        )
+        route.on_result(record, clean=clean)
+        if record.is_new and not clean:
+            self._judge(record.route)
+
+    def withdraw(self, version_id: str, reason: str) -> None:
+        """Grant the version nothing from now on.
+
+        A withdrawn new version takes the move back. If the old one is
+        withdrawn, the new one is the only choice, so the move is completed.
+        """
+        if version_id in self._withdrawn:
+            return
+        self._withdrawn.add(version_id)
+        figures = self._counts.snapshot(self._least_share())
+        self._actions.append(
+            WithdrawVersion(
+                move_id=self._move.move_id,
+                service_id=self._move.service_id,
+                version_id=version_id,
+                reason=reason,
+                figures=figures,
+            )
+        )
+        if version_id == self._move.new_version_id:
+            self.controller.take_back(reason, figures)
+        else:
+            self.controller.complete(reason, figures)
+
+    def tick(self, now_ms: float) -> list[MoveAction]:
+        """Take due steps and return what has to be recorded or told."""
+        self._forget_lost_grants(now_ms)
+        if self.controller.running:
+            self._advance(now_ms)
+        if self._ended_untold():
+            self._told_end = True
+            self._actions.append(
+                MoveEnded(
+                    move_id=self._move.move_id,
+                    state=self.controller.state,
+                    reason=self.controller.reason,
+                    figures=self.controller.figures,
+                )
+            )
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def _advance(self, now_ms: float) -> None:
+        remaining_ms = self.controller.remaining_ms(now_ms)
+        for route in self._routes.values():
+            route.consider_step(
+                now_ms, remaining_ms, leading_level=self._leading_level()
+            )
+        share = self._least_share()
+        figures = self._counts.snapshot(share)
+        if self._proven(now_ms):
+            self.controller.complete('the evidence suffices on every route', figures)
+        elif remaining_ms <= 0:
+            self.controller.take_back('no sufficient evidence at the deadline', figures)
+        elif share != self._recorded_share:
+            self._recorded_share = share
+            self._actions.append(ShareChanged(move_id=self._move.move_id, share=share))
+        self._warn(now_ms, remaining_ms)
+
+    def _proven(self, now_ms: float) -> bool:
+        judged = self._judged_routes(now_ms)
+        return bool(judged) and all(route.share.proven for route in judged)
+
+    def _judged_routes(self, now_ms: float) -> list[RouteTraffic]:
+        """Return the routes that need evidence of their own.
+
+        Small routes with too little traffic for that stay at a low share and
+        follow the others at the end.
+        """
+        remaining_ms = self.controller.remaining_ms(now_ms)
+        leading = self._leading_level()
+        total = sum(route.granted for route in self._routes.values())
+        return [
+            route
+            for route in self._routes.values()
+            if route.granted > total * SMALL_ROUTE_SHARE
+            or not route.is_rare(now_ms, remaining_ms, leading)
+        ]
+
+    def _leading_level(self) -> int:
+        return max((route.share.level for route in self._routes.values()), default=0)
+
+    def _warn(self, now_ms: float, remaining_ms: float) -> None:
+        elapsed_ms = now_ms - self._started_ms
+        if elapsed_ms < (elapsed_ms + remaining_ms) * RISK_PERIOD_SHARE:
+            return
+        if self._warned or not self.controller.running:
+            return
+        risk = self._risk(now_ms, remaining_ms)
+        if risk is not None:
+            self._warned = True
+            self._actions.append(risk)
+
+    def _risk(self, now_ms: float, remaining_ms: float) -> MoveAtRisk | None:
+        needed: float = 1
+        expected: float = 0
+        for route in self._judged_routes(now_ms):
+            needed = route.needed_requests(self._leading_level())
+            expected = route.expected_requests(now_ms, remaining_ms)
+            if needed > expected:
+                break
+        if needed <= expected:
+            return None
+        return MoveAtRisk(
+            move_id=self._move.move_id,
+            reason='too little traffic for the evidence before the deadline',
+            needed_requests=int(needed),
+            expected_requests=int(expected),
+        )
+
+    def _judge(self, route_name: str) -> None:
+        pending = self._routes[route_name].pending_new
+        finding = self._evidence.finding(route_name, pending)
+        if finding is None:
+            return
+        self._counts.evidence = finding.evidence
+        reason = f'{finding.metric} on route {finding.route} at load {finding.load}'
+        self.withdraw(self._move.new_version_id, reason)
+
+    def _least_share(self) -> float:
+        """Return the share that the evidence supports on every route.
+
+        A new dispatcher starts all routes from the recorded share.
+        """
+        return min(
+            (route.share.share for route in self._routes.values()),
+            default=self._recorded_share,
+        )
+
+    def _ended_untold(self) -> bool:
+        return not (self.controller.running or self._told_end)
+
+    def _route_name(self, route: str) -> str:
+        if route in self._routes or len(self._routes) < MAX_ROUTES:
+            return route
+        return OTHER_ROUTES
+
+    def _route(self, name: str, now_ms: float) -> RouteTraffic:
+        key = self._route_name(name)
+        route = self._routes.get(key)
+        if route is None:
+            share = ShareController(
+                self._move.guard.max_initial_share, recorded_share=self._move.share
+            )
+            route = RouteTraffic(share, started_ms=self._started_ms)
+            self._routes[key] = route
+        return route
+
+    def _forget_lost_grants(self, now_ms: float) -> None:
+        """Drop old grants from the front, as they are in order of time."""
+        while self._grants_by_request_id:
+            request_id = next(iter(self._grants_by_request_id))
+            record = self._grants_by_request_id[request_id]
+            if now_ms - record.granted_ms < MAX_PENDING_MS:
+                return
+            self._grants_by_request_id.pop(request_id)
+            self._routes[record.route].pending_new -= record.is_new
+
+
+def _without(versions: Sequence[str], withdrawn: set[str]) -> Sequence[str]:
+    return tuple(version for version in versions if version not in withdrawn)
--- /dev/null
+++ b/tests/test_move_router.py
@@ -0,0 +1,130 @@
+import unittest
+
+from marjoramfall.model import Move, MoveState
+from marjoramfall.request.events import FinishReport, WaitingRequest, WorkEstimate
+from marjoramfall.version.actions import MoveAtRisk, MoveEnded, WithdrawVersion
+from marjoramfall.version.move_router import MoveRouter
+
+ROUTE = '/v1/completions'
+DEADLINE_MS = 600_000
+
+
+class Traffic:
+    """Send requests to a router one after another and report their results."""
+
+    def __init__(self, *, deadline_ms: float = DEADLINE_MS, share: float = 0):
+        move = Move('m', 's', 'old', 'new', DEADLINE_MS, share=share)
+        self.router = MoveRouter(move, now_ms=0, deadline_ms=deadline_ms)
+        self.now_ms = 0
+        self.sent = {'old': 0, 'new': 0}
+        self.tokens = {'old': 0, 'new': 0}
+        self.actions = []
+
+    def send(self, *, failing=(), first_ms=None, tokens=100, dispatched=True):
+        """Send one request; return the version that it was granted."""
+        self.now_ms += 100
+        waiting = self._waiting(tokens)
+        version = self.router.preferred_versions(waiting, self.now_ms)[0]
+        self.router.on_granted(waiting, version, self.now_ms)
+        self.sent[version] += 1
+        self.tokens[version] += tokens
+        report = FinishReport(
+            request_id=waiting.request_id,
+            server_id=version,
+            version_id=version,
+            route=ROUTE,
+            succeeded=version not in failing,
+            dispatched=dispatched,
+            first_token_ms=(first_ms or {}).get(version, 50),
+            total_ms=500,
+            work=waiting.work,
+            decode_tokens=20,
+        )
+        self.router.on_finished(report, self.now_ms)
+        self.actions += self.router.tick(self.now_ms)
+        return version
+
+    def send_many(self, count, **kwargs):
+        """Send several requests with the same results."""
+        for _ in range(count):
+            self.send(**kwargs)
+
+    def _waiting(self, tokens):
+        return WaitingRequest(
+            request_id=str(self.now_ms),
+            entry_id='e',
+            tier_rank=0,
+            team_id='t',
+            team_weight=1,
+            deadline_ms=self.now_ms + 10_000,
+            arrived_ms=self.now_ms,
+            work=WorkEstimate(tokens, 0),
+            route=ROUTE,
+        )
+
+
+class MoveRouterTest(unittest.TestCase):
+    """Check that moves end, by evidence and in time."""
+
+    def test_good_version_completes(self):
+        """Guards against a good version that never gets all traffic."""
+        traffic = Traffic()
+        traffic.send_many(5900)
+        ended = [a for a in traffic.actions if isinstance(a, MoveEnded)]
+        self.assertEqual([a.state for a in ended], [MoveState.COMPLETED])
+        self.assertEqual(traffic.send(), 'new')
+
+    def test_failing_version_is_withdrawn(self):
+        """Guards against a failing version that keeps its traffic."""
+        traffic = Traffic()
+        traffic.send_many(400, failing=('new',))
+        self.assertLessEqual(traffic.sent['new'], 8)
+        kinds = [type(action) for action in traffic.actions]
+        self.assertIn(WithdrawVersion, kinds)
+        self.assertEqual(traffic.actions[-1].state, MoveState.TAKEN_BACK)
+
+    def test_slow_version_is_withdrawn(self):
+        """Guards against judging a version by its failures only."""
+        traffic = Traffic()
+        traffic.send_many(1500, first_ms={'new': 200})
+        self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
+        self.assertLess(traffic.sent['new'], 40)
+
+    def test_general_failure_is_not_blamed(self):
+        """Guards against withdrawal when both versions fail alike."""
+        traffic = Traffic()
+        traffic.send_many(500)
+        traffic.send_many(500, failing=('old', 'new'))
+        self.assertTrue(traffic.router.controller.running)
+
+    def test_undispatched_failure_is_not_blamed(self):
+        """Guards against blaming a version for a server that is down."""
+        traffic = Traffic()
+        traffic.send_many(1000, failing=('new',), dispatched=False)
+        self.assertTrue(traffic.router.controller.running)
+        self.assertLessEqual(traffic.sent['new'], 50)
+
+    def test_deadline_without_evidence(self):
+        """Guards against a move that stays open after its deadline."""
+        traffic = Traffic(deadline_ms=5000)
+        traffic.send_many(49)
+        self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
+        kinds = [type(action) for action in traffic.actions]
+        self.assertLess(kinds.index(MoveAtRisk), kinds.index(MoveEnded))
+
+    def test_share_holds_in_tokens(self):
+        """Guards against a share of large requests beyond that of requests."""
+        traffic = Traffic()
+        for index in range(300):
+            traffic.send(tokens=10_000 if index % 19 == 0 else 100, dispatched=False)
+            total = sum(traffic.tokens.values())
+            self.assertLessEqual(traffic.tokens['new'], 0.05 * total)
+        self.assertGreater(traffic.sent['new'], 0)
+
+    def test_withdrawal_from_outside(self):
+        """Guards against grants after a peer's withdrawal notice."""
+        traffic = Traffic(share=0.5)
+        traffic.router.withdraw('new', 'a peer withdrew it')
+        traffic.send_many(100)
+        self.assertEqual(traffic.sent['new'], 0)
+        self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
