--- a/marjoramfall/process/grant_gateway.py
+++ b/marjoramfall/process/grant_gateway.py
@@ -1,6 +1,7 @@
 """Let the greenlets of requests wait for grants."""
 
 from collections.abc import Callable, Iterable
+from contextlib import ExitStack
 
 from gevent.event import AsyncResult
 
@@ -44,11 +45,10 @@
         now_ms = self._clock.monotonic_ms()
         waiter = AsyncResult()
         self._waiters_by_id[ask.request_id] = waiter
-        try:
+        with ExitStack() as cleanup:
+            cleanup.callback(self._waiters_by_id.pop, ask.request_id, None)
             self._settle(self._exchange.client.ask(ask, now_ms), now_ms)
             return waiter.get()
-        finally:
-            self._waiters_by_id.pop(ask.request_id, None)
 
     def confirm(self, grant: HeldGrant) -> bool:
         """Return whether the grant may be used now, and mark it as used."""
