Serve a request end to end through an entry process

Cause: the parts were not joined. Ruled out: monkey patching, since every library in use has a gevent variant or its own gevent sockets.

--- /dev/null
+++ b/marjoramfall/process/daemon.py
@@ -0,0 +1,25 @@
+"""Start an entry process from a settings file."""
+
+from loguru import logger
+
+from marjoramfall.clock import RuntimeClock
+from marjoramfall.process.entry import EntryProcess
+from marjoramfall.process.structured_log import configure_logging
+from marjoramfall.settings.loader import SettingsError, load_settings
+
+EXIT_OK = 0
+EXIT_INVALID_SETTINGS = 2
+
+
+def run_entry(file: str) -> int:
+    """Serve until stopped; return the exit status of the process."""
+    configure_logging(vm='')
+    try:
+        settings = load_settings(file)
+    except SettingsError as error:
+        for fault in error.faults:
+            logger.bind(code=error.code).error(str(fault))
+        return EXIT_INVALID_SETTINGS
+    configure_logging(vm=settings.vm)
+    EntryProcess(settings, RuntimeClock()).run()
+    return EXIT_OK
