--- /dev/null
+++ b/marjoramfall/borders/rpc/marjoramfall/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the generated code of the schema."""
--- a/marjoramfall/process/config_changes.py
+++ b/marjoramfall/process/config_changes.py
@@ -38,6 +38,10 @@
         """Return the kind and id of the changed entity."""
         raise NotImplementedError
 
+    def is_repeat_of(self, earlier: 'Change') -> bool:
+        """Return whether a change id may stand for both changes."""
+        return self == earlier
+
     def validate(self, configuration: Configuration) -> None:
         """Raise a `ConfigChangeError` if the change does not fit."""
         raise NotImplementedError
--- /dev/null
+++ b/marjoramfall/process/config_freshness.py
@@ -0,0 +1,94 @@
+"""Decide whether an entry may serve with the configuration it has."""
+
+from collections.abc import Iterable
+
+from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
+
+INCARNATION_PARTS = 2
+# Above this size a member cannot probe a majority directly within a lease;
+# membership's own failure detection counts instead.
+MAX_DIRECT_MEMBERS = 32
+
+
+def vm_of(incarnation: str) -> str:
+    """Return the VM of an incarnation id."""
+    return incarnation.rsplit('.', INCARNATION_PARTS)[0]
+
+
+class FreshnessLease:
+    """Hold the latest time at which no later revision than the applied existed.
+
+    Times are monotonic milliseconds of this process.
+    """
+
+    def __init__(self, peers: PeerViews) -> None:
+        self._peers = peers
+        self._head_ms: float | None = None
+        self._majority_ms = float('-inf')
+        self._known_vms = {vm_of(peers.own_id)}
+        self._suspect_ids: frozenset[str] = frozenset()
+        self.store_reachable = False
+
+    def head_age_ms(self, now_ms: float) -> float | None:
+        """Return how long ago the head was known, None if never."""
+        return None if self._head_ms is None else now_ms - self._head_ms
+
+    def has_head(self, now_ms: float) -> bool:
+        """Return whether the head was known within the lease."""
+        age_ms = self.head_age_ms(now_ms)
+        return age_ms is not None and age_ms <= LEASE_MS
+
+    def is_fresh(self, now_ms: float) -> bool:
+        """Return whether the entry may serve."""
+        return self.has_head(now_ms) or now_ms - self._majority_ms <= LEASE_MS
+
+    def note_head(self, known_ms: float) -> None:
+        """Record that no later revision existed at that time."""
+        if self._head_ms is None or known_ms > self._head_ms:
+            self._head_ms = known_ms
+
+    def set_members(
+        self, member_ids: Iterable[str], suspect_ids: Iterable[str]
+    ) -> None:
+        """Add new members to those of which a majority is needed."""
+        self._suspect_ids = frozenset(suspect_ids)
+        self._known_vms.update(vm_of(member_id) for member_id in member_ids)
+
+    def note_left(self, peer_id: str) -> None:
+        """Take a member that announced its stop out of the majority."""
+        self._known_vms.discard(vm_of(peer_id))
+
+    def review(self, applied: int, now_ms: float) -> None:
+        """Extend the lease if nobody can have written a change.
+
+        While the head is known, the current list of members replaces the one
+        of which a majority is needed. Without the head, members that left
+        the list still count, since the list may be wrong as well.
+        """
+        if self.has_head(now_ms):
+            self._known_vms = {vm_of(peer_id) for peer_id, _ in self._peers}
+            self._known_vms.add(vm_of(self._peers.own_id))
+            return
+        if self.store_reachable or self._head_ms is None:
+            return
+        reached = [
+            (vm_of(peer_id), view)
+            for peer_id, view in self._peers
+            if self._is_reached(peer_id, view, now_ms)
+        ]
+        if any(view.store_reachable or view.revision > applied for _, view in reached):
+            return
+        reached_vms = {vm for vm, _ in reached if vm in self._known_vms}
+        if 2 * (len(reached_vms) + 1) > len(self._known_vms):
+            self._majority_ms = now_ms - self._oldest_age(reached, now_ms)
+
+    def _is_reached(self, peer_id: str, view: PeerView, now_ms: float) -> bool:
+        if len(self._known_vms) > MAX_DIRECT_MEMBERS:
+            return peer_id not in self._suspect_ids
+        return view.reached_ms is not None and now_ms - view.reached_ms <= LEASE_MS
+
+    def _oldest_age(self, reached: list[tuple[str, PeerView]], now_ms: float) -> float:
+        """Return the age of the answer that completes the majority."""
+        ages = sorted(now_ms - (view.reached_ms or now_ms) for _, view in reached)
+        needed = len(self._known_vms) // 2
+        return ages[needed - 1] if 0 < needed <= len(ages) else 0
--- a/marjoramfall/process/config_log.py
+++ b/marjoramfall/process/config_log.py
@@ -254,7 +254,8 @@
 def _require_same_change(
     written: WrittenChange, submission: Submission
 ) -> WrittenChange:
-    if RecordCodec.decode(written.text).change != submission.change:
+    earlier = RecordCodec.decode(written.text).change
+    if not submission.change.is_repeat_of(earlier):
         raise ChangeIdReusedError(
             f'change id {submission.change_id!r} stands for another change'
         )
--- a/marjoramfall/process/config_moves.py
+++ b/marjoramfall/process/config_moves.py
@@ -45,6 +45,17 @@
         """Return the kind and id of the move."""
         return EntityKind.MOVE, self.move.move_id
 
+    def is_repeat_of(self, earlier: Change) -> bool:
+        """Compare without what follows from the time of the submission."""
+        if not isinstance(earlier, StartMove):
+            return False
+        move = replace(
+            self.move,
+            deadline_wall_ms=earlier.move.deadline_wall_ms,
+            old_version_id=earlier.move.old_version_id,
+        )
+        return move == earlier.move
+
     def validate(self, configuration: Configuration) -> None:
         """Require a usable new version and no other running move."""
         move = self.move
--- /dev/null
+++ b/marjoramfall/process/config_peers.py
@@ -0,0 +1,96 @@
+"""Keep what is known of the other members' configuration."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from marjoramfall.identifiers import rank_members
+
+READER_GROUP = 'config-readers'
+READER_COUNT = 3
+# A member serves for at most this long without news of the log's head.
+LEASE_MS = 3000
+# Covers the way of a heartbeat that was sent just before the sender confirmed.
+SILENCE_MS = LEASE_MS + 500
+
+
+@dataclass(slots=True)
+class PeerView:
+    """Hold the last news of one peer; times are monotonic milliseconds.
+
+    `revision` is the last one that the peer confirmed. `reached_ms` is when
+    the last answered probe was sent, None before the first answer.
+    """
+
+    listed_ms: float
+    heard_ms: float
+    reached_ms: float | None = None
+    revision: int = 0
+    store_reachable: bool = False
+    sent_ms: float = float('-inf')
+    resend_after_ms: float = 0
+
+
+class PeerViews:
+    """Track the listed members other than this entry itself."""
+
+    def __init__(self, own_id: str) -> None:
+        self.own_id = own_id
+        self.progress_ms = float('-inf')
+        self._views_by_id: dict[str, PeerView] = {}
+        self._reader_ids: tuple[str, ...] = (own_id,)
+
+    def __len__(self) -> int:
+        """Return the number of peers."""
+        return len(self._views_by_id)
+
+    def __iter__(self) -> Iterator[tuple[str, PeerView]]:
+        """Iterate over the ids and views of the peers."""
+        return iter(self._views_by_id.items())
+
+    def get(self, peer_id: str) -> PeerView | None:
+        """Return the view of a listed peer."""
+        return self._views_by_id.get(peer_id)
+
+    def set_members(self, member_ids: Iterable[str], now_ms: float) -> None:
+        """Replace the list of members and choose the readers of the store."""
+        listed = set(member_ids) - {self.own_id}
+        self._views_by_id = {
+            peer_id: self._views_by_id.get(peer_id) or PeerView(now_ms, now_ms)
+            for peer_id in sorted(listed)
+        }
+        ranked = rank_members(READER_GROUP, (*listed, self.own_id))
+        self._reader_ids = tuple(ranked[:READER_COUNT])
+
+    @property
+    def reader_ids(self) -> tuple[str, ...]:
+        """Return the members that poll the store."""
+        return self._reader_ids
+
+    def note_revision(self, peer_id: str, revision: int, now_ms: float) -> None:
+        """Record that a peer has applied a revision."""
+        view = self.get(peer_id)
+        if view is None:
+            return
+        view.heard_ms = now_ms
+        if revision > view.revision:
+            view.revision = revision
+            view.resend_after_ms = 0
+            self.progress_ms = now_ms
+
+    def unconfirmed(self, revision: int, now_ms: float) -> tuple[str, ...]:
+        """Return the peers that may still serve an earlier revision.
+
+        A silent peer serves nothing a lease after the last confirmation if
+        those that confirmed are a majority: none of them vouches for an
+        earlier revision any more, so the peer has no news of the head and
+        no majority without them.
+        """
+        behind = [(peer_id, view) for peer_id, view in self if view.revision < revision]
+        member_count = len(self) + 1
+        has_majority = 2 * (member_count - len(behind)) > member_count
+        return tuple(
+            peer_id
+            for peer_id, view in behind
+            if not has_majority
+            or now_ms - max(view.heard_ms, self.progress_ms) <= SILENCE_MS
+        )
--- /dev/null
+++ b/marjoramfall/process/config_spread.py
@@ -0,0 +1,288 @@
+"""Spread the configuration log among the entries."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marjoramfall.messages import ConfigEntries, ConfigRequest
+from marjoramfall.process.config_freshness import FreshnessLease
+from marjoramfall.process.config_log import LogTail
+from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
+from marjoramfall.process.config_state import ConfigState
+
+READER_POLL_MS = 500
+# Members that are not readers poll only while no reader's news reaches them.
+FALLBACK_POLL_MS = 1000
+FALLBACK_AGE_MS = LEASE_MS / 2
+POLL_TIMEOUT_MS = 3000
+RESEND_MS = 200
+MAX_RESEND_MS = 1000
+# Afterwards the exchange on heartbeats reaches those that were cut off.
+PUSH_WINDOW_MS = 10_000
+REQUEST_SPACING_MS = 50
+MAX_RECORDS_PER_MESSAGE = 100
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """Hold what a heartbeat or probe reply says of its sender.
+
+    `asked_ms` is the monotonic time at which the probe was sent that this
+    answers; None for an unasked heartbeat. Only an answer extends the lease:
+    an unasked heartbeat may have waited in a buffer while this process was
+    paused, so its age is unknown.
+    """
+
+    revision: int
+    head_age_ms: float | None
+    store_reachable: bool
+    asked_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Ask the daemon to send a message to a member."""
+
+    peer_id: str
+    message: ConfigEntries | ConfigRequest
+
+
+@dataclass(frozen=True, slots=True)
+class PollStore:
+    """Ask the daemon to read the head and the log after a revision."""
+
+    after_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionInForce:
+    """Report that a pushed revision is in force everywhere."""
+
+    revision: int
+
+
+SpreadAction = SendToPeer | PollStore | RevisionInForce
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Say which members may still serve a revision before this one."""
+
+    revision: int
+    in_force_everywhere: bool
+    unconfirmed: tuple[str, ...]
+
+
+class ConfigSpread:
+    """Push own changes, exchange missing ones and poll the store as a reader.
+
+    `ConfigRequest` also confirms that its sender has applied the revision
+    that it names. Event methods raise a `ConfigLogError` for records that
+    cannot be applied.
+    """
+
+    def __init__(self, own_id: str, state: ConfigState) -> None:
+        self._state = state
+        self._peers = PeerViews(own_id)
+        self._lease = FreshnessLease(self._peers)
+        self._push_until_ms = float('-inf')
+        self._polled_ms = float('-inf')
+        self._poll_pending = False
+        self._requested_ms = float('-inf')
+        self._awaited_revision = 0
+
+    @property
+    def reader_ids(self) -> tuple[str, ...]:
+        """Return the members that poll the store regularly."""
+        return self._peers.reader_ids
+
+    @property
+    def store_reachable(self) -> bool:
+        """Return whether the last poll of the store was answered."""
+        return self._lease.store_reachable
+
+    def head_age_ms(self, now_ms: float) -> float | None:
+        """Return for heartbeats how long ago the head was known."""
+        return self._lease.head_age_ms(now_ms)
+
+    def is_fresh(self, now_ms: float) -> bool:
+        """Return whether this entry may serve with what it has applied."""
+        self._lease.review(self._state.revision, now_ms)
+        return self._lease.is_fresh(now_ms)
+
+    def confirmation(self, revision: int, now_ms: float) -> Confirmation:
+        """Return who may still serve an earlier revision."""
+        unconfirmed = self._peers.unconfirmed(revision, now_ms)
+        if self._state.revision < revision:
+            unconfirmed = (self._peers.own_id, *unconfirmed)
+        return Confirmation(revision, not unconfirmed, unconfirmed)
+
+    def peer_revision(self, peer_id: str) -> int:
+        """Return the revision that a listed peer has confirmed."""
+        view = self._peers.get(peer_id)
+        return 0 if view is None else view.revision
+
+    def on_members(
+        self,
+        member_ids: Iterable[str],
+        now_ms: float,
+        *,
+        suspect_ids: Iterable[str] = (),
+    ) -> list[SpreadAction]:
+        """Take the members that may be serving.
+
+        Suspected and unreachable members stay listed until the platform's
+        list drops their VM, they announce their stop, or a new incarnation
+        replaces them.
+        """
+        listed = tuple(member_ids)
+        self._peers.set_members(listed, now_ms)
+        self._lease.set_members(listed, suspect_ids)
+        return self._report_in_force(now_ms)
+
+    def on_left(self, peer_id: str, now_ms: float) -> list[SpreadAction]:
+        """Take note that a member has announced its stop."""
+        self._lease.note_left(peer_id)
+        return []
+
+    def on_heartbeat(
+        self, peer_id: str, report: PeerReport, now_ms: float
+    ) -> list[SpreadAction]:
+        """Compare revisions with a peer and take over its news of the head."""
+        self._peers.note_revision(peer_id, report.revision, now_ms)
+        self._note_answer(peer_id, report)
+        view = self._peers.get(peer_id)
+        if report.revision > self._state.revision:
+            return self._request(peer_id, now_ms)
+        actions = self._report_in_force(now_ms)
+        if view is not None and report.revision < self._state.revision:
+            actions.extend(self._resend(peer_id, view, now_ms))
+        return actions
+
+    def on_entries(
+        self, peer_id: str, message: ConfigEntries, now_ms: float
+    ) -> list[SpreadAction]:
+        """Apply records and confirm them, or ask for those in between."""
+        last = message.first_revision + len(message.entries) - 1
+        self._peers.note_revision(peer_id, last, now_ms)
+        self._state.offer(message.first_revision, message.entries)
+        confirm = ConfigRequest(after_revision=self._state.revision)
+        return [SendToPeer(peer_id, confirm), *self._report_in_force(now_ms)]
+
+    def on_request(
+        self, peer_id: str, message: ConfigRequest, now_ms: float
+    ) -> list[SpreadAction]:
+        """Take a confirmation and send the records that follow it."""
+        self._peers.note_revision(peer_id, message.after_revision, now_ms)
+        if message.after_revision > self._state.revision:
+            return self._request(peer_id, now_ms)
+        actions = self._report_in_force(now_ms)
+        if message.after_revision < self._state.revision:
+            actions.extend(self._send_records(peer_id, message.after_revision))
+        return actions
+
+    def on_written(self, revision: int, text: str, now_ms: float) -> list[SpreadAction]:
+        """Apply a change that this entry wrote and push it to all."""
+        self._state.offer(revision, [text])
+        self._awaited_revision = max(self._awaited_revision, revision)
+        return [*self._push(now_ms), *self._report_in_force(now_ms)]
+
+    def on_polled(
+        self, tail: LogTail, started_ms: float, now_ms: float
+    ) -> list[SpreadAction]:
+        """Apply what a poll found; `started_ms` is when the read was sent."""
+        self._poll_pending = False
+        self._lease.store_reachable = True
+        before = self._state.revision
+        self._state.offer(tail.first_revision, tail.texts)
+        if tail.head == self._state.revision:
+            self._lease.note_head(started_ms)
+        actions: list[SpreadAction] = []
+        if self._state.revision > before:
+            actions.extend(self._push(now_ms))
+        if tail.texts and tail.head > self._state.revision:
+            actions.extend(self._poll(now_ms))
+        return actions
+
+    def on_poll_failed(self, now_ms: float) -> list[SpreadAction]:
+        """Take note that the store did not answer a poll."""
+        self._poll_pending = False
+        self._lease.store_reachable = False
+        return []
+
+    def tick(self, now_ms: float) -> list[SpreadAction]:
+        """Poll, repeat unconfirmed pushes and review the lease."""
+        self._lease.review(self._state.revision, now_ms)
+        actions = self._report_in_force(now_ms)
+        if now_ms < self._push_until_ms:
+            for peer_id, view in self._peers:
+                if view.revision < self._state.revision:
+                    actions.extend(self._resend(peer_id, view, now_ms))
+        if self._is_poll_due(now_ms):
+            actions.extend(self._poll(now_ms))
+        return actions
+
+    def _note_answer(self, peer_id: str, report: PeerReport) -> None:
+        view = self._peers.get(peer_id)
+        if view is None or report.asked_ms is None:
+            return
+        view.reached_ms = report.asked_ms
+        view.store_reachable = report.store_reachable
+        if report.head_age_ms is not None and report.revision <= self._state.revision:
+            self._lease.note_head(report.asked_ms - report.head_age_ms)
+
+    def _request(self, peer_id: str, now_ms: float) -> list[SpreadAction]:
+        if now_ms - self._requested_ms < REQUEST_SPACING_MS:
+            return []
+        self._requested_ms = now_ms
+        request = ConfigRequest(after_revision=self._state.revision)
+        return [SendToPeer(peer_id, request)]
+
+    def _push(self, now_ms: float) -> list[SpreadAction]:
+        self._push_until_ms = now_ms + PUSH_WINDOW_MS
+        actions: list[SpreadAction] = []
+        for peer_id, view in self._peers:
+            if view.revision < self._state.revision:
+                view.resend_after_ms = 0
+                actions.extend(self._resend(peer_id, view, now_ms))
+        return actions
+
+    def _resend(
+        self, peer_id: str, view: PeerView, now_ms: float
+    ) -> list[SpreadAction]:
+        if now_ms - view.sent_ms < view.resend_after_ms:
+            return []
+        view.sent_ms = now_ms
+        view.resend_after_ms = min(
+            max(2 * view.resend_after_ms, RESEND_MS), MAX_RESEND_MS
+        )
+        # Nothing is known of a new peer; it asks for what it misses.
+        return self._send_records(peer_id, view.revision or self._state.revision - 1)
+
+    def _send_records(self, peer_id: str, revision: int) -> list[SpreadAction]:
+        texts = self._state.records_after(revision, limit=MAX_RECORDS_PER_MESSAGE)
+        if not texts:
+            return []
+        message = ConfigEntries(first_revision=revision + 1, entries=texts)
+        return [SendToPeer(peer_id, message)]
+
+    def _is_poll_due(self, now_ms: float) -> bool:
+        waited_ms = now_ms - self._polled_ms
+        if self._poll_pending and waited_ms < POLL_TIMEOUT_MS:
+            return False
+        if self._peers.own_id in self._peers.reader_ids:
+            return waited_ms >= READER_POLL_MS
+        age_ms = self._lease.head_age_ms(now_ms)
+        is_late = age_ms is None or age_ms > FALLBACK_AGE_MS
+        return is_late and waited_ms >= FALLBACK_POLL_MS
+
+    def _poll(self, now_ms: float) -> list[SpreadAction]:
+        self._polled_ms = now_ms
+        self._poll_pending = True
+        return [PollStore(self._state.revision)]
+
+    def _report_in_force(self, now_ms: float) -> list[SpreadAction]:
+        awaited = self._awaited_revision
+        if not awaited or not self.confirmation(awaited, now_ms).in_force_everywhere:
+            return []
+        self._awaited_revision = 0
+        return [RevisionInForce(awaited)]
