--- a/marjoramfall/replay/expected.py
+++ b/marjoramfall/replay/expected.py
@@ -28,3 +28,8 @@
 def count_tokens(text: str) -> int:
     """Return the tokens of a prompt, at least 1."""
     return max(1, -(-len(text.encode()) // CHARACTERS_PER_TOKEN))
+
+
+def chat_line(role: str, content: str) -> str:
+    """Return what one chat message adds to the prompt."""
+    return f'{role}: {content}\n'
--- a/marjoramfall_standins/engine/prompt.py
+++ b/marjoramfall_standins/engine/prompt.py
@@ -8,7 +8,7 @@
 import msgspec
 import xxhash
 
-from marjoramfall.replay.expected import CHARACTERS_PER_TOKEN
+from marjoramfall.replay.expected import CHARACTERS_PER_TOKEN, chat_line
 
 BLOCK_TOKENS = 64
 BLOCK_BYTES = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
@@ -23,7 +23,7 @@
 
 def chat_prompt(messages: list[ChatMessage]) -> str:
     """Return the prompt of a chat: a line `role: content` per message."""
-    return ''.join(f'{message.role}: {message.content}\n' for message in messages)
+    return ''.join(chat_line(message.role, message.content) for message in messages)
 
 
 def block_hashes(prompt: str) -> tuple[int, ...]:
