Add the owners of idempotency keys

A once-only request may be dispatched only by the holder of its key's claim. Keys issued by an entry are owned by that incarnation (KeyRegistry); keys made by callers are rows of the table service, claimed by conditional writes in batches (StoreClaims). No claim ends by a timeout, so a paused holder cannot be overtaken. Keeping every issued key for 24 h was ruled out, as memory would be unbounded: forgetting the oldest record moves a horizon before which no key is granted. The claim procedure is a generator of store calls, so that tests can fail and interleave it at every call. A failed batch is halved, and two swaps of one row never share a transaction, since both conditions would hold.

ReleaseKey and ClaimReply get the content type of a recorded response, and ReleaseKey says whether the response is recorded.

--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -29,6 +29,7 @@
     error_response,
     json_response,
     relayed_response,
+    replayed_response,
 )
 from marjoramfall.borders.caller_server import CALLER_SOCKET
 from marjoramfall.borders.caller_watch import CallerWatch
@@ -36,6 +37,7 @@
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.identifiers import RequestIds
 from marjoramfall.model import Configuration
+from marjoramfall.request.key_claim import AlreadyRunError
 from marjoramfall.request.parsed_request import ParsedRequest
 from marjoramfall.request.request_path import RequestPath
 
@@ -107,9 +109,11 @@
     def _answer(self, environ: Environ, request_id: str) -> CallerResponse:
         try:
             return self._route(environ, request_id)
+        except AlreadyRunError as error:
+            return replayed_response(error)
         except MarjoramfallError as error:
             return error_response(error, request_id)
-        except Exception as error:  # noqa: BLE001
+        except Exception as error:
             logger.exception('request {} failed', request_id)
             return error_response(MarjoramfallError(repr(error)), request_id)
 
--- a/marjoramfall/borders/caller_responses.py
+++ b/marjoramfall/borders/caller_responses.py
@@ -12,6 +12,7 @@
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.request.answer import StreamEvent
 from marjoramfall.request.dispatch_attempt import AnswerStream, CallerGoneError
+from marjoramfall.request.key_claim import AlreadyRunError
 
 OK_CODE = 'ok'
 Headers = tuple[tuple[str, str], ...]
@@ -162,3 +163,11 @@
         if name.lower() not in DROPPED_HEADERS
     )
     return WholeResponse(response.status, response.body, headers=headers)
+
+
+def replayed_response(error: AlreadyRunError) -> CallerResponse:
+    """Return the recorded response of a key that was used before."""
+    outcome = error.outcome
+    content_type = outcome.content_type or 'application/octet-stream'
+    headers = (('Content-Type', content_type), ('Idempotency-Status', error.code))
+    return WholeResponse(outcome.status, outcome.body, headers=headers, code=error.code)
--- a/marjoramfall/connection/backend_client.py
+++ b/marjoramfall/connection/backend_client.py
@@ -67,6 +67,11 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
 
+    def header(self, name: str) -> str:
+        """Return the value of a header; empty if there is none."""
+        values = (value for key, value in self.headers if key.lower() == name)
+        return next(values, '')
+
 
 class StreamProgress:
     """Keep what a stream has yielded across resumed connections."""
--- a/marjoramfall/messages.py
+++ b/marjoramfall/messages.py
@@ -181,7 +181,11 @@
 
 
 class ReleaseKey(Message):
-    """Report to a key's issuer how a claimed attempt ended."""
+    """Report to a key's issuer how a claimed attempt ended.
+
+    Status 0 means that no whole response came; the body is to be returned
+    for repeated keys if `recorded`.
+    """
 
     scope: str
     key: str
@@ -189,6 +193,8 @@
     dispatched: bool
     status: int = 0
     body: bytes = b''
+    content_type: str = ''
+    recorded: bool = False
 
 
 class ClaimReply(Message):
@@ -198,6 +204,7 @@
     outcome: str
     status: int = 0
     body: bytes = b''
+    content_type: str = ''
 
 
 class VersionWithdrawn(Message):
--- a/marjoramfall/request/dispatch_attempt.py
+++ b/marjoramfall/request/dispatch_attempt.py
@@ -147,11 +147,11 @@
         self._first: StreamEvent | None = first
         self._events = events
         self._attempt = attempt
-        self._on_end: Callable[[], None] | None = None
+        self._on_end: Callable[[bool], None] | None = None
         attempt.on_event(first)
 
-    def on_end(self, callback: Callable[[], None]) -> None:
-        """Call back once when the stream has ended or was closed."""
+    def on_end(self, callback: Callable[[bool], None]) -> None:
+        """Call back once at the end, with whether the stream was whole."""
         self._on_end = callback
 
     def __next__(self) -> StreamEvent:
@@ -164,7 +164,7 @@
             event = next(self._events, None)
         if event is None:
             self._attempt.finish(succeeded=True)
-            self._end()
+            self._end(is_whole=True)
             raise StopIteration
         self._attempt.on_event(event)
         return event
@@ -173,13 +173,13 @@
         """Cancel the stream at its server if it has not ended."""
         self._events.close()
         self._attempt.finish_cancelled()
-        self._end()
+        self._end(is_whole=False)
 
-    def _end(self) -> None:
+    def _end(self, *, is_whole: bool) -> None:
         callback = self._on_end
         self._on_end = None
         if callback is not None:
-            callback()
+            callback(is_whole)
 
 
 def is_callers_fault(error: BackendServerError) -> bool:
--- /dev/null
+++ b/marjoramfall/request/idempotency.py
@@ -0,0 +1,191 @@
+"""Own the idempotency keys that this incarnation has issued."""
+
+import heapq
+import secrets
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from marjoramfall.messages import ClaimKey, ClaimReply, ReleaseKey
+from marjoramfall.request.issued_key import IssuedKey, parse_issued_key
+from marjoramfall.request.key_claim import (
+    MAX_RECORDED_BYTES,
+    ClaimOutcome,
+    ClaimVerdict,
+    verdict_of,
+)
+
+RETENTION_MS = 24 * 60 * 60 * 1000
+# About 300 B each, so that a full registry stays near 30 MB.
+MAX_RECORDS = 100_000
+MAX_TOTAL_RECORDED_BYTES = 16 * 1024 * 1024
+SECRET_BYTES = 32
+
+RecordId = tuple[int, str]
+
+
+@dataclass(slots=True)
+class KeyRecord:
+    """Hold the use of one key in one scope."""
+
+    claim_id: str
+    fingerprint: str
+    issued_wall_ms: int
+    outcome: ClaimOutcome | None = None
+
+
+class KeyRegistry:
+    """Grant each issued key once; the only owner of its keys.
+
+    Forgetting the oldest records moves a horizon: no key issued before it is
+    ever granted again, so that bounded memory cannot cause a second dispatch.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        *,
+        retention_ms: int = RETENTION_MS,
+        max_records: int = MAX_RECORDS,
+        max_total_recorded_bytes: int = MAX_TOTAL_RECORDED_BYTES,
+    ) -> None:
+        self._incarnation = incarnation
+        self._retention_ms = retention_ms
+        self._max_records = max_records
+        self._secret = secrets.token_bytes(SECRET_BYTES)
+        self._issued = 0
+        self._last_issue_ms = 0
+        self._horizon = 0
+        self._records: dict[RecordId, KeyRecord] = {}
+        self._oldest: list[RecordId] = []
+        self._responses = RecordedResponses(max_total_recorded_bytes)
+
+    @property
+    def record_count(self) -> int:
+        """Return how many used keys are remembered."""
+        return len(self._records)
+
+    def issue(self, team_id: str, now_wall_ms: int) -> str:
+        """Return a new key for the team; it takes no memory until its use."""
+        self._issued += 1
+        # Keys expire in the order of their sequence even if the clock steps.
+        self._last_issue_ms = max(self._last_issue_ms, now_wall_ms)
+        key = IssuedKey(self._incarnation, self._last_issue_ms, self._issued, '')
+        return str(key.signed(self._secret, team_id))
+
+    def claim(self, message: ClaimKey, now_wall_ms: int) -> ClaimReply:
+        """Grant the dispatch to one claim id; a repeated message is answered alike."""
+        self._expire(now_wall_ms)
+        key = self._genuine(message.key, message.scope)
+        if key is None:
+            return _reply(message, ClaimVerdict.INVALID)
+        if self._is_expired(key, now_wall_ms):
+            return _reply(message, ClaimVerdict.EXPIRED)
+        record_id = (key.sequence, message.scope)
+        record = self._records.get(record_id)
+        if record is None:
+            self._add(record_id, message, key)
+            return _reply(message, ClaimVerdict.GRANTED)
+        return self._claim_again(record_id, record, message)
+
+    def release(self, message: ReleaseKey) -> None:
+        """Record how the claim ended; only its holder can release it."""
+        key = parse_issued_key(message.key)
+        record_id = (key.sequence if key else 0, message.scope)
+        record = self._records.get(record_id)
+        if record is None or record.claim_id != message.claim_id or record.outcome:
+            return
+        recorded = message.recorded and len(message.body) <= MAX_RECORDED_BYTES
+        record.outcome = ClaimOutcome(
+            dispatched=message.dispatched, status=message.status, recorded=recorded
+        )
+        if recorded:
+            self._responses.put(record_id, message)
+
+    def _genuine(self, text: str, scope: str) -> IssuedKey | None:
+        key = parse_issued_key(text)
+        if key is None or key.incarnation != self._incarnation:
+            return None
+        team_id = scope.partition('\n')[0]
+        return key if key.is_genuine(self._secret, team_id) else None
+
+    def _is_expired(self, key: IssuedKey, now_wall_ms: int) -> bool:
+        age_ms = now_wall_ms - key.issued_wall_ms
+        return key.sequence < self._horizon or age_ms > self._retention_ms
+
+    def _add(self, record_id: RecordId, message: ClaimKey, key: IssuedKey) -> None:
+        self._records[record_id] = KeyRecord(
+            message.claim_id, message.fingerprint, key.issued_wall_ms
+        )
+        heapq.heappush(self._oldest, record_id)
+
+    def _claim_again(
+        self, record_id: RecordId, record: KeyRecord, message: ClaimKey
+    ) -> ClaimReply:
+        if record.fingerprint != message.fingerprint:
+            return _reply(message, ClaimVerdict.REUSED)
+        if record.outcome is None:
+            is_holder = record.claim_id == message.claim_id
+            verdict = ClaimVerdict.GRANTED if is_holder else ClaimVerdict.IN_USE
+            return _reply(message, verdict)
+        if record.outcome.dispatched:
+            return self._ended(record_id, record.outcome, message)
+        if record.claim_id == message.claim_id:
+            # A late copy of a claim that its holder has given up.
+            return _reply(message, ClaimVerdict.IN_USE)
+        record.claim_id = message.claim_id
+        record.outcome = None
+        return _reply(message, ClaimVerdict.GRANTED)
+
+    def _ended(
+        self, record_id: RecordId, outcome: ClaimOutcome, message: ClaimKey
+    ) -> ClaimReply:
+        response = self._responses.get(record_id)
+        if outcome.recorded and response is None:
+            return _reply(message, ClaimVerdict.HAS_RUN)
+        reply = _reply(message, verdict_of(outcome))
+        reply.status = outcome.status
+        if response is not None:
+            reply.body = response.body
+            reply.content_type = response.content_type
+        return reply
+
+    def _expire(self, now_wall_ms: int) -> None:
+        while self._oldest:
+            record = self._records[self._oldest[0]]
+            is_old = now_wall_ms - record.issued_wall_ms > self._retention_ms
+            if not is_old and len(self._records) < self._max_records:
+                return
+            record_id = heapq.heappop(self._oldest)
+            self._records.pop(record_id)
+            self._responses.drop(record_id)
+            self._horizon = max(self._horizon, record_id[0] + 1)
+
+
+class RecordedResponses:
+    """Keep response bodies up to a total size, dropping the oldest."""
+
+    def __init__(self, max_total_bytes: int) -> None:
+        self._max_total_bytes = max_total_bytes
+        self._total_bytes = 0
+        self._responses: OrderedDict[RecordId, ReleaseKey] = OrderedDict()
+
+    def put(self, record_id: RecordId, response: ReleaseKey) -> None:
+        """Keep a response."""
+        self._responses[record_id] = response
+        self._total_bytes += len(response.body)
+        while self._total_bytes > self._max_total_bytes:
+            self.drop(next(iter(self._responses)))
+
+    def get(self, record_id: RecordId) -> ReleaseKey | None:
+        """Return a response if it is still kept."""
+        return self._responses.get(record_id)
+
+    def drop(self, record_id: RecordId) -> None:
+        """Forget a response, if it is kept."""
+        response = self._responses.pop(record_id, None)
+        if response is not None:
+            self._total_bytes -= len(response.body)
+
+
+def _reply(message: ClaimKey, verdict: ClaimVerdict) -> ClaimReply:
+    return ClaimReply(claim_id=message.claim_id, outcome=verdict)
--- a/marjoramfall/request/key_claim.py
+++ b/marjoramfall/request/key_claim.py
@@ -2,10 +2,13 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from enum import StrEnum
 
-from marjoramfall.errors import RefusedError
+from marjoramfall.errors import MarjoramfallError, RefusedError, RunState
 
 MAX_KEY_LENGTH = 255
+MAX_RECORDED_BYTES = 16 * 1024
+HTTP_CONFLICT = 409
 
 
 class KeyRequiredError(RefusedError):
@@ -16,17 +19,70 @@
 
 
 class InvalidKeyError(RefusedError):
-    """Report a key that is too long or was never issued."""
+    """Report a key that is too long or was never issued to the team."""
 
     code = 'idempotency_key_invalid'
     http_status = 400
 
 
+class KeyReusedError(RefusedError):
+    """Report a key that came before with another request."""
+
+    code = 'idempotency_key_reused'
+    http_status = 422
+
+
+class KeyExpiredError(MarjoramfallError):
+    """Report a key so old that its use is not known any more."""
+
+    code = 'idempotency_key_expired'
+    http_status = 410
+
+
+class KeyInUseError(MarjoramfallError):
+    """Report a key whose first request has not ended."""
+
+    code = 'key_in_use'
+    http_status = HTTP_CONFLICT
+
+
+class AlreadyDispatchedError(MarjoramfallError):
+    """Report a key whose request was or may have been dispatched."""
+
+    code = 'already_dispatched'
+    http_status = HTTP_CONFLICT
+
+
+class AlreadyRunError(MarjoramfallError):
+    """Carry the recorded response of a key's only run."""
+
+    code = 'already_run'
+    http_status = HTTP_CONFLICT
+    run_state = RunState.RUN
+
+    def __init__(self, outcome: 'ClaimOutcome') -> None:
+        super().__init__('the request has run; this is its recorded response')
+        self.outcome = outcome
+
+
+class KeyStoreUnavailableError(RefusedError):
+    """Report that a caller-made key could not be claimed."""
+
+    code = 'key_store_unavailable'
+
+
+class KeyOwnerUnavailableError(MarjoramfallError):
+    """Report that the issuer of a key cannot be asked."""
+
+    code = 'key_owner_unavailable'
+    http_status = 503
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyScope:
     """Name a key within its team and service.
 
-    The fingerprint is that of the request's route and body.
+    The fingerprint is that of the request's method, path and body.
     """
 
     team_id: str
@@ -34,14 +90,45 @@
     key: str
     fingerprint: str
 
+    @property
+    def owner_scope(self) -> str:
+        """Return team and service as one text."""
+        return f'{self.team_id}\n{self.service_id}'
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimOutcome:
-    """Say how a claimed attempt ended; status 0 means no response."""
+    """Say how a claimed attempt ended.
+
+    Status 0 means that no whole response came. The body is kept only if
+    `recorded`.
+    """
 
     dispatched: bool
     status: int = 0
     body: bytes = b''
+    content_type: str = ''
+    recorded: bool = False
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what is known of the run."""
+        if not self.dispatched:
+            return RunState.NOT_RUN
+        return RunState.RUN if self.status else RunState.UNKNOWN
+
+
+class ClaimVerdict(StrEnum):
+    """Answer a claim."""
+
+    GRANTED = 'granted'
+    ALREADY_RUN = 'already_run'
+    HAS_RUN = 'has_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    IN_USE = 'in_use'
+    REUSED = 'reused'
+    EXPIRED = 'expired'
+    INVALID = 'invalid'
 
 
 class KeyClaims(ABC):
@@ -54,3 +141,30 @@
     @abstractmethod
     def release(self, scope: KeyScope, claim_id: str, outcome: ClaimOutcome) -> None:
         """Record how the attempt ended; never raises."""
+
+
+def error_of(verdict: str, outcome: ClaimOutcome) -> MarjoramfallError:
+    """Return the error of a refused claim."""
+    match verdict:
+        case ClaimVerdict.ALREADY_RUN:
+            return AlreadyRunError(outcome)
+        case ClaimVerdict.HAS_RUN:
+            return AlreadyDispatchedError('the key was used', run_state=RunState.RUN)
+        case ClaimVerdict.IN_USE:
+            return KeyInUseError('a request with the key is under way')
+        case ClaimVerdict.REUSED:
+            return KeyReusedError('the key came before with another request')
+        case ClaimVerdict.EXPIRED:
+            return KeyExpiredError('the key is too old')
+        case ClaimVerdict.INVALID:
+            return InvalidKeyError('the key was not issued to this team')
+    return AlreadyDispatchedError('a request with the key may have run')
+
+
+def verdict_of(outcome: ClaimOutcome) -> ClaimVerdict:
+    """Return the answer to a claim of a key whose request has ended."""
+    if outcome.recorded:
+        return ClaimVerdict.ALREADY_RUN
+    if outcome.run_state is RunState.RUN:
+        return ClaimVerdict.HAS_RUN
+    return ClaimVerdict.MAY_HAVE_RUN
--- /dev/null
+++ b/marjoramfall/request/key_claims.py
@@ -0,0 +1,228 @@
+"""Claim idempotency keys at their owner: the store or the issuing entry."""
+
+from abc import ABC, abstractmethod
+
+import gevent
+from gevent.pool import Pool
+
+from marjoramfall.borders.platform import TableService
+from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.errors import PlatformError
+from marjoramfall.messages import ClaimKey, ClaimReply, ReleaseKey
+from marjoramfall.request.claim_rows import (
+    TABLE,
+    RowClaim,
+    RowRead,
+    RowSwap,
+    claim_steps,
+    run_steps,
+)
+from marjoramfall.request.idempotency import KeyRegistry
+from marjoramfall.request.issued_key import is_issued_key, parse_issued_key
+from marjoramfall.request.key_claim import (
+    ClaimOutcome,
+    ClaimVerdict,
+    InvalidKeyError,
+    KeyClaims,
+    KeyOwnerUnavailableError,
+    KeyScope,
+    KeyStoreUnavailableError,
+    error_of,
+)
+from marjoramfall.request.swap_batcher import SwapBatcher
+
+# A claim whose end cannot be recorded stays taken, which is safe.
+MAX_PENDING_ENDINGS = 2000
+ENDING_RETRY_MS = 500
+MAX_ENDING_RETRIES = 240
+# A caller told `not run` may repeat the key at once at another entry.
+ABANDON_WAIT_MS = 250
+
+NOT_DISPATCHED = ClaimOutcome(dispatched=False)
+
+
+class KeyOwnerClient(ABC):
+    """Ask the entry that issued a key; implemented over peer messages."""
+
+    @abstractmethod
+    def claim(self, owner: str, message: ClaimKey) -> ClaimReply:
+        """Return the owner's reply; raises `KeyOwnerUnavailableError`."""
+
+    @abstractmethod
+    def release(self, owner: str, message: ReleaseKey) -> None:
+        """Tell the owner how a claim ended; may be lost, never raises."""
+
+
+class StoreClaims(KeyClaims):
+    """Claim caller-made keys by conditional writes into the table service."""
+
+    def __init__(
+        self,
+        table: TableService,
+        clock: Clock,
+        incarnation: str,
+        *,
+        batcher: SwapBatcher | None = None,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._incarnation = incarnation
+        self._batcher = batcher or SwapBatcher(table, clock)
+        self._claims_by_id: dict[str, RowClaim] = {}
+        self._endings = Pool()
+
+    def claim(self, scope: KeyScope, claim_id: str) -> None:
+        """Insert the claim or take over an abandoned one."""
+        claim = RowClaim(
+            scope=scope,
+            owner=self._incarnation,
+            claim_id=claim_id,
+            wall_ms=self._clock.wall_ms(),
+        )
+        try:
+            answer = run_steps(claim_steps(claim), self._perform)
+        except KeyStoreUnavailableError:
+            # The insertion may have taken effect or may still do so.
+            self._start_ending(claim, NOT_DISPATCHED)
+            raise
+        if answer.verdict is not ClaimVerdict.GRANTED:
+            raise error_of(answer.verdict, answer.outcome)
+        self._claims_by_id[claim_id] = claim
+
+    def release(self, scope: KeyScope, claim_id: str, outcome: ClaimOutcome) -> None:
+        """Record the end; waits a little if the claim was abandoned."""
+        claim = self._claims_by_id.pop(claim_id, None)
+        if claim is None:
+            return
+        ending = self._start_ending(claim, outcome)
+        if ending is not None and not outcome.dispatched:
+            ending.join(timeout=ABANDON_WAIT_MS / MS_PER_SECOND)
+
+    def drain(self, timeout_ms: float) -> bool:
+        """Wait for the endings to be recorded; return whether all were."""
+        return self._endings.join(timeout=timeout_ms / MS_PER_SECOND)
+
+    def _perform(self, call: RowRead | RowSwap) -> str | bool | None:
+        if isinstance(call, RowRead):
+            return self._table.read(TABLE, call.key)
+        return self._batcher.swap(call)
+
+    def _start_ending(
+        self, claim: RowClaim, outcome: ClaimOutcome
+    ) -> gevent.Greenlet | None:
+        if len(self._endings) >= MAX_PENDING_ENDINGS:
+            return None
+        return self._endings.spawn(self._end, claim.ending(outcome))
+
+    def _end(self, ending: RowSwap) -> None:
+        for _ in range(MAX_ENDING_RETRIES):
+            try:
+                self._batcher.swap(ending)
+            except PlatformError:
+                self._clock.sleep_ms(ENDING_RETRY_MS)
+                continue
+            return
+
+
+class IssuedClaims(KeyClaims):
+    """Claim entry-issued keys at the incarnation that issued them."""
+
+    def __init__(
+        self,
+        registry: KeyRegistry,
+        owners: KeyOwnerClient,
+        clock: Clock,
+        incarnation: str,
+    ) -> None:
+        self._registry = registry
+        self._owners = owners
+        self._clock = clock
+        self._incarnation = incarnation
+
+    def claim(self, scope: KeyScope, claim_id: str) -> None:
+        """Ask the owner, which is the only one to grant the key."""
+        reply = self._ask(
+            ClaimKey(
+                claim_id=claim_id,
+                scope=scope.owner_scope,
+                key=scope.key,
+                fingerprint=scope.fingerprint,
+            )
+        )
+        if reply.outcome != ClaimVerdict.GRANTED:
+            raise error_of(reply.outcome, _outcome_of(reply))
+
+    def release(self, scope: KeyScope, claim_id: str, outcome: ClaimOutcome) -> None:
+        """Tell the owner how the claim ended."""
+        message = ReleaseKey(
+            scope=scope.owner_scope,
+            key=scope.key,
+            claim_id=claim_id,
+            dispatched=outcome.dispatched,
+            status=outcome.status,
+            body=outcome.body if outcome.recorded else b'',
+            content_type=outcome.content_type,
+            recorded=outcome.recorded,
+        )
+        self._release(message)
+
+    def _ask(self, message: ClaimKey) -> ClaimReply:
+        owner = _owner_of(message.key)
+        if owner == self._incarnation:
+            return self._registry.claim(message, self._clock.wall_ms())
+        try:
+            return self._owners.claim(owner, message)
+        except KeyOwnerUnavailableError:
+            # The owner may have granted the claim although its reply is lost.
+            self._release(
+                ReleaseKey(
+                    scope=message.scope,
+                    key=message.key,
+                    claim_id=message.claim_id,
+                    dispatched=False,
+                )
+            )
+            raise
+
+    def _release(self, message: ReleaseKey) -> None:
+        owner = _owner_of(message.key)
+        if owner == self._incarnation:
+            self._registry.release(message)
+        else:
+            self._owners.release(owner, message)
+
+
+class RoutedClaims(KeyClaims):
+    """Send each key to the owner of its kind."""
+
+    def __init__(self, issued: KeyClaims, caller_made: KeyClaims) -> None:
+        self._issued = issued
+        self._caller_made = caller_made
+
+    def claim(self, scope: KeyScope, claim_id: str) -> None:
+        """Claim at the owner; raises a `MarjoramfallError` if refused."""
+        self._owner(scope.key).claim(scope, claim_id)
+
+    def release(self, scope: KeyScope, claim_id: str, outcome: ClaimOutcome) -> None:
+        """Release at the owner."""
+        self._owner(scope.key).release(scope, claim_id, outcome)
+
+    def _owner(self, key: str) -> KeyClaims:
+        return self._issued if is_issued_key(key) else self._caller_made
+
+
+def _owner_of(key: str) -> str:
+    parsed = parse_issued_key(key)
+    if parsed is None:
+        raise InvalidKeyError('the key has the form of an issued one but is none')
+    return parsed.incarnation
+
+
+def _outcome_of(reply: ClaimReply) -> ClaimOutcome:
+    return ClaimOutcome(
+        dispatched=True,
+        status=reply.status,
+        body=reply.body,
+        content_type=reply.content_type,
+        recorded=reply.outcome == ClaimVerdict.ALREADY_RUN,
+    )
--- a/marjoramfall/request/keyed_work.py
+++ b/marjoramfall/request/keyed_work.py
@@ -8,7 +8,7 @@
 
 from marjoramfall.errors import MarjoramfallError, RunState
 from marjoramfall.model import Delivery
-from marjoramfall.request.dispatch_attempt import CallerGoneError
+from marjoramfall.request.dispatch_attempt import AnswerStream, CallerGoneError
 from marjoramfall.request.key_claim import (
     MAX_KEY_LENGTH,
     ClaimOutcome,
@@ -19,8 +19,6 @@
 )
 from marjoramfall.request.parsed_request import ParsedRequest
 
-MAX_RECORDED_BYTES = 16 * 1024
-
 Result = TypeVar('Result')
 
 
@@ -45,16 +43,16 @@
         claims: KeyClaims,
         request: ParsedRequest,
         work: Callable[[Callable[[], bool]], Result],
-        outcome_of: Callable[[Result], ClaimOutcome | None],
+        end: Callable[['KeyedWork', Result], None],
     ) -> None:
         """Prepare; `work` gets the function to call just before dispatch.
 
-        `outcome_of` returns None if the result releases the key itself.
+        `end` gets the result and releases the key now or later.
         """
         self._claims = claims
         self._request = request
         self._work = work
-        self._outcome_of = outcome_of
+        self._end = end
         self._scope = _scope_of(request)
         self._phase = WorkPhase.CLAIMING
         self._caller_is_gone = False
@@ -89,9 +87,7 @@
         except MarjoramfallError as error:
             self._release_failed(error)
             raise
-        outcome = self._outcome_of(result)
-        if outcome is not None:
-            self.release(outcome)
+        self._end(self, result)
         return result
 
     def _work_unless_gone(self) -> Result:
@@ -116,6 +112,13 @@
         is_sent = self._phase is WorkPhase.DISPATCHED
         if self._phase is WorkPhase.WAITING or (is_sent and not must_end):
             worker.kill(CallerGoneError('the caller went away'), block=False)
+        worker.link_value(_discard)
+
+
+def _discard(worker: gevent.Greenlet) -> None:
+    # The result may have come just before the caller was known to be gone.
+    if isinstance(worker.value, AnswerStream):
+        worker.value.close()
 
 
 def _scope_of(request: ParsedRequest) -> KeyScope:
--- a/marjoramfall/request/request_path.py
+++ b/marjoramfall/request/request_path.py
@@ -19,7 +19,7 @@
     DispatchNotPermittedError,
 )
 from marjoramfall.errors import BackendServerError, MarjoramfallError, RunState
-from marjoramfall.model import Configuration, ServiceKind
+from marjoramfall.model import Configuration, Delivery, ServiceKind
 from marjoramfall.request.dispatch_attempt import (
     AnswerStream,
     CallerGoneError,
@@ -28,7 +28,7 @@
     is_callers_fault,
 )
 from marjoramfall.request.grants import GrantClient
-from marjoramfall.request.key_claim import ClaimOutcome, KeyClaims
+from marjoramfall.request.key_claim import MAX_RECORDED_BYTES, ClaimOutcome, KeyClaims
 from marjoramfall.request.keyed_work import KeyedWork
 from marjoramfall.request.parsed_request import ParsedRequest
 
@@ -79,10 +79,12 @@
         """Return the complete response; raises a `MarjoramfallError`."""
         if request.is_idempotent:
             return self._send_from(request, _always_permitted)
-        work = KeyedWork(
-            self._claims, request, partial(self._send_from, request), _recorded
-        )
-        return work.run()
+        return KeyedWork(
+            self._claims,
+            request,
+            partial(self._send_from, request),
+            partial(_end_response, request),
+        ).run()
 
     def stream(self, request: ParsedRequest) -> AnswerStream:
         """Return the events, after waiting for the first one.
@@ -92,13 +94,9 @@
         """
         if request.is_idempotent:
             return self._stream_from(request, _always_permitted)
-        work = KeyedWork(
-            self._claims, request, partial(self._stream_from, request), _not_yet
-        )
-        events = work.run()
-        outcome = ClaimOutcome(dispatched=True)
-        events.on_end(partial(gevent.spawn, work.release, outcome))
-        return events
+        return KeyedWork(
+            self._claims, request, partial(self._stream_from, request), _end_stream
+        ).run()
 
     def _send_from(
         self, request: ParsedRequest, on_dispatch: Callable[[], bool]
@@ -207,12 +205,32 @@
     return True
 
 
-def _recorded(response: BackendResponse) -> ClaimOutcome:
-    return ClaimOutcome(dispatched=True, status=response.status, body=response.body)
+def _outcome_of(request: ParsedRequest, response: BackendResponse) -> ClaimOutcome:
+    is_kept = request.service.delivery is Delivery.RUN_ONCE
+    return ClaimOutcome(
+        dispatched=True,
+        status=response.status,
+        body=response.body,
+        content_type=response.header('content-type'),
+        recorded=is_kept and len(response.body) <= MAX_RECORDED_BYTES,
+    )
+
+
+def _end_response(
+    request: ParsedRequest, work: KeyedWork, response: BackendResponse
+) -> None:
+    work.release(_outcome_of(request, response))
+
+
+def _end_stream(work: KeyedWork, events: AnswerStream) -> None:
+    events.on_end(partial(_release_stream, work))
 
 
-def _not_yet(events: AnswerStream) -> None:
-    """Leave the release to the end of the stream."""
+def _release_stream(work: KeyedWork, is_whole: bool) -> None:
+    status = HTTPStatus.OK if is_whole else 0
+    outcome = ClaimOutcome(dispatched=True, status=status)
+    # The end of a stream must not wait for the owner of the key.
+    gevent.spawn(work.release, outcome)
 
 
 def _backend_request(
--- /dev/null
+++ b/marjoramfall/request/swap_batcher.py
@@ -0,0 +1,113 @@
+"""Put row swaps of one entry into few transactions."""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.pool import Pool
+
+from marjoramfall.borders.platform import PlatformUnavailableError, TableService
+from marjoramfall.clock import Clock
+from marjoramfall.request.claim_rows import RowSwap
+
+MAX_BATCH_ROWS = 64
+# Recorded responses have up to 16 KiB each.
+MAX_BATCH_CHARACTERS = 256 * 1024
+MAX_CONCURRENT_BATCHES = 4
+MAX_PENDING_SWAPS = 1024
+BATCH_DELAY_MS = 3
+
+
+@dataclass(slots=True)
+class PendingSwap:
+    """Hold a swap and the result that its submitter waits for."""
+
+    swap: RowSwap
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
+class SwapBatcher:
+    """Gather swaps for some milliseconds and send them together.
+
+    A transaction fails as a whole, so a failed batch is halved until the
+    swaps whose conditions do not hold stand alone.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        clock: Clock,
+        *,
+        delay_ms: float = BATCH_DELAY_MS,
+        max_rows: int = MAX_BATCH_ROWS,
+        max_pending: int = MAX_PENDING_SWAPS,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._delay_ms = delay_ms
+        self._max_rows = max_rows
+        self._max_pending = max_pending
+        self._pending: deque[PendingSwap] = deque()
+        self._batches = Pool(MAX_CONCURRENT_BATCHES)
+        self._collector: gevent.Greenlet | None = None
+
+    def swap(self, swap: RowSwap) -> bool:
+        """Wait for the swap; return whether it was applied.
+
+        Raises `PlatformUnavailableError`, also when too many swaps wait, or
+        `PlatformAnswerLostError`.
+        """
+        if len(self._pending) >= self._max_pending:
+            raise PlatformUnavailableError('too many claims wait for the store')
+        pending = PendingSwap(swap)
+        self._pending.append(pending)
+        if self._collector is None:
+            self._collector = gevent.spawn(self._collect)
+        return pending.result.get()
+
+    def _collect(self) -> None:
+        while self._pending:
+            self._clock.sleep_ms(self._delay_ms)
+            self._batches.spawn(self._send, self._take())
+        self._collector = None
+
+    def _take(self) -> list[PendingSwap]:
+        taken: dict[str, PendingSwap] = {}
+        left: list[PendingSwap] = []
+        characters = 0
+        while self._pending and len(taken) < self._max_rows:
+            pending = self._pending.popleft()
+            # Two swaps of one row in one transaction would both be applied.
+            if pending.swap.key in taken:
+                left.append(pending)
+                continue
+            taken[pending.swap.key] = pending
+            characters += len(pending.swap.text)
+            if characters >= MAX_BATCH_CHARACTERS:
+                break
+        self._pending.extendleft(reversed(left))
+        return list(taken.values())
+
+    def _send(self, batch: list[PendingSwap]) -> None:
+        conditions = [pending.swap.condition for pending in batch]
+        writes = [pending.swap.write for pending in batch]
+        try:
+            is_applied = self._table.transact(conditions, writes)
+        except Exception as error:
+            for pending in batch:
+                pending.result.set_exception(error)
+            return
+        if is_applied or len(batch) == 1:
+            for done in batch:
+                done.result.set(is_applied)
+            return
+        for half in _halves(batch):
+            self._send(half)
+
+
+def _halves(batch: list[PendingSwap]) -> Iterator[list[PendingSwap]]:
+    middle = len(batch) // 2
+    yield batch[:middle]
+    yield batch[middle:]
