Return the request id and read chats as the entry does

The entry's backend client checks X-Request-Id of a response, and its prefix hashes take role and content on lines of their own. The stand-ins sent no such header and joined role and content with a colon, so a chat's cache events could never match the entry's hashes. Both now agree.

--- a/marjoramfall/replay/expected.py
+++ b/marjoramfall/replay/expected.py
@@ -32,4 +32,4 @@
 
 def chat_line(role: str, content: str) -> str:
     """Return what one chat message adds to the prompt."""
-    return f'{role}: {content}\n'
+    return f'{role}\n{content}\n'
--- a/marjoramfall_standins/engine/prompt.py
+++ b/marjoramfall_standins/engine/prompt.py
@@ -22,7 +22,7 @@
 
 
 def chat_prompt(messages: list[ChatMessage]) -> str:
-    """Return the prompt of a chat: a line `role: content` per message."""
+    """Return the prompt of a chat: role and content in lines of their own."""
     return ''.join(chat_line(message.role, message.content) for message in messages)
 
 
--- a/marjoramfall_standins/http.py
+++ b/marjoramfall_standins/http.py
@@ -16,6 +16,7 @@
 
 Decoded = TypeVar('Decoded')
 
+REQUEST_ID_HEADER = 'X-Request-Id'
 CONNECTION_KEY = 'standin.connection'
 BACKLOG = 1024
 LEVEL = 'INFO'
@@ -104,12 +105,14 @@
         self, environ: Mapping[str, object], start_response: Callable[..., object]
     ) -> Iterable[bytes]:
         """Serve one WSGI request."""
+        request = _read_request(environ)
         try:
-            response = self.handle(_read_request(environ))
+            response = self.handle(request)
         except HttpError as error:
             response = error.to_response()
         body = response.body
         headers = [('Content-Type', response.content_type), *response.headers]
+        headers.append((REQUEST_ID_HEADER, request.header(REQUEST_ID_HEADER)))
         if isinstance(body, bytes):
             headers.append(('Content-Length', str(len(body))))
             body = iter((body,))
