Count a broken connection instead of ending the replay

geventhttpclient reports a cut response as an HTTPException, which is neither an OSError nor a ValueError, so the first cut response would have ended the whole replay. It is now the outcome "broken".

--- a/marjoramfall/replay/client.py
+++ b/marjoramfall/replay/client.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from http.client import HTTPException
 
 import gevent
 import msgspec
@@ -22,6 +23,7 @@
 MAX_CONNECTIONS = 10_000
 KEYS_PATH = '/v1/idempotency-keys'
 SALT_BYTES = 4
+_NO_RESPONSE = (OSError, HTTPException, msgspec.MsgspecError, gevent.Timeout)
 
 
 class IssuedKey(msgspec.Struct):
@@ -85,7 +87,7 @@
                 return self._perform(call)
         except _RequestEndedError as ended:
             return ended.outcome
-        except (OSError, ValueError, gevent.Timeout) as error:
+        except _NO_RESPONSE as error:
             return self._broken(call, error)
 
     def _headers(self, request: TraceRequest, number: int) -> dict[str, str]:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -12,6 +12,7 @@
 from contextlib import contextmanager
 from functools import partial
 from http import HTTPStatus
+from http.client import HTTPException
 from pathlib import Path
 
 import msgspec
@@ -19,7 +20,6 @@
 from demo_children import Children, DemoError, run_to_end
 from demo_plan import TOKEN, DemoPlan
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPConnectionClosed
 from rich.console import Console
 from rich.table import Table
 
@@ -152,7 +152,7 @@
         self._children.check()
         try:
             return _client(address).get(path).status_code == HTTPStatus.OK
-        except (OSError, HTTPConnectionClosed):
+        except (OSError, HTTPException):
             return False
 
     def _write(self, name: str, content: object) -> Path:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -2,15 +2,19 @@
 import tempfile
 import unittest
 
+import gevent
 import msgspec
 
+from marjoramfall.clock import RuntimeClock
 from marjoramfall.model import ServiceKind
 from marjoramfall.replay.check import classify
+from marjoramfall.replay.client import ReplayClient
 from marjoramfall.replay.outcome import Outcome, OutcomeKind
 from marjoramfall.replay.prompt import make_body
 from marjoramfall.replay.score import score_replay
 from marjoramfall.replay.server_stats import ServerStats, find_key_violations
 from marjoramfall.replay.trace import (
+    KeySource,
     StatedOutcomes,
     Trace,
     TraceError,
@@ -20,6 +24,12 @@
 )
 from marjoramfall_standins.engine.stream import Stream
 from marjoramfall_standins.engine.wire import DONE_EVENT, token_event
+from marjoramfall_standins.http import (
+    Application,
+    NoDelayServer,
+    Response,
+    break_connection,
+)
 
 
 def _request(**changes):
@@ -172,3 +182,27 @@
         ):
             with self.assertRaisesRegex(TraceError, 'trace.jsonl:3: '):
                 self.load(_header(), late, broken)
+
+
+class _Breaking(Application):
+    """Answer with a body that ends too early."""
+
+    def handle(self, request):
+        body = iter((b'{"id":', b''))
+        gevent.spawn(break_connection, request.connection)
+        return Response(body=body, headers=(('Content-Length', '100'),))
+
+
+class ReplayClientTest(unittest.TestCase):
+    """Check that requests without a response are counted."""
+
+    def test_broken_connections(self):
+        """Guards against a broken connection that ends the replay."""
+        server = NoDelayServer('127.0.0.1:0', _Breaking())
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        target = f'127.0.0.1:{server.server_port}'
+        client = ReplayClient(RuntimeClock(), [target], {})
+        issued = _request(idempotency=KeySource.ENTRY_ISSUED)
+        outcomes = client.run(Trace(_header(), [_request(), issued]))
+        self.assertEqual([outcome.kind for outcome in outcomes], ['broken', 'broken'])
