--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,6 +3,7 @@
 Exits 0 only if the trace's outcomes hold and the moves end as expected.
 """
 
+import shutil
 import signal
 import subprocess  # noqa: S404 - the replay runs beside the moves
 import sys
@@ -15,6 +16,7 @@
 from http.client import HTTPException
 from pathlib import Path
 
+import click
 import msgspec
 import yaml
 from demo_children import Children, DemoError, run_to_end
@@ -37,6 +39,7 @@
 MOVE_START_DELAY_S = 2
 MOVE_LIMIT = '50s'
 MOVE_ENDS = frozenset(('completed', 'taken_back'))
+MOVE_STATE_PREFIX = 'MOVE_STATE_'
 SETTLE_S = 3
 PRODUCT = 'marjoramfall'
 STANDIN_PACKAGE = 'marjoramfall_standins'
@@ -137,7 +140,7 @@
     def _moves(self) -> dict[str, tuple[str, str]]:
         listed = msgspec.json.decode(self._admin('move', 'list', '--json'))
         rows = listed['moves'] if isinstance(listed, dict) else listed
-        return {row['move_id']: (row['state'], row['reason']) for row in rows}
+        return dict(map(_move_end, rows))
 
     def _admin(self, *words: str) -> str:
         access = ('--address', self._operators, '--token', TOKEN)
@@ -161,6 +164,17 @@
         return path
 
 
+def _move_end(row: dict[str, str]) -> tuple[str, tuple[str, str]]:
+    """Return a move's id, state and reason from either JSON form.
+
+    The JSON form of protobuf has camel case and full enum names, and leaves
+    out empty texts.
+    """
+    move_id = row.get('move_id') or row['moveId']
+    state = row['state'].removeprefix(MOVE_STATE_PREFIX).lower()
+    return move_id, (state, row.get('reason', ''))
+
+
 def _client(address: str) -> HTTPClient:
     host, port = address.rsplit(':', 1)
     return HTTPClient(host, int(port))
@@ -198,24 +212,31 @@
     raise KeyboardInterrupt
 
 
-def main() -> int:
-    """Run the demo; return the exit code."""
+@click.command()
+@click.option('--logs', type=click.Path(path_type=Path), help='Keep logs there.')
+def main(logs: Path | None) -> None:
+    """Run the demo; exit 0 only if everything held."""
     signal.signal(signal.SIGTERM, _interrupt)
     started_s = time.monotonic()
     with tempfile.TemporaryDirectory(prefix='marjoramfall-demo-') as name:
-        children = Children(Path(name))
-        try:
-            held = _run(children, Path(name))
-        except (DemoError, subprocess.TimeoutExpired) as error:
-            console.print(f'demo failed: {error}', style='red', markup=False)
-            held = False
-        except KeyboardInterrupt:
-            console.print('interrupted')
-            held = False
-        finally:
-            children.stop()
+        held = _run_guarded(Path(name))
+        if logs:
+            shutil.copytree(name, logs, dirs_exist_ok=True)
     console.print(f'{time.monotonic() - started_s:.0f} s, all held: {held}')
-    return 0 if held else 1
+    sys.exit(0 if held else 1)
+
+
+def _run_guarded(directory: Path) -> bool:
+    children = Children(directory)
+    try:
+        return _run(children, directory)
+    except (DemoError, subprocess.TimeoutExpired) as error:
+        console.print(f'demo failed: {error}', style='red', markup=False)
+    except KeyboardInterrupt:
+        console.print('interrupted')
+    finally:
+        children.stop()
+    return False
 
 
 def _run(children: Children, directory: Path) -> bool:
@@ -228,4 +249,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    main()
