--- a/marjoramfall/process/config_draft.py
+++ b/marjoramfall/process/config_draft.py
@@ -47,6 +47,9 @@
         EntityKind.MOVE: Move,
     }
 )
+_KINDS_BY_TYPE = MappingProxyType(
+    {entity_type: kind for kind, entity_type in ENTITY_TYPES.items()}
+)
 _ID_FIELDS = MappingProxyType(
     {
         Tier: 'tier_id',
@@ -64,6 +67,11 @@
     return getattr(entity, _ID_FIELDS[type(entity)])
 
 
+def kind_of(entity: Entity) -> EntityKind:
+    """Return the kind of an entity."""
+    return _KINDS_BY_TYPE[type(entity)]
+
+
 def find_entity(
     configuration: Configuration, kind: EntityKind, entity_id: str
 ) -> Entity | None:
--- a/marjoramfall/settings/document.py
+++ b/marjoramfall/settings/document.py
@@ -9,6 +9,8 @@
 from marjoramfall.errors import InvalidRequestError
 
 MAX_FILE_BYTES = 1_048_576
+MAX_DEPTH = 32
+NESTING = f'at most {MAX_DEPTH} levels'
 DocumentPath = tuple[str | int, ...]
 
 
@@ -39,8 +41,8 @@
     code = 'invalid_file'
 
     def __init__(self, faults: list[DocumentFault]) -> None:
-        super().__init__('\n'.join(str(fault) for fault in faults))
-        self.faults = faults
+        super().__init__('; '.join(str(fault) for fault in faults))
+        self.faults = sorted(faults, key=lambda fault: fault.line)
 
 
 def format_path(path: DocumentPath) -> str:
@@ -71,11 +73,6 @@
             return cls._parse(name, text)
         except yaml.YAMLError as error:
             raise _yaml_error(name, error) from error
-        except RecursionError as error:
-            fault = DocumentFault(
-                name, '', 0, 'invalid_yaml', 'nested too deeply', 'a flat mapping'
-            )
-            raise DocumentError([fault]) from error
 
     def line_of(self, path: DocumentPath) -> int:
         """Return the line of a path or of its closest parent."""
@@ -101,7 +98,7 @@
 
     @classmethod
     def _parse(cls, name: str, text: str) -> 'Document':
-        _reject_aliases(name, text)
+        _check_events(name, text)
         loader = yaml.BaseLoader(text)
         root = loader.get_single_node()
         if root is None:
@@ -158,11 +155,18 @@
     return raw
 
 
-def _reject_aliases(name: str, text: str) -> None:
-    """Refuse aliases, since a few of them can expand without bound."""
+def _check_events(name: str, text: str) -> None:
+    """Refuse what makes the parser slow: aliases and deep nesting.
+
+    A few aliases expand without bound, and the time to parse grows with the
+    square of the depth.
+    """
+    depth = 0
     for event in yaml.parse(text, Loader=yaml.BaseLoader):
+        line = event.start_mark.line + 1
+        depth += isinstance(event, yaml.CollectionStartEvent)
+        depth -= isinstance(event, yaml.CollectionEndEvent)
         if isinstance(event, yaml.AliasEvent):
-            line = event.start_mark.line + 1
             fault = DocumentFault(
                 name,
                 '',
@@ -172,6 +176,11 @@
                 'the value written out',
             )
             raise DocumentError([fault])
+        if depth > MAX_DEPTH:
+            fault = DocumentFault(
+                name, '', line, 'invalid_yaml', 'nested too deeply', NESTING
+            )
+            raise DocumentError([fault])
 
 
 def _yaml_error(name: str, error: yaml.YAMLError) -> DocumentError:
