Bound the streams that an engine stand-in keeps

Ended streams are kept for resumption with their prompts; 20,000 of some ten kilobytes each would take about 200 MB, and a running stream could be forgotten. Now 4,000 are kept and only ended ones are forgotten.

--- a/marjoramfall/replay/report.py
+++ b/marjoramfall/replay/report.py
@@ -6,6 +6,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.replay.score import Score, TierScore
 
 TIER_COLUMNS = (
@@ -63,7 +64,7 @@
         str(tier.offered),
         str(tier.good),
         f'{tier.goodput:.2%}',
-        f'{slowest.goodput:.2%} at {slowest.start_ms} ms',
+        f'{slowest.goodput:.2%} at {slowest.start_ms // MS_PER_SECOND} s',
         str(tier.shed),
         f'{tier.median_ms:.0f}',
         f'{tier.tail_ms:.0f}',
--- a/marjoramfall_standins/engine/core.py
+++ b/marjoramfall_standins/engine/core.py
@@ -13,7 +13,8 @@
 
 LOAD_SAMPLE_MS = 50
 MAX_LOAD_SAMPLES = 1000
-MAX_KEPT_STREAMS = 20_000
+# Each kept stream holds its prompt, often some ten kilobytes.
+MAX_KEPT_STREAMS = 4000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,8 +54,7 @@
     def add(self, stream: Stream) -> None:
         """Append a stream to those that wait."""
         self._streams_by_id[stream.request_id] = stream
-        while len(self._streams_by_id) > MAX_KEPT_STREAMS:
-            self._streams_by_id.popitem(last=False)
+        self._forget_ended()
         self._batch.add(stream)
         self._wake.set()
 
@@ -83,6 +83,13 @@
             shown = sample
         return shown
 
+    def _forget_ended(self) -> None:
+        while len(self._streams_by_id) > MAX_KEPT_STREAMS:
+            oldest = next(iter(self._streams_by_id.values()))
+            if not oldest.ended:
+                break
+            self._streams_by_id.popitem(last=False)
+
     def _cancel_unread(self, stream: Stream) -> None:
         if not stream.readers:
             self._batch.cancel(stream)
