Show the demo's runs by server and stop undisturbed

The runs by version show how far a move has come. A second Ctrl-C while the processes are being ended left some of them running; the signals are now ignored from then on.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -25,6 +25,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from marjoramfall.replay.server_stats import read_stats
 from marjoramfall.replay.trace import load_trace
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -78,6 +79,7 @@
                 self._start_move(move)
             console.print('moves started; the replay takes about a minute')
             code = self._wait_for_replay(replay)
+        self._show_runs()
         moves_held = self._show_moves()
         return code == 0 and moves_held
 
@@ -124,6 +126,15 @@
         words += ['--to', move['to'], '--within', MOVE_LIMIT]
         console.print(self._admin('move', 'start', *words).strip())
 
+    def _show_runs(self) -> None:
+        table = Table(title='Runs by backend server', title_justify='left')
+        for column in ('server', 'version', 'runs'):
+            table.add_column(column)
+        for server in self._plan.configuration['backend_servers']:
+            runs = read_stats(server['address']).requests
+            table.add_row(server['server_id'], server['version_id'], str(runs))
+        console.print(table)
+
     def _show_moves(self) -> bool:
         found = _poll(self._moves, _all_ended, SETTLE_S)
         table = Table(title='Moves', title_justify='left')
@@ -235,10 +246,17 @@
     except KeyboardInterrupt:
         console.print('interrupted')
     finally:
-        children.stop()
+        _stop_undisturbed(children)
     return False
 
 
+def _stop_undisturbed(children: Children) -> None:
+    # A second Ctrl-C must not keep the processes from being ended.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)
+    children.stop()
+
+
 def _run(children: Children, directory: Path) -> bool:
     plan = DemoPlan(CONFIGURATION, STANDINS)
     plan.check_trace(load_trace(TRACE))
