--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -149,9 +149,8 @@
         return held
 
     def _moves(self) -> dict[str, tuple[str, str]]:
-        listed = msgspec.json.decode(self._admin('move', 'list', '--json'))
-        rows = listed['moves'] if isinstance(listed, dict) else listed
-        return dict(map(_move_end, rows))
+        listed = msgspec.json.decode(self._admin('--json', 'move', 'list'))
+        return dict(map(_move_end, listed.get('moves', ())))
 
     def _admin(self, *words: str) -> str:
         access = ('--address', self._operators, '--token', TOKEN)
--- a/scripts/demo_plan.py
+++ b/scripts/demo_plan.py
@@ -82,11 +82,9 @@
             )
             for index in range(ENTRY_COUNT)
         ]
-        self.team_keys = {}
-        for team in self.configuration['teams']:
-            key = f'demo-key-of-{team["team_id"]}'
-            self.team_keys[team['team_id']] = key
-            team['key_sha256'] = sha256(key)
+        self.team_keys = {
+            team['team_id']: team['key'] for team in self.configuration['teams']
+        }
 
     @property
     def server_addresses(self) -> list[str]:
