--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,7 +5,7 @@
 
 import shutil
 import signal
-import subprocess  # noqa: S404 - the replay runs beside the moves
+import subprocess
 import sys
 import tempfile
 import time
--- a/scripts/demo_children.py
+++ b/scripts/demo_children.py
@@ -3,7 +3,7 @@
 import contextlib
 import os
 import signal
-import subprocess  # noqa: S404 - the demo's task is to start processes
+import subprocess
 import sys
 import time
 from pathlib import Path
