Add membership by probes, suspicion and gossip

Each entry needs its own bounded view of the others that follows deaths within about 1.5 s and does not trust the lagging VM list.

Removal on gossip alone was ruled out: one entry with a bad path would remove a member everywhere.

--- /dev/null
+++ b/marjoramfall/process/member.py
@@ -0,0 +1,129 @@
+"""Define a member, the settings of its detection and what is reported of it."""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjoramfall.messages import MemberUpdate, Message
+
+
+class MemberState(StrEnum):
+    """Say how far a member is from removal."""
+
+    ALIVE = 'alive'
+    LEAVING = 'leaving'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+
+
+STATE_ORDER = tuple(MemberState)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipSettings:
+    """Set the periods of failure detection, in milliseconds."""
+
+    # A dead member of nine is removed after about 1.2 s with these values.
+    period_ms: float = 200
+    reply_timeout_ms: float = 80
+    suspicion_ms: float = 600
+    helpers: int = 2
+    # Probes of suspects, newcomers and silent addresses per period, beside the
+    # one of the rotation: bounds the cost when a data centre is lost.
+    extra_probes: int = 4
+    max_updates: int = 6
+
+    def suspicion_for_ms(self, members: int) -> float:
+        """Return the time that a suspect has to refute, by member count."""
+        return self.suspicion_ms * max(1, math.log10(max(members, 1)))
+
+
+@dataclass(slots=True, kw_only=True)
+class Member:
+    """Hold what is known of one incarnation of an entry."""
+
+    incarnation: str
+    vm: str
+    address: str
+    sequence: int = 0
+    leaving: bool = False
+    heard_ms: float = 0
+    suspected_ms: float | None = None
+    removal_ms: float = 0
+    silent_probes: int = 0
+
+    @property
+    def state(self) -> MemberState:
+        """Return the state as it is told to others."""
+        if self.suspected_ms is not None:
+            return MemberState.SUSPECT
+        return MemberState.LEAVING if self.leaving else MemberState.ALIVE
+
+    def refute(self, now_ms: float) -> None:
+        """Note that the member was heard, directly or through a helper."""
+        self.heard_ms = now_ms
+        self.suspected_ms = None
+        self.silent_probes = 0
+
+    def update(self, state: MemberState | None = None) -> MemberUpdate:
+        """Return the news of this member for other members."""
+        return MemberUpdate(
+            incarnation=self.incarnation,
+            vm=self.vm,
+            address=self.address,
+            state=state or self.state,
+            sequence=self.sequence,
+        )
+
+
+def started_at(incarnation: str) -> str:
+    """Return the part of an incarnation id that orders starts at an address."""
+    return incarnation.partition('.')[2]
+
+
+def vm_of(incarnation: str) -> str:
+    """Return the VM named in an incarnation id."""
+    return incarnation.partition('.')[0]
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a message to the peer listener at an address."""
+
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class MemberJoined:
+    """Report an incarnation that answered for the first time."""
+
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSuspected:
+    """Report a member that did not answer directly or indirectly."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemberLeaving:
+    """Report a member that stops as planned."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRemoved:
+    """Report an incarnation that is dead, unreachable or replaced."""
+
+    incarnation: str
+    reason: str
+
+
+MembershipAction = (
+    SendMessage | MemberJoined | MemberSuspected | MemberLeaving | MemberRemoved
+)
--- /dev/null
+++ b/marjoramfall/process/member_table.py
@@ -0,0 +1,106 @@
+"""Hold the members and decide which news of them is newer."""
+
+import random
+from collections.abc import Iterator
+
+from marjoramfall.messages import MemberUpdate
+from marjoramfall.process.member import STATE_ORDER, Member, MemberState, started_at
+
+# Removed incarnations and silent addresses remembered: a day of restarts at 390
+# entries is 440.
+MAX_REMEMBERED = 4096
+# News that a newcomer gets with the first answer.
+WELCOME_UPDATES = 64
+
+
+class MemberTable:
+    """Keep at most one incarnation per address, the newest."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._rotation: list[str] = []
+        self._members: dict[str, Member] = {}
+        self._newest_by_address: dict[str, str] = {}
+        self._removed_sequences: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(list(self._members.values()))
+
+    def get(self, incarnation: str) -> Member | None:
+        """Return a member by its incarnation."""
+        return self._members.get(incarnation)
+
+    def at(self, address: str) -> Member | None:
+        """Return the member at an address."""
+        newest = self._newest_by_address.get(address, '')
+        return self._members.get(newest)
+
+    def is_outdated(self, incarnation: str, address: str) -> bool:
+        """Return whether a newer incarnation was seen at the address."""
+        newest = self._newest_by_address.get(address)
+        if newest is None:
+            return False
+        return started_at(incarnation) < started_at(newest)
+
+    def add(self, member: Member) -> None:
+        """Add a member whose address is free or held by an older one."""
+        member.sequence = max(
+            member.sequence, self._removed_sequences.pop(member.incarnation, 0)
+        )
+        self._members[member.incarnation] = member
+        self._newest_by_address.pop(member.address, None)
+        self._newest_by_address[member.address] = member.incarnation
+        _trim(self._newest_by_address)
+
+    def remove(self, member: Member) -> None:
+        """Remove a member and remember how far its news went."""
+        self._members.pop(member.incarnation)
+        self._removed_sequences[member.incarnation] = member.sequence
+        _trim(self._removed_sequences)
+
+    def is_news(self, update: MemberUpdate) -> bool:
+        """Return whether an update says more than is known already."""
+        member = self._members.get(update.incarnation)
+        if member is None:
+            removed = self._removed_sequences.get(update.incarnation, -1)
+            return update.sequence > removed and update.state != MemberState.DEAD
+        if update.sequence != member.sequence:
+            return update.sequence > member.sequence
+        return _order(update.state) > _order(member.state)
+
+    def next_to_probe(self) -> Member | None:
+        """Return the next member of a shuffled round over all members."""
+        while self._members:
+            if not self._rotation:
+                self._rotation = list(self._members)
+                self._random.shuffle(self._rotation)
+            member = self._members.get(self._rotation.pop())
+            if member is not None:
+                return member
+        return None
+
+    def sample_others(self, incarnation: str, count: int) -> list[Member]:
+        """Return random members that are neither suspected nor the given one."""
+        others = [
+            member
+            for member in self._members.values()
+            if member.suspected_ms is None and member.incarnation != incarnation
+        ]
+        return self._random.sample(others, min(count, len(others)))
+
+    def sample_news(self) -> list[MemberUpdate]:
+        """Return what a newcomer should know of some members."""
+        known = [member.update() for member in self._members.values()]
+        return self._random.sample(known, min(WELCOME_UPDATES, len(known)))
+
+
+def _order(state: str) -> int:
+    return STATE_ORDER.index(MemberState(state))
+
+
+def _trim(remembered: dict) -> None:
+    while len(remembered) > MAX_REMEMBERED:
+        remembered.pop(next(iter(remembered)))
--- /dev/null
+++ b/marjoramfall/process/membership.py
@@ -0,0 +1,291 @@
+"""Decide which entries are members, by probes, suspicion and gossip."""
+
+import random
+from collections.abc import Iterable
+
+from marjoramfall.borders.platform import VmRecord, VmRole, VmState
+from marjoramfall.messages import (
+    Heartbeat,
+    Leaving,
+    MemberUpdate,
+    Message,
+    ProbeReply,
+    ProbeRequest,
+)
+from marjoramfall.process.member import (
+    Member,
+    MemberJoined,
+    MemberLeaving,
+    MemberRemoved,
+    MembershipAction,
+    MembershipSettings,
+    MemberState,
+    MemberSuspected,
+    vm_of,
+)
+from marjoramfall.process.member_table import MemberTable
+from marjoramfall.process.outbox import Outbox
+from marjoramfall.process.probes import Probe, ProbeTable, Relay
+from marjoramfall.process.seeds import SeedList
+
+DEFAULT_SETTINGS = MembershipSettings()
+# A longer gap between ticks means that this process was paused.
+PAUSE_PERIODS = 2
+
+
+class Membership:
+    """Hold this entry's view of all entries.
+
+    A member joins when a message of its own arrives, and is removed only when
+    this entry's own probes of it, direct and through helpers, failed. Call
+    `tick` several times per `period_ms`.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        address: str,
+        *,
+        settings: MembershipSettings = DEFAULT_SETTINGS,
+        seed: int | None = None,
+    ) -> None:
+        self._self = Member(
+            incarnation=incarnation, vm=vm_of(incarnation), address=address
+        )
+        self._settings = settings
+        self._members = MemberTable(random.Random(seed))
+        self._outbox = Outbox(self._self, settings.max_updates)
+        self._probes = ProbeTable(settings)
+        self._seeds = SeedList()
+        self._next_period_ms = float(0)
+        self._ticked_ms = float(0)
+
+    @property
+    def members(self) -> list[Member]:
+        """Return the other members, including suspected and leaving ones."""
+        return list(self._members)
+
+    def set_status(
+        self, revision: int, head_age_ms: float | None, *, store_reachable: bool
+    ) -> None:
+        """Set what heartbeats say of this entry's configuration."""
+
+    def on_vm_list(
+        self, records: Iterable[VmRecord], now_ms: float
+    ) -> list[MembershipAction]:
+        """Take the lagging VM list.
+
+        It adds addresses to probe and leaving marks; it removes no member.
+        """
+        for record in records:
+            if record.role is not VmRole.ENTRY or record.address == self._self.address:
+                continue
+            member = self._members.at(record.address)
+            if member is None:
+                self._seeds.add(record.address, now_ms)
+            elif record.state is VmState.LEAVING and member.vm == record.vm:
+                self._mark_leaving(member)
+        return self._outbox.drain()
+
+    def on_message(
+        self, sender: str, message: Message, now_ms: float
+    ) -> list[MembershipAction]:
+        """Take a message of another entry; other message types only show life."""
+        member = self._members.get(sender)
+        if isinstance(message, Heartbeat | ProbeReply):
+            self._on_heartbeat(sender, message, now_ms)
+        elif member is not None:
+            member.refute(now_ms)
+            self._on_other(member, message, now_ms)
+        return self._outbox.drain()
+
+    def tick(self, now_ms: float) -> list[MembershipAction]:
+        """Send due probes, suspect silent members and remove dead ones."""
+        if now_ms - self._ticked_ms > PAUSE_PERIODS * self._settings.period_ms:
+            self._forget_silence()
+        self._ticked_ms = now_ms
+        for late in self._probes.late(now_ms):
+            self._ask_helpers(late)
+        for failed in self._probes.failed(now_ms):
+            self._suspect_silent(failed, now_ms)
+        for member in self._members:
+            self._remove_if_due(member, now_ms)
+        if now_ms >= self._next_period_ms:
+            self._next_period_ms = now_ms + self._settings.period_ms
+            self._probe_period(now_ms)
+        return self._outbox.drain()
+
+    def leave(self) -> list[MembershipAction]:
+        """Tell all members of the planned stop."""
+        self._self.leaving = True
+        self._self.sequence += 1
+        self._outbox.spread(self._self.update(), len(self._members))
+        for member in self._members:
+            self._outbox.send(member.address, Leaving())
+        return self._outbox.drain()
+
+    def _on_heartbeat(
+        self, sender: str, message: Heartbeat | ProbeReply, now_ms: float
+    ) -> None:
+        if message.address == self._self.address:
+            return
+        if self._members.is_outdated(sender, message.address):
+            return
+        member = self._members.get(sender)
+        is_new = member is None
+        if member is None:
+            member = self._join(sender, message.address, now_ms)
+        member.refute(now_ms)
+        self._learn(message.updates, now_ms)
+        if isinstance(message, ProbeReply):
+            self._on_reply(member, message, now_ms)
+        elif message.probe:
+            welcome = (
+                self._members.sample_news() if is_new and not message.updates else []
+            )
+            self._outbox.reply(member.address, message.probe, welcome)
+
+    def _on_reply(self, member: Member, message: ProbeReply, now_ms: float) -> None:
+        """Match a reply of the target itself or of a helper to its probe."""
+        probe = self._probes.answered(message.probe)
+        if probe is not None:
+            target = self._members.get(probe.incarnation)
+            if target is not None:
+                target.refute(now_ms)
+            return
+        relay = self._probes.answered_relay(message.probe)
+        if relay is not None and relay.target == member.incarnation:
+            asker = self._members.at(relay.address)
+            if asker is not None:
+                self._outbox.reply(asker.address, relay.probe, [])
+
+    def _on_other(self, member: Member, message: Message, now_ms: float) -> None:
+        if isinstance(message, Leaving):
+            self._mark_leaving(member)
+        elif isinstance(message, ProbeRequest):
+            number = self._probes.relay(
+                Relay(member.address, message.probe, message.target_incarnation, now_ms)
+            )
+            self._outbox.beat(message.target_address, number, [])
+
+    def _join(self, sender: str, address: str, now_ms: float) -> Member:
+        replaced = self._members.at(address)
+        if replaced is not None:
+            self._remove(replaced, 'replaced by a new incarnation')
+        member = Member(incarnation=sender, vm=vm_of(sender), address=address)
+        self._members.add(member)
+        self._seeds.remove(address)
+        self._outbox.add(MemberJoined(sender, address))
+        self._outbox.spread(member.update(), len(self._members))
+        return member
+
+    def _learn(self, updates: list[MemberUpdate], now_ms: float) -> None:
+        for update in updates:
+            if update.state not in set(MemberState):
+                continue
+            if update.incarnation == self._self.incarnation:
+                self._refute_own(update)
+            elif self._members.is_news(update):
+                self._apply(update, now_ms)
+
+    def _refute_own(self, update: MemberUpdate) -> None:
+        is_accused = update.state in {MemberState.SUSPECT, MemberState.DEAD}
+        if is_accused and update.sequence >= self._self.sequence:
+            self._self.sequence = update.sequence + 1
+            self._outbox.spread(self._self.update(), len(self._members))
+
+    def _apply(self, update: MemberUpdate, now_ms: float) -> None:
+        member = self._members.get(update.incarnation)
+        if member is None:
+            if not self._members.is_outdated(update.incarnation, update.address):
+                self._seeds.add(update.address, now_ms, is_urgent=True)
+            return
+        member.sequence = update.sequence
+        if update.state == MemberState.SUSPECT:
+            self._suspect(member, now_ms)
+        elif update.state == MemberState.DEAD:
+            self._suspect(member, now_ms)
+            member.removal_ms = now_ms
+        else:
+            member.refute(member.heard_ms)
+            self._outbox.spread(update, len(self._members))
+        if update.state == MemberState.LEAVING:
+            self._mark_leaving(member)
+
+    def _mark_leaving(self, member: Member) -> None:
+        if not member.leaving:
+            member.leaving = True
+            self._outbox.add(MemberLeaving(member.incarnation))
+            self._outbox.spread(member.update(), len(self._members))
+
+    def _suspect(self, member: Member, now_ms: float) -> None:
+        if member.suspected_ms is None:
+            member.suspected_ms = now_ms
+            grace_ms = self._settings.suspicion_for_ms(len(self._members))
+            member.removal_ms = now_ms + grace_ms
+            member.silent_probes = 0
+            self._outbox.add(MemberSuspected(member.incarnation))
+            self._outbox.spread(member.update(), len(self._members))
+
+    def _suspect_silent(self, failed: Probe, now_ms: float) -> None:
+        member = self._members.get(failed.incarnation)
+        if member is None or member.heard_ms >= failed.sent_ms:
+            return
+        if member.suspected_ms is None:
+            self._suspect(member, now_ms)
+        elif failed.sent_ms >= member.suspected_ms:
+            member.silent_probes += 1
+
+    def _remove_if_due(self, member: Member, now_ms: float) -> None:
+        is_due = member.suspected_ms is not None and now_ms >= member.removal_ms
+        if is_due and member.silent_probes:
+            self._outbox.spread(member.update(MemberState.DEAD), len(self._members))
+            self._remove(member, 'left' if member.leaving else 'no answer')
+            self._seeds.add(member.address, now_ms)
+
+    def _remove(self, member: Member, reason: str) -> None:
+        self._members.remove(member)
+        self._outbox.add(MemberRemoved(member.incarnation, reason))
+
+    def _probe_period(self, now_ms: float) -> None:
+        target = self._members.next_to_probe()
+        if target is not None:
+            self._probe(target, now_ms)
+        left = self._settings.extra_probes
+        suspects = [
+            member
+            for member in self._members
+            if member.suspected_ms is not None
+            and not self._probes.is_probing(member.address)
+        ]
+        suspects.sort(key=lambda suspect: suspect.silent_probes)
+        for suspect in suspects[:left]:
+            self._probe(suspect, now_ms)
+        left -= min(len(suspects), left)
+        few_known = len(self._members) < len(self._seeds)
+        for address in self._seeds.take(left, now_ms, hurry=few_known):
+            if self._members.at(address) is None:
+                self._outbox.beat(address, self._probes.start('', address, now_ms), [])
+
+    def _probe(self, member: Member, now_ms: float) -> None:
+        """Probe a member and tell it if it is suspected, so that it can refute."""
+        number = self._probes.start(member.incarnation, member.address, now_ms)
+        accusation = [] if member.suspected_ms is None else [member.update()]
+        self._outbox.beat(member.address, number, accusation)
+
+    def _ask_helpers(self, late: Probe) -> None:
+        if not late.incarnation:
+            return
+        helpers = self._members.sample_others(late.incarnation, self._settings.helpers)
+        for helper in helpers:
+            request = ProbeRequest(
+                target_incarnation=late.incarnation,
+                target_address=late.address,
+                probe=late.probe,
+            )
+            self._outbox.send(helper.address, request)
+
+    def _forget_silence(self) -> None:
+        self._probes.clear()
+        for member in self._members:
+            member.silent_probes = 0
--- /dev/null
+++ b/marjoramfall/process/probes.py
@@ -0,0 +1,91 @@
+"""Track the probes that wait for an answer."""
+
+from dataclasses import dataclass
+
+from marjoramfall.process.member import MembershipSettings
+
+
+@dataclass(slots=True)
+class Probe:
+    """Hold one probe of an address; the incarnation is empty if unknown."""
+
+    probe: int
+    incarnation: str
+    address: str
+    sent_ms: float
+    asked_helpers: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """Remember for whom a helper probes, and under which number."""
+
+    address: str
+    probe: int
+    target: str
+    sent_ms: float
+
+
+class ProbeTable:
+    """Number probes and tell which need helpers or have failed."""
+
+    def __init__(self, settings: MembershipSettings) -> None:
+        self._settings = settings
+        self._last = 0
+        self._waiting: dict[int, Probe] = {}
+        self._relays: dict[int, Relay] = {}
+
+    def start(self, incarnation: str, address: str, now_ms: float) -> int:
+        """Return the number of a new probe."""
+        self._last += 1
+        probe = Probe(self._last, incarnation, address, now_ms)
+        self._waiting[self._last] = probe
+        return self._last
+
+    def relay(self, relay: Relay) -> int:
+        """Return the number of a probe made on behalf of another member."""
+        self._last += 1
+        self._relays[self._last] = relay
+        return self._last
+
+    def answered(self, probe: int) -> Probe | None:
+        """Remove and return an answered probe."""
+        return self._waiting.pop(probe, None)
+
+    def answered_relay(self, probe: int) -> Relay | None:
+        """Remove and return an answered probe made for another member."""
+        return self._relays.pop(probe, None)
+
+    def is_probing(self, address: str) -> bool:
+        """Return whether a probe of the address waits for an answer."""
+        return any(probe.address == address for probe in self._waiting.values())
+
+    def late(self, now_ms: float) -> list[Probe]:
+        """Return probes whose direct answer is overdue, each once."""
+        sent_before_ms = now_ms - self._settings.reply_timeout_ms
+        late = [
+            probe
+            for probe in self._waiting.values()
+            if probe.sent_ms <= sent_before_ms and not probe.asked_helpers
+        ]
+        for probe in late:
+            probe.asked_helpers = True
+        return late
+
+    def failed(self, now_ms: float) -> list[Probe]:
+        """Remove and return probes that were not answered for a period."""
+        sent_before_ms = now_ms - self._settings.period_ms
+        failed = [
+            probe for probe in self._waiting.values() if probe.sent_ms <= sent_before_ms
+        ]
+        for probe in failed:
+            self._waiting.pop(probe.probe)
+        for number, relay in list(self._relays.items()):
+            if relay.sent_ms <= sent_before_ms:
+                self._relays.pop(number)
+        return failed
+
+    def clear(self) -> None:
+        """Forget all probes, as their answers may have been missed."""
+        self._waiting.clear()
+        self._relays.clear()
