--- a/marjoramfall/cli.py
+++ b/marjoramfall/cli.py
@@ -4,7 +4,9 @@
 
 import click
 
+from marjoramfall.borders.admin_client import admin_group
 from marjoramfall.process.daemon import run_entry
+from marjoramfall.replay.command import replay_command
 from marjoramfall.settings.check import check_command
 
 
@@ -21,3 +23,5 @@
 
 
 main.add_command(check_command, 'check')
+main.add_command(admin_group, 'admin')
+main.add_command(replay_command, 'replay')
--- a/marjoramfall/process/daemon.py
+++ b/marjoramfall/process/daemon.py
@@ -5,7 +5,8 @@
 from marjoramfall.clock import RuntimeClock
 from marjoramfall.process.entry import EntryProcess
 from marjoramfall.process.structured_log import configure_logging
-from marjoramfall.settings.loader import SettingsError, load_settings
+from marjoramfall.settings.document import DocumentError
+from marjoramfall.settings.loader import load_settings
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
@@ -16,7 +17,7 @@
     configure_logging(vm='')
     try:
         settings = load_settings(file)
-    except SettingsError as error:
+    except DocumentError as error:
         for fault in error.faults:
             logger.bind(code=error.code).error(str(fault))
         return EXIT_INVALID_SETTINGS
--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -1,162 +1,233 @@
 """Run one entry process: its tasks, listeners and graceful shutdown."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
-from marjoramfall.borders.caller_http import CallerApplication, CallerHooks
-from marjoramfall.borders.caller_server import CallerServer
-from marjoramfall.borders.operator_http import OperatorApplication, OperatorServer
-from marjoramfall.borders.platform import PlatformError, VmRole, VmState
-from marjoramfall.borders.platform_http import HttpTableService, HttpVmList
+from marjoramfall.borders.platform import PlatformError
 from marjoramfall.clock import Clock
 from marjoramfall.connection.backend_client import BackendClient
 from marjoramfall.connection.connection_pool import ConnectionPool
-from marjoramfall.errors import RefusedError
 from marjoramfall.identifiers import RequestIds, new_incarnation
 from marjoramfall.messages import Message, MessageCodec
-from marjoramfall.process.actions import Send
-from marjoramfall.process.config_log import ConfigLog
-from marjoramfall.process.config_state import ConfigState
-from marjoramfall.process.entry_state import EntryState
+from marjoramfall.process.actions import ResolveAsk, Send
+from marjoramfall.process.config_log import LogTail, WrittenChange
+from marjoramfall.process.config_spread import PollStore
+from marjoramfall.process.entry_core import CoreAction, EntryCore
 from marjoramfall.process.grant_gateway import GrantGateway
+from marjoramfall.process.group_exchange import ExchangeAction
+from marjoramfall.process.key_owners import KeyOwners
+from marjoramfall.process.listeners import EntryListeners, EntryParts
+from marjoramfall.process.member import SendMessage
 from marjoramfall.process.metrics import Metrics
 from marjoramfall.process.peer_transport import PeerTransport
-from marjoramfall.request.request_path import RequestPath, RetryAllowance
+from marjoramfall.process.platform_links import (
+    EntryKeys,
+    PlatformEvents,
+    PlatformLinks,
+)
+from marjoramfall.process.readiness import Readiness
+from marjoramfall.process.report_task import ReportTask
+from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.settings.model import EntrySettings
 
 TICK_MS = 20
 VM_LIST_POLL_MS = 1000
-CONFIG_POLL_MS = 500
+REPORT_POLL_MS = 250
 DRAIN_CHECK_MS = 20
-
-
-class StoppingError(RefusedError):
-    """Refuse a new request while the process stops."""
-
-    code = 'stopping'
-
-
-class StaleConfigurationError(RefusedError):
-    """Refuse a new request while the configuration may be outdated."""
-
-    code = 'stale_configuration'
+# Ends of claims that the store has not taken by then stay taken, which is safe.
+CLAIM_DRAIN_MS = 5000
 
 
 class EntryProcess:
-    """Own the state, the listeners and the tasks of one entry."""
+    """Own the core, the listeners and the tasks of one entry."""
 
     def __init__(self, settings: EntrySettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self.incarnation = new_incarnation(settings.vm, clock.wall_ms())
+        self._stop_requested = Event()
+        incarnation = new_incarnation(settings.vm, clock.wall_ms())
+        self._request_ids = RequestIds(incarnation)
         self.metrics = Metrics(vm=settings.vm, data_centre=settings.data_centre)
-        self.state = EntryState(self.incarnation)
-        self._stopping = Event()
-        self._config_state = ConfigState()
-        timeout_ms = settings.platform.timeout
-        tables = HttpTableService(settings.platform.tables, timeout_ms=timeout_ms)
-        self._log = ConfigLog(tables, clock)
-        self._vm_list = HttpVmList(settings.platform.vms, timeout_ms=timeout_ms)
+        self.core = EntryCore(incarnation, settings.listen.peers)
+        self.readiness = Readiness(
+            self.core, clock, max_waiting=settings.limits.max_waiting
+        )
         self._transport = PeerTransport(
             settings.listen.peers,
-            MessageCodec(self.incarnation),
+            MessageCodec(incarnation),
             self.metrics,
             deliver=self._on_message,
         )
-        self.gateway = GrantGateway(self.state.exchange, clock, send=self._send)
-        self._backend = BackendClient(ConnectionPool(clock))
-        self._callers = self._make_caller_application()
-        self._caller_server = CallerServer(
-            settings.listen.callers,
-            self._callers,
-            count=self._count_request,
-            max_connections=settings.limits.max_connections,
-            write_timeout_ms=settings.limits.caller_write_timeout,
-        )
-        self._operator_server = OperatorServer(
-            settings.listen.operators,
-            OperatorApplication(_no_admin, self.metrics, is_ready=self.is_ready),
+        self.gateway = GrantGateway(
+            self.core.state.exchange, clock, send=self._send_to_member
         )
-
-    def is_ready(self) -> bool:
-        """Return whether the balancer may send callers here."""
-        return not self._stopping.is_set() and self._config_state.revision > 0
+        self._backend = BackendClient(ConnectionPool(clock))
+        self._platform = self._make_platform()
+        self._keys = self._make_keys()
+        self._listeners = self._make_listeners()
+        self._watch_metrics()
 
     def run(self) -> None:
         """Serve until a signal to stop, then finish what is in flight."""
-        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
-        gevent.signal_handler(signal.SIGINT, self._stopping.set)
+        gevent.signal_handler(signal.SIGTERM, self._stop_requested.set)
+        gevent.signal_handler(signal.SIGINT, self._stop_requested.set)
         self._transport.start()
-        self._caller_server.start()
-        self._operator_server.start()
-        tasks = [
-            gevent.spawn(self._repeat, self._tick, TICK_MS),
-            gevent.spawn(self._repeat, self._poll_vm_list, VM_LIST_POLL_MS),
-            gevent.spawn(self._repeat, self._poll_configuration, CONFIG_POLL_MS),
-        ]
-        logger.bind(incarnation=self.incarnation).info('entry started')
-        self._stopping.wait()
+        self._listeners.start()
+        tasks = self._start_tasks()
+        logger.bind(incarnation=self.core.incarnation).info('entry started')
+        self._stop_requested.wait()
         self._drain()
         gevent.killall(tasks)
-        self._caller_server.stop()
-        self._operator_server.stop()
+        self._listeners.stop()
         self._transport.stop()
         logger.info('entry stopped')
 
+    def _make_platform(self) -> PlatformLinks:
+        events = PlatformEvents(
+            on_written=self._on_written,
+            on_polled=self._on_polled,
+            on_poll_failed=self._on_poll_failed,
+        )
+        return PlatformLinks(
+            self._settings.platform,
+            self._clock,
+            self.core.config,
+            self.metrics,
+            events,
+        )
+
+    def _make_keys(self) -> EntryKeys:
+        registry = KeyRegistry(self.core.incarnation)
+        owners = KeyOwners(registry, self._clock, send=self._send_if_known)
+        return EntryKeys(
+            registry,
+            owners,
+            self._platform.tables,
+            self._clock,
+            self.core.incarnation,
+        )
+
+    def _make_listeners(self) -> EntryListeners:
+        parts = EntryParts(
+            core=self.core,
+            readiness=self.readiness,
+            gateway=self.gateway,
+            backend=self._backend,
+            platform=self._platform,
+            keys=self._keys,
+            metrics=self.metrics,
+            clock=self._clock,
+            request_ids=self._request_ids,
+        )
+        return EntryListeners(parts, self._settings)
+
+    def _watch_metrics(self) -> None:
+        core = self.core
+        watch = self.metrics.watch
+        watch(
+            'marjoramfall_config_revision',
+            'Applied revision of the configuration.',
+            lambda: core.config.revision,
+        )
+        watch(
+            'marjoramfall_members',
+            'Other members that this entry knows.',
+            lambda: len(core.membership.members),
+        )
+        watch(
+            'marjoramfall_ready',
+            'Whether the balancer may send callers here, 0 or 1.',
+            lambda: int(self.readiness.is_ready()),
+        )
+        watch(
+            'marjoramfall_requests_in_flight',
+            'Requests that wait or run.',
+            lambda: self._listeners.active_requests,
+        )
+        watch(
+            'marjoramfall_groups_dispatched',
+            'Engine groups that this entry dispatches.',
+            lambda: len(core.state.exchange.host.hosted_group_ids),
+        )
+
+    def _start_tasks(self) -> list[gevent.Greenlet]:
+        reports = ReportTask(
+            self.core,
+            self._backend,
+            self._clock,
+            make_id=self._request_ids.issue,
+            perform=self._perform_exchange,
+        )
+        return [
+            gevent.spawn(self._platform.poller.run),
+            gevent.spawn(self._platform.recorder.run),
+            gevent.spawn(self._repeat, self._tick, TICK_MS),
+            gevent.spawn(self._repeat, self._poll_vm_list, VM_LIST_POLL_MS),
+            gevent.spawn(self._repeat, reports.step, REPORT_POLL_MS),
+        ]
+
     def _drain(self) -> None:
-        logger.bind(in_flight=self._callers.active_requests).info('entry stopping')
+        """Finish all requests; new ones are refused after the balancer's delay."""
+        self.readiness.stopping = True
+        self._perform(self.core.leave(self._clock.monotonic_ms()))
+        logger.bind(in_flight=self._listeners.active_requests).info('entry stopping')
         self._clock.sleep_ms(self._settings.shutdown.balancer_delay)
+        self.readiness.closed = True
         give_up_ms = self._clock.monotonic_ms() + self._settings.shutdown.max_wait
-        while self._callers.active_requests:
+        while self._listeners.active_requests:
             if self._clock.monotonic_ms() > give_up_ms:
-                logger.bind(in_flight=self._callers.active_requests).error(
+                logger.bind(in_flight=self._listeners.active_requests).error(
                     'stopping with requests in flight'
                 )
-                break
+                return
             self._clock.sleep_ms(DRAIN_CHECK_MS)
+        self._keys.store_claims.drain(CLAIM_DRAIN_MS)
 
-    def _make_caller_application(self) -> CallerApplication:
-        request_ids = RequestIds(self.incarnation)
-        path = RequestPath(
-            grants=self.gateway,
-            backend=self._backend,
-            configuration=lambda: self.state.configuration,
-            clock=self._clock,
-            retries=AlwaysRetry(),
-            claims=None,
-        )
-        hooks = CallerHooks(
-            configuration=lambda: self.state.configuration,
-            is_ready=self.is_ready,
-            check_accepting=self._check_accepting,
-            count=self._count_request,
-            issue_key=lambda team_id: '',
-        )
-        return CallerApplication(
-            path,
-            hooks,
-            clock=self._clock,
-            request_ids=request_ids,
-            max_body_bytes=self._settings.limits.max_body,
-        )
+    def _send_if_known(self, incarnation: str, message: Message) -> bool:
+        address = self.core.address_of(incarnation)
+        if address:
+            self._transport.send(address, message)
+        return bool(address)
 
-    def _check_accepting(self) -> None:
-        if self._config_state.revision == 0:
-            raise StaleConfigurationError('no configuration yet', retry_after_ms=1000)
+    def _on_message(self, sender: str, message: Message) -> None:
+        if self._keys.owners.receive(sender, message):
+            return
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        self._guarded(lambda: self.core.receive(sender, message, now_ms, wall_ms))
+
+    def _on_polled(self, tail: LogTail, started_ms: float) -> None:
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        self._guarded(lambda: self.core.on_polled(tail, started_ms, now_ms, wall_ms))
 
-    def _count_request(self, outcome: str) -> None:
-        self.metrics.requests.inc({'outcome': outcome})
+    def _on_poll_failed(self) -> None:
+        self._perform(self.core.on_poll_failed(self._clock.monotonic_ms()))
 
-    def _on_message(self, sender: str, message: Message) -> None:
+    def _on_written(self, written: WrittenChange) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self._perform(self.core.on_written(written, now_ms, self._clock.wall_ms()))
+
+    def _tick(self) -> None:
         now_ms = self._clock.monotonic_ms()
-        self.gateway.perform(self.state.receive(sender, message, now_ms))
+        self._perform(self.core.tick(now_ms, self._clock.wall_ms()))
 
-    def _send(self, action: Send) -> None:
-        logger.error('no address of {}', action.incarnation)
+    def _poll_vm_list(self) -> None:
+        records = self._platform.vm_list.list_vms()
+        self._perform(self.core.on_vm_list(records, self._clock.monotonic_ms()))
+
+    def _guarded(self, decide: Callable[[], list[CoreAction]]) -> None:
+        """Perform actions; a fault of one event must not end a task."""
+        try:
+            actions = decide()
+        except Exception:
+            logger.exception('event failed')
+            return
+        self._perform(actions)
 
     def _repeat(self, step: Callable[[], None], period_ms: float) -> None:
         while True:
@@ -168,41 +239,20 @@
                 logger.exception('task step failed')
             self._clock.sleep_ms(period_ms)
 
-    def _tick(self) -> None:
-        outgoing, _ = self.state.tick(self._clock.monotonic_ms())
-        self.gateway.perform(outgoing)
-
-    def _poll_vm_list(self) -> None:
-        leaving = [
-            record.address
-            for record in self._vm_list.list_vms()
-            if record.role is VmRole.BACKEND and record.state is VmState.LEAVING
-        ]
-        now_ms = self._clock.monotonic_ms()
-        self.gateway.perform(self.state.on_vm_list(leaving, now_ms))
-
-    def _poll_configuration(self) -> None:
-        before = self._config_state.revision
-        self._log.catch_up(self._config_state)
-        if self._config_state.revision == before:
-            return
-        now_ms = self._clock.monotonic_ms()
-        configuration = self._config_state.configuration
-        wall_ms = self._clock.wall_ms()
-        self.gateway.perform(self.state.apply(configuration, now_ms, wall_ms))
-
-
-class AlwaysRetry(RetryAllowance):
-    """Allow every retry."""
-
-    def on_request(self, service_id: str) -> None:
-        """Ignore the request."""
-
-    def take_retry(self, service_id: str) -> bool:
-        """Allow the retry."""
-        return True
+    def _perform_exchange(self, actions: Iterable[ExchangeAction]) -> None:
+        settled = self.core.state.exchange.settle(actions, self._clock.monotonic_ms())
+        self._perform(self.core.addressed(settled))
 
+    def _send_to_member(self, action: Send) -> None:
+        self._perform(self.core.addressed((action,)))
 
-def _no_admin(environ: dict, start_response: Callable) -> list[bytes]:
-    start_response('404 Not Found', [])
-    return []
+    def _perform(self, actions: Iterable[CoreAction]) -> None:
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self._transport.send(action.address, action.message)
+            elif isinstance(action, ResolveAsk):
+                self.gateway.perform((action,))
+            elif isinstance(action, PollStore):
+                self._platform.poller.put(action.after_revision)
+            else:
+                self._platform.recorder.put(action.action)
--- a/marjoramfall/process/group_exchange.py
+++ b/marjoramfall/process/group_exchange.py
@@ -54,11 +54,13 @@
         told = self.client.on_members_changed(self._group_ids, previous, now_ms)
         return self.settle([*opened, *decided, *told], now_ms)
 
-    def set_members(self, live: Iterable[str], now_ms: float) -> list[ExchangeAction]:
-        """Replace the live members."""
+    def set_members(
+        self, live: Iterable[str], now_ms: float, *, leaving: Iterable[str] = ()
+    ) -> list[ExchangeAction]:
+        """Replace the live members and those of them that are stopping."""
         previous = self._dispatchers()
         before = self.directory.live
-        self.directory.replace(live)
+        self.directory.replace(live, leaving)
         removed = sorted(before - self.directory.live)
         opened = self.host.on_members_changed(self._group_ids, removed, now_ms)
         told = self.client.on_members_changed(self._group_ids, previous, now_ms)
--- /dev/null
+++ b/marjoramfall/process/member_roster.py
@@ -0,0 +1,51 @@
+"""Keep the members that may still be serving, reachable or not."""
+
+from collections.abc import Iterable
+
+from marjoramfall.process.member import vm_of
+
+
+class MemberRoster:
+    """Remember unreachable members until it is certain that they are gone.
+
+    Failure detection removes a member that does not answer, but it may serve
+    on the other side of a partition. It stays on the roster until the
+    platform drops its VM, it announced its stop, or its VM runs a later
+    incarnation.
+    """
+
+    def __init__(self, own_incarnation: str) -> None:
+        self._own_vm = vm_of(own_incarnation)
+        self._incarnation_by_vm: dict[str, str] = {}
+        self._left: set[str] = set()
+
+    @property
+    def incarnations(self) -> list[str]:
+        """Return the other members that may be serving."""
+        return list(self._incarnation_by_vm.values())
+
+    def joined(self, incarnation: str) -> None:
+        """Add a member; it replaces an earlier incarnation of its VM."""
+        self._incarnation_by_vm[vm_of(incarnation)] = incarnation
+
+    def announced_stop(self, incarnation: str) -> None:
+        """Note that the member stops by itself."""
+        self._left.add(incarnation)
+
+    def removed(self, incarnation: str) -> None:
+        """Drop a removed member if it had announced its stop."""
+        if incarnation in self._left:
+            self._left.discard(incarnation)
+            self._drop(incarnation)
+
+    def listed(self, vms: Iterable[str]) -> None:
+        """Take the platform's list of VMs and drop members of other VMs."""
+        known = set(vms)
+        for vm in list(self._incarnation_by_vm):
+            if vm not in known:
+                self._incarnation_by_vm.pop(vm)
+
+    def _drop(self, incarnation: str) -> None:
+        vm = vm_of(incarnation)
+        if self._incarnation_by_vm.get(vm) == incarnation:
+            self._incarnation_by_vm.pop(vm)
--- /dev/null
+++ b/marjoramfall/process/platform_links.py
@@ -0,0 +1,73 @@
+"""Hold the parts of an entry that call the platform's services."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from marjoramfall.borders.platform_http import HttpTableService, HttpVmList
+from marjoramfall.clock import Clock
+from marjoramfall.process.config_log import ConfigLog, LogTail, WrittenChange
+from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.key_owners import KeyOwners
+from marjoramfall.process.metrics import Metrics
+from marjoramfall.process.store_tasks import ConfigWriter, MoveRecorder, StorePoller
+from marjoramfall.request.idempotency import KeyRegistry
+from marjoramfall.request.key_claims import IssuedClaims, RoutedClaims, StoreClaims
+from marjoramfall.settings.model import PlatformSettings
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformEvents:
+    """Say whom to tell what the store answered."""
+
+    on_written: Callable[[WrittenChange], None]
+    on_polled: Callable[[LogTail, float], None]
+    on_poll_failed: Callable[[], None]
+
+
+class PlatformLinks:
+    """Own the adapters of the platform and the tasks that use them."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        clock: Clock,
+        config: ConfigState,
+        metrics: Metrics,
+        events: PlatformEvents,
+    ) -> None:
+        self.tables = HttpTableService(settings.tables, timeout_ms=settings.timeout)
+        self.vm_list = HttpVmList(settings.vms, timeout_ms=settings.timeout)
+        self.log = ConfigLog(self.tables, clock)
+        self.writer = ConfigWriter(
+            self.log, config, metrics, on_written=events.on_written
+        )
+        self.recorder = MoveRecorder(self.writer, clock)
+        self.poller = StorePoller(
+            self.log,
+            clock,
+            on_polled=events.on_polled,
+            on_failed=events.on_poll_failed,
+        )
+
+
+class EntryKeys:
+    """Own the idempotency keys of one incarnation and the claims of others."""
+
+    def __init__(
+        self,
+        registry: KeyRegistry,
+        owners: KeyOwners,
+        tables: HttpTableService,
+        clock: Clock,
+        incarnation: str,
+    ) -> None:
+        self.owners = owners
+        self.store_claims = StoreClaims(tables, clock, incarnation)
+        issued = IssuedClaims(registry, owners, clock, incarnation)
+        self.claims = RoutedClaims(issued, self.store_claims)
+        self._registry = registry
+        self._clock = clock
+
+    def issue(self, team_id: str) -> str:
+        """Return a new idempotency key."""
+        return self._registry.issue(team_id, self._clock.wall_ms())
--- a/marjoramfall/process/structured_log.py
+++ b/marjoramfall/process/structured_log.py
@@ -1,6 +1,7 @@
 """Write log records as JSON lines."""
 
 import sys
+import traceback
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,7 +20,9 @@
         **record['extra'],
     }
     if record['exception'] is not None:
-        line['exception'] = repr(record['exception'].value)
+        line['exception'] = ''.join(
+            traceback.format_exception(record['exception'].value)
+        )
     encoded = msgspec.json.encode(line, enc_hook=str)
     sys.stdout.buffer.write(encoded + b'\n')
     sys.stdout.buffer.flush()
