Test whole entries under failure and check that the tests notice

Cause: no test joined members, configuration, grants and withdrawals; a test that passes says little until it has been seen to fail. Ruled out: a cluster simulator; the cluster in the tests is lists of messages and a paused clock.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench proto clean
+.PHONY: install test lint format demo bench proofs proto clean
 
 install: $(STAMP)
 
@@ -28,6 +28,9 @@
 demo: install
 	$(BIN)/python scripts/demo.py
 
+proofs: install
+	$(BIN)/python scripts/check_proofs.py
+
 bench: install
 	$(BIN)/python -m benchmarks
 
