Schedule by fair shares, predicted latency and early shedding

The queue now orders by tier, fair share and slack; admission sheds the lowest waiting tier by predicted wait; placement takes the least first-token time with expected prefix hits; each server has an adaptive limit; failing or slow servers are ejected.

--- /dev/null
+++ b/marjoramfall/request/active_grants.py
@@ -0,0 +1,68 @@
+"""Keep the grants that hold credits."""
+
+import heapq
+from dataclasses import dataclass
+
+from marjoramfall.request.events import Grant, WorkEstimate
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class ActiveGrant:
+    """Hold the credits of one granted request until it finishes."""
+
+    grant: Grant
+    work: WorkEstimate
+    started: bool = False
+    expected_cached: float = 0
+    predicted_first_ms: float = 0
+
+
+class ActiveGrants:
+    """Find active grants by request, by entry and by expiry."""
+
+    def __init__(self) -> None:
+        self._active_by_id: dict[str, ActiveGrant] = {}
+        self._ids_by_entry: dict[str, set[str]] = {}
+        self._expiries: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._active_by_id)
+
+    def get(self, request_id: str) -> ActiveGrant | None:
+        """Return the active grant of a request, or None."""
+        return self._active_by_id.get(request_id)
+
+    def add(self, active: ActiveGrant) -> None:
+        """Add the grant of a request that has none."""
+        grant = active.grant
+        self._active_by_id[grant.request_id] = active
+        self._ids_by_entry.setdefault(grant.entry_id, set()).add(grant.request_id)
+        if not active.started:
+            heapq.heappush(self._expiries, (grant.expires_ms, grant.request_id))
+
+    def remove(self, request_id: str) -> ActiveGrant | None:
+        """Remove a grant and return it, or None."""
+        active = self._active_by_id.pop(request_id, None)
+        if active is not None:
+            ids = self._ids_by_entry[active.grant.entry_id]
+            ids.discard(request_id)
+            if not ids:
+                self._ids_by_entry.pop(active.grant.entry_id)
+        return active
+
+    def of_entry(self, entry_id: str) -> list[str]:
+        """Return the ids of an entry's granted requests."""
+        return sorted(self._ids_by_entry.get(entry_id, ()))
+
+    def pop_expired(self, now_ms: float) -> list[str]:
+        """Return the ids of grants that were not started in time."""
+        expired_ids: list[str] = []
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            expires_ms, request_id = heapq.heappop(self._expiries)
+            active = self._active_by_id.get(request_id)
+            if active is None or active.started:
+                continue
+            # An earlier grant of the same request may have left this entry.
+            if active.grant.expires_ms == expires_ms:
+                expired_ids.append(request_id)
+        return expired_ids
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -1,8 +1,10 @@
 """Decide which waiting request of an engine group goes to which server."""
 
-from collections.abc import Sequence
-from operator import attrgetter
+from collections.abc import Iterable, Sequence
+from itertools import islice
 
+from marjoramfall.request.active_grants import ActiveGrant, ActiveGrants
+from marjoramfall.request.admission import Admission
 from marjoramfall.request.events import (
     Action,
     CacheEvent,
@@ -11,14 +13,23 @@
     Grant,
     LoadReport,
     ServerInfo,
+    Shed,
     WaitingRequest,
     WorkEstimate,
 )
+from marjoramfall.request.placement import Placement, best_of, choose
 from marjoramfall.request.request_queue import RequestQueue
-from marjoramfall.request.server_load import ActiveGrant, ServerLoad
+from marjoramfall.request.server_group import ServerGroup
+from marjoramfall.request.server_state import ServerState
 from marjoramfall.version.router import VersionRouter
 
 GRANT_VALID_MS = 500
+# Among this many requests of the team whose turn it is, the one with the most
+# cached prefix goes first, unless the first one has little slack left.
+LOOKAHEAD = 8
+URGENT_SLACK_MS = 2000
+# Requests that no free server may serve are passed over up to this count.
+MAX_PASSED_OVER = 256
 
 
 class Dispatcher:
@@ -31,9 +42,10 @@
         self.group_id = group_id
         self._router = router
         self._queue = RequestQueue()
-        self._active_by_id: dict[str, ActiveGrant] = {}
-        self._waiting_entries: dict[str, WaitingRequest] = {}
-        self._loads_by_id: dict[str, ServerLoad] = {}
+        self._admission = Admission(self._queue)
+        self._group = ServerGroup()
+        self._active = ActiveGrants()
+        self._waiting_ids_by_entry: dict[str, set[str]] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -43,56 +55,61 @@
     @property
     def active_count(self) -> int:
         """Return the number of granted requests that have not finished."""
-        return len(self._active_by_id)
+        return len(self._active)
 
     def enqueue(self, waiting: WaitingRequest, now_ms: float) -> list[Action]:
         """Add a request; a repeated one gets its unstarted grant again."""
-        active = self._active_by_id.get(waiting.request_id)
+        active = self._active.get(waiting.request_id)
         if active is not None:
             return [] if active.started else [active.grant]
-        if waiting.request_id not in self._queue:
-            self._queue.add(waiting)
-            self._waiting_entries[waiting.request_id] = waiting
-        return self._decide(now_ms)
+        if waiting.request_id in self._queue:
+            return []
+        last_start_ms = waiting.deadline_ms - self._group.least_ms(waiting.work)
+        if last_start_ms <= now_ms:
+            return [_expire(waiting)]
+        self._queue.add(waiting, last_start_ms)
+        self._admission.on_arrival(waiting, last_start_ms, now_ms)
+        ids = self._waiting_ids_by_entry.setdefault(waiting.entry_id, set())
+        ids.add(waiting.request_id)
+        return self._decide(now_ms) + self._shed(now_ms)
 
     def withdraw(self, request_id: str, now_ms: float) -> list[Action]:
         """Forget a request that waits or whose grant is not started."""
         self._drop_waiting(request_id)
-        active = self._active_by_id.get(request_id)
+        active = self._active.get(request_id)
         if active is not None and not active.started:
             self._release(request_id)
         return self._decide(now_ms)
 
     def on_started(self, request_id: str, now_ms: float) -> list[Action]:
         """Keep the credits of a grant until its request finishes."""
-        active = self._active_by_id.get(request_id)
+        active = self._active.get(request_id)
         if active is not None:
             active.started = True
-        return self._decide(now_ms)
+        return []
 
     def on_finished(self, report: FinishReport, now_ms: float) -> list[Action]:
         """Return the credits of a request and learn from its result."""
-        self._release(report.request_id)
+        active = self._release(report.request_id)
+        if active is not None and report.dispatched:
+            self._admission.on_drained(active.work, now_ms)
+            self._group.on_finished(active, report, now_ms)
         self._router.on_finished(report, now_ms)
         return self._decide(now_ms)
 
     def on_load_report(self, report: LoadReport, now_ms: float) -> list[Action]:
         """Take a server's own report of its load."""
+        self._group.on_load_report(report, now_ms)
         return self._decide(now_ms)
 
     def on_cache_event(self, event: CacheEvent, now_ms: float) -> list[Action]:
         """Take a change of a server's prefix cache."""
+        self._group.on_cache_event(event)
         return []
 
     def set_servers(self, servers: Sequence[ServerInfo], now_ms: float) -> list[Action]:
         """Replace the servers of the group; credits of kept ones stay."""
-        loads_by_id = {server.server_id: ServerLoad(server) for server in servers}
-        for server_id, load in loads_by_id.items():
-            known = self._loads_by_id.get(server_id)
-            if known is not None:
-                load.running = known.running
-                load.tokens = known.tokens
-        self._loads_by_id = loads_by_id
+        self._group.set_servers(servers)
         return self._decide(now_ms)
 
     def adopt_active(
@@ -105,7 +122,7 @@
         now_ms: float,
     ) -> list[Action]:
         """Count a request that an earlier dispatcher granted."""
-        if request_id not in self._active_by_id:
+        if self._active.get(request_id) is None:
             self._drop_waiting(request_id)
             grant = Grant(
                 request_id=request_id,
@@ -114,99 +131,129 @@
                 version_id=version_id,
                 expires_ms=now_ms,
             )
-            self._hold(ActiveGrant(grant=grant, work=work, started=True))
+            self._hold(ActiveGrant(grant=grant, work=work, started=True), now_ms)
         return []
 
     def release_entry(self, entry_id: str, now_ms: float) -> list[Action]:
         """Forget all requests of an entry that is gone."""
-        waiting_ids = [
-            waiting.request_id
-            for waiting in self._waiting_entries.values()
-            if waiting.entry_id == entry_id
-        ]
-        active_ids = [
-            request_id
-            for request_id, active in self._active_by_id.items()
-            if active.grant.entry_id == entry_id
-        ]
-        for waiting_id in waiting_ids:
+        for waiting_id in sorted(self._waiting_ids_by_entry.get(entry_id, ())):
             self._drop_waiting(waiting_id)
-        for active_id in active_ids:
+        for active_id in self._active.of_entry(entry_id):
             self._release(active_id)
         return self._decide(now_ms)
 
     def tick(self, now_ms: float) -> list[Action]:
         """Expire grants and deadlines; call every few milliseconds."""
-        expired_ids = [
-            request_id
-            for request_id, active in self._active_by_id.items()
-            if not active.started and active.grant.expires_ms <= now_ms
-        ]
-        for request_id in expired_ids:
+        for request_id in self._active.pop_expired(now_ms):
             self._release(request_id)
-        late = [
-            waiting
-            for waiting in self._waiting_entries.values()
-            if waiting.deadline_ms <= now_ms
-        ]
-        for waiting in late:
+        actions: list[Action] = []
+        for waiting in self._admission.pop_expired(now_ms):
             self._drop_waiting(waiting.request_id)
-        expirations: list[Action] = [
-            Expire(request_id=expired.request_id, entry_id=expired.entry_id)
-            for expired in late
-        ]
-        return expirations + self._decide(now_ms)
+            actions.append(_expire(waiting))
+        return actions + self._decide(now_ms) + self._shed(now_ms)
 
     def _decide(self, now_ms: float) -> list[Action]:
         grants: list[Action] = []
-        for waiting in list(self._queue):
-            if not any(load.has_room for load in self._loads_by_id.values()):
+        free = self._group.free_servers(now_ms)
+        while free and len(self._queue):
+            placement = self._next_placement(free, now_ms)
+            if placement is None:
                 break
-            load = self._place(waiting, now_ms)
-            if load is not None:
-                grants.append(self._grant(waiting, load, now_ms))
+            grants.append(self._grant(placement, now_ms))
+            free = self._group.free_servers(now_ms)
+        saturated = not free and len(self._queue) > 0
+        self._admission.on_saturation(saturated=saturated, now_ms=now_ms)
         return grants
 
-    def _place(self, waiting: WaitingRequest, now_ms: float) -> ServerLoad | None:
-        for version_id in self._router.preferred_versions(waiting, now_ms):
-            loads = [
-                load
-                for load in self._loads_by_id.values()
-                if load.has_room
-                and load.info.version_id == version_id
-                and load.info.server_id not in waiting.excluded_server_ids
-            ]
-            if loads:
-                return min(loads, key=attrgetter('tokens', 'info.server_id'))
-        return None
-
-    def _grant(self, waiting: WaitingRequest, load: ServerLoad, now_ms: float) -> Grant:
-        self._drop_waiting(waiting.request_id)
+    def _next_placement(
+        self, free: list[ServerState], now_ms: float
+    ) -> Placement | None:
+        lead = self._queue.lead(LOOKAHEAD)
+        slack_ms = self._queue.latest_start_ms(lead[0]) - now_ms
+        if slack_ms < URGENT_SLACK_MS:
+            lead = lead[:1]
+        placements = list(self._placements(lead, free, now_ms))
+        if placements:
+            return best_of(placements)
+        following = islice(self._queue, MAX_PASSED_OVER)
+        return next(self._placements(following, free, now_ms), None)
+
+    def _placements(
+        self,
+        requests: Iterable[WaitingRequest],
+        free: list[ServerState],
+        now_ms: float,
+    ) -> Iterable[Placement]:
+        for waiting in requests:
+            for version_id in self._router.preferred_versions(waiting, now_ms):
+                servers = [
+                    server for server in free if server.info.version_id == version_id
+                ]
+                placement = choose(waiting, servers, now_ms)
+                if placement is not None:
+                    yield placement
+                    break
+
+    def _grant(self, placement: Placement, now_ms: float) -> Grant:
+        waiting = placement.waiting
+        self._drop_waiting(waiting.request_id, granted=True)
+        info = placement.server.info
         grant = Grant(
             request_id=waiting.request_id,
             entry_id=waiting.entry_id,
-            server_id=load.info.server_id,
-            version_id=load.info.version_id,
+            server_id=info.server_id,
+            version_id=info.version_id,
             expires_ms=min(now_ms + GRANT_VALID_MS, waiting.deadline_ms),
         )
-        self._hold(ActiveGrant(grant=grant, work=waiting.work))
+        active = ActiveGrant(
+            grant=grant,
+            work=waiting.work,
+            expected_cached=placement.cached_tokens,
+            predicted_first_ms=placement.first_token_ms,
+        )
+        self._hold(active, now_ms)
+        placement.server.prefixes.record(waiting.prefix_hashes)
         self._router.on_granted(waiting, grant.version_id, now_ms)
         return grant
 
-    def _hold(self, active: ActiveGrant) -> None:
-        self._active_by_id[active.grant.request_id] = active
-        load = self._loads_by_id.get(active.grant.server_id)
-        if load is not None:
-            load.take(active.work)
+    def _shed(self, now_ms: float) -> list[Action]:
+        sheds: list[Action] = []
+        waiting = self._admission.next_shed(now_ms)
+        while waiting is not None:
+            self._drop_waiting(waiting.request_id)
+            shed = Shed(
+                request_id=waiting.request_id,
+                entry_id=waiting.entry_id,
+                tier_rank=waiting.tier_rank,
+                reason='overload',
+                retry_after_ms=self._admission.retry_after_ms(
+                    waiting.tier_rank, now_ms
+                ),
+            )
+            sheds.append(shed)
+            waiting = self._admission.next_shed(now_ms)
+        return sheds
+
+    def _hold(self, active: ActiveGrant, now_ms: float) -> None:
+        self._active.add(active)
+        self._group.take(active, now_ms)
 
-    def _release(self, request_id: str) -> None:
-        active = self._active_by_id.pop(request_id, None)
-        if active is None:
+    def _release(self, request_id: str) -> ActiveGrant | None:
+        active = self._active.remove(request_id)
+        if active is not None:
+            self._group.give_back(active)
+        return active
+
+    def _drop_waiting(self, request_id: str, *, granted: bool = False) -> None:
+        waiting = self._queue.get(request_id)
+        if waiting is None:
             return
-        load = self._loads_by_id.get(active.grant.server_id)
-        if load is not None:
-            load.give_back(active.work)
+        self._queue.remove(request_id, granted=granted)
+        ids = self._waiting_ids_by_entry[waiting.entry_id]
+        ids.discard(request_id)
+        if not ids:
+            self._waiting_ids_by_entry.pop(waiting.entry_id)
+
 
-    def _drop_waiting(self, request_id: str) -> None:
-        self._queue.remove(request_id)
-        self._waiting_entries.pop(request_id, None)
+def _expire(waiting: WaitingRequest) -> Expire:
+    return Expire(request_id=waiting.request_id, entry_id=waiting.entry_id)
--- a/marjoramfall/request/request_queue.py
+++ b/marjoramfall/request/request_queue.py
@@ -1,37 +1,142 @@
 """Order the waiting requests of an engine group."""
 
 from collections.abc import Iterator
+from itertools import islice
 
 from sortedcontainers import SortedDict
 
 from marjoramfall.request.events import WaitingRequest
 
 
+class _TeamQueue:
+    """Order the requests of one team in one tier by least slack."""
+
+    def __init__(self, team_id: str) -> None:
+        self.team_id = team_id
+        self.virtual_time = float(0)
+        self.weight = float(1)
+        self.tokens = 0
+        self.requests_by_key: SortedDict = SortedDict()
+
+
+class _TierQueue:
+    """Share a tier between its teams by virtual time in tokens."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.teams_by_id: dict[str, _TeamQueue] = {}
+        self.teams_by_time: SortedDict = SortedDict()
+        self._virtual_time = float(0)
+
+    def add(self, key: tuple[float, str], waiting: WaitingRequest) -> None:
+        team = self.teams_by_id.get(waiting.team_id)
+        if team is None:
+            team = _TeamQueue(waiting.team_id)
+            self.teams_by_id[waiting.team_id] = team
+        if not team.requests_by_key:
+            # A team that was idle must not claim its unused share later.
+            team.virtual_time = max(team.virtual_time, self._virtual_time)
+            self.teams_by_time[(team.virtual_time, team.team_id)] = team
+        team.weight = waiting.team_weight
+        team.requests_by_key[key] = waiting
+        team.tokens += waiting.work.total_tokens
+        self.tokens += waiting.work.total_tokens
+
+    def remove(self, key: tuple[float, str], team_id: str) -> WaitingRequest:
+        team = self.teams_by_id[team_id]
+        waiting = team.requests_by_key.pop(key)
+        team.tokens -= waiting.work.total_tokens
+        self.tokens -= waiting.work.total_tokens
+        if not team.requests_by_key:
+            self.teams_by_time.pop((team.virtual_time, team_id))
+            if team.virtual_time <= self._virtual_time:
+                self.teams_by_id.pop(team_id)
+        return waiting
+
+    def charge(self, waiting: WaitingRequest) -> None:
+        """Charge a granted request, which is still queued, to its team."""
+        team = self.teams_by_id[waiting.team_id]
+        self.teams_by_time.pop((team.virtual_time, team.team_id))
+        self._virtual_time = max(self._virtual_time, team.virtual_time)
+        team.virtual_time += waiting.work.total_tokens / waiting.team_weight
+        self.teams_by_time[(team.virtual_time, team.team_id)] = team
+
+
 class RequestQueue:
-    """Keep waiting requests in the order in which they should be granted."""
+    """Keep waiting requests by tier, fair share of their team and slack.
+
+    Adding, removing and finding the next request take logarithmic time.
+    """
 
     def __init__(self) -> None:
-        self._requests_by_key: SortedDict = SortedDict()
-        self._keys_by_id: dict[str, tuple[int, float, str]] = {}
+        self._tiers_by_rank: SortedDict = SortedDict()
+        self._places_by_id: dict[str, tuple[WaitingRequest, tuple[float, str]]] = {}
 
     def __len__(self) -> int:
-        return len(self._keys_by_id)
+        return len(self._places_by_id)
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._keys_by_id
+        return request_id in self._places_by_id
 
     def __iter__(self) -> Iterator[WaitingRequest]:
-        return iter(self._requests_by_key.values())
+        for tier in self._tiers_by_rank.values():
+            for team in tier.teams_by_time.values():
+                yield from team.requests_by_key.values()
+
+    def get(self, request_id: str) -> WaitingRequest | None:
+        """Return a waiting request, or None."""
+        place = self._places_by_id.get(request_id)
+        return place[0] if place else None
 
-    def add(self, waiting: WaitingRequest) -> None:
+    def latest_start_ms(self, waiting: WaitingRequest) -> float:
+        """Return the time by which a queued request should be granted."""
+        return self._places_by_id[waiting.request_id][1][0]
+
+    def add(self, waiting: WaitingRequest, latest_start_ms: float) -> None:
         """Add a request that is not in the queue yet."""
-        key = (waiting.tier_rank, waiting.deadline_ms, waiting.request_id)
-        self._keys_by_id[waiting.request_id] = key
-        self._requests_by_key[key] = waiting
-
-    def remove(self, request_id: str) -> WaitingRequest | None:
-        """Remove a request and return it, or None if it does not wait."""
-        key = self._keys_by_id.pop(request_id, None)
-        if key is None:
-            return None
-        return self._requests_by_key.pop(key)
+        tier = self._tiers_by_rank.get(waiting.tier_rank)
+        if tier is None:
+            tier = _TierQueue()
+            self._tiers_by_rank[waiting.tier_rank] = tier
+        key = (latest_start_ms, waiting.request_id)
+        self._places_by_id[waiting.request_id] = (waiting, key)
+        tier.add(key, waiting)
+
+    def remove(self, request_id: str, *, granted: bool = False) -> bool:
+        """Remove a request, charging its team if it was granted."""
+        place = self._places_by_id.pop(request_id, None)
+        if place is None:
+            return False
+        waiting, key = place
+        tier = self._tiers_by_rank[waiting.tier_rank]
+        if granted:
+            tier.charge(waiting)
+        tier.remove(key, waiting.team_id)
+        return True
+
+    def lead(self, count: int) -> list[WaitingRequest]:
+        """Return the first requests of the team whose turn it is."""
+        for tier in self._tiers_by_rank.values():
+            if tier.teams_by_time:
+                team = tier.teams_by_time.peekitem(0)[1]
+                return list(islice(team.requests_by_key.values(), count))
+        return []
+
+    def tokens_until(self, rank: int) -> int:
+        """Return the tokens that wait in this and higher tiers."""
+        return sum(
+            tier.tokens for other, tier in self._tiers_by_rank.items() if other <= rank
+        )
+
+    def lowest_rank(self) -> int | None:
+        """Return the lowest tier with waiting requests."""
+        for rank in reversed(self._tiers_by_rank):
+            if self._tiers_by_rank[rank].teams_by_time:
+                return rank
+        return None
+
+    def last_of(self, rank: int) -> WaitingRequest:
+        """Return the request with most slack of the most demanding team."""
+        teams = self._tiers_by_rank[rank].teams_by_time.values()
+        largest = max(teams, key=lambda team: team.tokens / team.weight)
+        return largest.requests_by_key.peekitem(-1)[1]
--- /dev/null
+++ b/marjoramfall/request/server_group.py
@@ -0,0 +1,109 @@
+"""Keep the backend servers of an engine group."""
+
+from collections.abc import Iterable, Sequence
+
+from marjoramfall.connection.outlier_ejection import OutlierEjection
+from marjoramfall.request.active_grants import ActiveGrant
+from marjoramfall.request.events import (
+    CacheEvent,
+    FinishReport,
+    LoadReport,
+    ServerInfo,
+    WorkEstimate,
+)
+from marjoramfall.request.server_state import ServerState
+
+
+class ServerGroup:
+    """Track credits, speed and health of the servers of a group."""
+
+    def __init__(self) -> None:
+        self._servers_by_id: dict[str, ServerState] = {}
+        self._ejection = OutlierEjection()
+
+    def set_servers(self, servers: Sequence[ServerInfo]) -> None:
+        """Replace the servers; what is known of kept ones stays."""
+        states_by_id: dict[str, ServerState] = {}
+        for info in servers:
+            state = self._servers_by_id.get(info.server_id)
+            if state is None or state.info.version_id != info.version_id:
+                state = self._renewed(info, state)
+            state.info = info
+            state.limit.max_concurrency = info.max_concurrency
+            states_by_id[info.server_id] = state
+        self._servers_by_id = states_by_id
+        self._ejection.set_servers(states_by_id)
+
+    def get(self, server_id: str) -> ServerState | None:
+        """Return a server of the group, or None."""
+        return self._servers_by_id.get(server_id)
+
+    def free_servers(self, now_ms: float) -> list[ServerState]:
+        """Return the servers that may get one more request now."""
+        return [
+            server
+            for server_id, server in self._servers_by_id.items()
+            if server.has_room(now_ms)
+            and self._ejection.allowed(server_id, server.running, now_ms)
+        ]
+
+    def least_ms(self, work: WorkEstimate) -> float:
+        """Return the time of a request on the fastest server when idle."""
+        times_ms = [
+            server.speed.unloaded_ms(work, work.prefill_tokens)
+            for server in self._working_servers()
+        ]
+        return min(times_ms, default=0)
+
+    def take(self, active: ActiveGrant, now_ms: float) -> None:
+        """Take the credits of a grant, if its server is known."""
+        server = self._servers_by_id.get(active.grant.server_id)
+        if server is not None:
+            server.take(active, now_ms)
+
+    def give_back(self, active: ActiveGrant) -> None:
+        """Return the credits of a grant, if its server is known."""
+        server = self._servers_by_id.get(active.grant.server_id)
+        if server is not None:
+            server.give_back(active)
+
+    def on_finished(
+        self, active: ActiveGrant, report: FinishReport, now_ms: float
+    ) -> None:
+        """Learn from the result of a granted request."""
+        server = self._servers_by_id.get(active.grant.server_id)
+        if server is None:
+            return
+        server.on_finished(active, report)
+        token_ms = None
+        if report.decode_tokens and report.first_token_ms is not None:
+            token_ms = (report.total_ms - report.first_token_ms) / report.decode_tokens
+        self._ejection.on_finished(
+            active.grant.server_id,
+            now_ms,
+            succeeded=report.succeeded,
+            token_ms=token_ms,
+        )
+
+    def on_load_report(self, report: LoadReport, now_ms: float) -> None:
+        """Take a server's own report of its load."""
+        server = self._servers_by_id.get(report.server_id)
+        if server is not None:
+            server.on_load_report(report, now_ms)
+
+    def on_cache_event(self, event: CacheEvent) -> None:
+        """Take a change of a server's prefix cache."""
+        server = self._servers_by_id.get(event.server_id)
+        if server is not None:
+            server.prefixes.on_event(event)
+
+    def _working_servers(self) -> Iterable[ServerState]:
+        return self._servers_by_id.values()
+
+    def _renewed(self, info: ServerInfo, known: ServerState | None) -> ServerState:
+        # Another version may have other speeds; the credits in use remain.
+        state = ServerState(info)
+        if known is not None:
+            state.running = known.running
+            state.tokens = known.tokens
+        return state
--- /dev/null
+++ b/marjoramfall/request/server_state.py
@@ -0,0 +1,86 @@
+"""Hold what the dispatcher knows of one backend server."""
+
+from marjoramfall.connection.concurrency_limit import ConcurrencyLimit
+from marjoramfall.connection.speed_estimate import SpeedEstimate
+from marjoramfall.request.active_grants import ActiveGrant
+from marjoramfall.request.events import FinishReport, LoadReport, ServerInfo
+from marjoramfall.request.prefix_index import PrefixIndex
+
+REPORT_VALID_MS = 3000
+
+
+class ServerState:
+    """Count the credits in use at a server and predict its latency."""
+
+    def __init__(self, info: ServerInfo) -> None:
+        self.info = info
+        self.speed = SpeedEstimate()
+        self.limit = ConcurrencyLimit(info.max_concurrency)
+        self.prefixes = PrefixIndex()
+        self.running = 0
+        self.tokens = 0
+        self._running_peak = 0
+        self._foreign_running = 0
+        self._foreign_until_ms = float(0)
+        self._prefill_free_ms = float(0)
+        self._last_grant_ms = float(0)
+
+    def has_room(self, now_ms: float) -> bool:
+        """Return whether the server may get one more request."""
+        running = self.running
+        if now_ms < self._foreign_until_ms:
+            running += self._foreign_running
+        return (
+            running < self.info.max_concurrency
+            and self.tokens < self.limit.tokens
+            and not self.info.leaving
+        )
+
+    def first_token_ms(
+        self, prefill_tokens: int, cached_tokens: float, now_ms: float
+    ) -> float:
+        """Return the expected time until the first token of a new request."""
+        queued_ms = max(0, self._prefill_free_ms - now_ms)
+        return queued_ms + self._prefill_ms(prefill_tokens - cached_tokens)
+
+    def take(self, active: ActiveGrant, now_ms: float) -> None:
+        """Take the credits of a granted request."""
+        self.running += 1
+        self._running_peak = max(self._running_peak, self.running)
+        self.tokens += active.work.total_tokens
+        self.limit.on_granted(active.work.total_tokens, self.tokens)
+        uncached = active.work.prefill_tokens - active.expected_cached
+        begin_ms = max(now_ms, self._prefill_free_ms)
+        self._prefill_free_ms = begin_ms + self._prefill_ms(uncached)
+        self._last_grant_ms = now_ms
+
+    def give_back(self, active: ActiveGrant) -> None:
+        """Return the credits of a request."""
+        self.running -= 1
+        self.tokens -= active.work.total_tokens
+
+    def on_finished(self, active: ActiveGrant, report: FinishReport) -> None:
+        """Learn speed, limit and prefix hits from a finished request."""
+        if not report.succeeded:
+            return
+        self.speed.on_finish(report, active.predicted_first_ms)
+        self.prefixes.learn(active.expected_cached, report.cached_tokens)
+        unloaded_ms = (
+            max(1, report.work.prefill_tokens - report.cached_tokens)
+            * self.speed.prefill_ms
+            + report.decode_tokens * self.speed.unloaded_decode_ms
+        )
+        self.limit.on_finished(report.total_ms / max(unloaded_ms, 0.001))
+
+    def on_load_report(self, report: LoadReport, now_ms: float) -> None:
+        """Correct the queue by a report, which describes an earlier time."""
+        foreign = report.running + report.waiting - self._running_peak
+        self._foreign_running = max(0, foreign)
+        self._foreign_until_ms = now_ms + REPORT_VALID_MS
+        self._running_peak = self.running
+        if report.measured_ms >= self._last_grant_ms:
+            queued_ms = self._prefill_ms(report.queued_prefill_tokens)
+            self._prefill_free_ms = report.measured_ms + queued_ms
+
+    def _prefill_ms(self, tokens: float) -> float:
+        return max(1, tokens) * self.speed.prefill_ms * self.speed.inflation
