Hold shed candidates while only higher tiers would pass them

Steady load at 0.75x shed 15 requests and ejected healthy slow engines, as speeds of healthy engines differ by 2.8: servers are now compared with their own past. A burst of 20 s was shed although its work could wait; later arrivals no longer count in the predicted wait.

--- a/marjoramfall/connection/outlier_ejection.py
+++ b/marjoramfall/connection/outlier_ejection.py
@@ -5,9 +5,14 @@
 from statistics import median
 
 MAX_CONSECUTIVE_FAILURES = 5
-# Healthy engines differ by up to 2.8 in speed; 3 times the median is a fault.
+# Healthy engines differ by up to 2.8 in speed, so that a server is compared
+# with its own past, and by that measure with its peers.
 SLOW_RATIO = 3.0
+BASELINE_SMOOTHING = 0.005
+# Without a healthy past, only a speed far from all peers is a fault.
+SLOW_FROM_START_RATIO = 8.0
 MIN_REPORTS = 8
+MIN_PEERS = 2
 FIRST_EJECTION_MS = 5000
 MAX_EJECTION_MS = 300_000
 TRICKLE_SUCCESSES = 3
@@ -20,10 +25,16 @@
     failures: int = 0
     reports: int = 0
     token_ms: float = 0
+    baseline_ms: float = 0
     ejected_until_ms: float | None = None
     ejection_ms: float = 0
     trickle_left: int = 0
 
+    @property
+    def slowdown(self) -> float:
+        """Return the time per token against the server's own past."""
+        return self.token_ms / self.baseline_ms if self.baseline_ms else 1
+
 
 class OutlierEjection:
     """Decide which servers of a group get no work, or only a trickle."""
@@ -82,6 +93,10 @@
         if token_ms is not None:
             weight = SMOOTHING if health.reports else 1
             health.token_ms += weight * (token_ms - health.token_ms)
+            if not health.baseline_ms:
+                health.baseline_ms = token_ms
+            drift_ms = token_ms - health.baseline_ms
+            health.baseline_ms += BASELINE_SMOOTHING * drift_ms
             health.reports += 1
 
     def _is_slow(self, server_id: str) -> bool:
@@ -89,11 +104,17 @@
         if health.reports < MIN_REPORTS:
             return False
         peers = [
-            peer.token_ms
+            peer
             for peer_id, peer in self._health_by_id.items()
             if peer_id != server_id and peer.reports >= MIN_REPORTS
         ]
-        return len(peers) > 1 and health.token_ms > SLOW_RATIO * median(peers)
+        if len(peers) < MIN_PEERS:
+            return False
+        slowdown = health.slowdown / median(peer.slowdown for peer in peers)
+        peers_ms = median(peer.token_ms for peer in peers)
+        return slowdown > SLOW_RATIO or (
+            health.token_ms > SLOW_FROM_START_RATIO * peers_ms
+        )
 
     def _eject(self, health: _Health, now_ms: float) -> None:
         if health.ejected_until_ms is not None and now_ms < health.ejected_until_ms:
--- a/marjoramfall/request/admission.py
+++ b/marjoramfall/request/admission.py
@@ -11,7 +11,7 @@
 # Work is shed while its predicted wait exceeds this share of its slack: the
 # rest covers the error of the prediction and the time spent in the engine.
 MAX_WAIT_SHARE = 0.5
-MIN_SATURATED_MS = 1000
+MIN_SATURATED_MS = 3000
 MAX_RETRY_AFTER_MS = 30_000
 
 
@@ -20,20 +20,13 @@
 
     def __init__(self, queue: RequestQueue) -> None:
         self._queue = queue
-        self._arrivals_by_rank: dict[int, RateWindow] = {}
         self._drained = RateWindow(WINDOW_MS)
         self._saturated_ms = float(0)
         self._saturated_since_ms: float | None = None
         self._deadlines: list[tuple[float, str]] = []
 
-    def on_arrival(
-        self, waiting: WaitingRequest, last_start_ms: float, now_ms: float
-    ) -> None:
-        """Count an arrival that expires at a time in milliseconds."""
-        rank = waiting.tier_rank
-        if rank not in self._arrivals_by_rank:
-            self._arrivals_by_rank[rank] = RateWindow(WINDOW_MS)
-        self._arrivals_by_rank[rank].add(waiting.work.total_tokens, now_ms)
+    def on_arrival(self, waiting: WaitingRequest, last_start_ms: float) -> None:
+        """Remember when an arrival expires, in milliseconds."""
         heapq.heappush(self._deadlines, (last_start_ms, waiting.request_id))
 
     def on_saturation(self, *, saturated: bool, now_ms: float) -> None:
@@ -50,30 +43,29 @@
             self._drained.add(work.total_tokens, self._saturated_time(now_ms))
 
     def predicted_wait_ms(self, rank: int, now_ms: float) -> float:
-        """Return how long the last request of a tier is going to wait."""
+        """Return how long what waits in this and higher tiers takes.
+
+        Later arrivals are left out: a burst that ends leaves time for work
+        that was kept, and kept work costs nothing until it is granted.
+        """
         saturated_ms = self._saturated_time(now_ms)
         if saturated_ms < MIN_SATURATED_MS:
             return 0
         rate = self._drained.per_ms(saturated_ms)
-        if not rate:
-            return 0
-        for higher, arrivals in self._arrivals_by_rank.items():
-            if higher < rank:
-                rate -= arrivals.per_ms(now_ms)
-        tokens = self._queue.tokens_until(rank)
-        return tokens / rate if rate > 0 else float('inf')
+        return self._queue.tokens_until(rank) / rate if rate else 0
 
     def next_shed(self, now_ms: float) -> WaitingRequest | None:
-        """Return the request to shed now, from the lowest waiting tier."""
-        rank = self._queue.lowest_rank()
-        if rank is None:
+        """Return the request to shed now, from the lowest waiting tier.
+
+        If a tier can't be served in time, then neither can those below it.
+        """
+        ranks = self._queue.waiting_ranks()
+        if not ranks:
             return None
-        last = self._queue.last_of(rank)
-        if len(self._queue) > MAX_WAITING:
-            return last
-        slack_ms = self._queue.latest_start_ms(last) - now_ms
-        wait_ms = self.predicted_wait_ms(rank, now_ms)
-        return last if wait_ms > MAX_WAIT_SHARE * slack_ms else None
+        crowded = len(self._queue) > MAX_WAITING
+        if crowded or any(self._is_too_late(rank, now_ms) for rank in ranks):
+            return self._queue.last_of(ranks[-1])
+        return None
 
     def retry_after_ms(self, rank: int, now_ms: float) -> int:
         """Return when a refused request may try again, in milliseconds."""
@@ -90,6 +82,11 @@
                 expired.append(waiting)
         return expired
 
+    def _is_too_late(self, rank: int, now_ms: float) -> bool:
+        last = self._queue.last_of(rank)
+        slack_ms = self._queue.latest_start_ms(last) - now_ms
+        return self.predicted_wait_ms(rank, now_ms) > MAX_WAIT_SHARE * slack_ms
+
     def _saturated_time(self, now_ms: float) -> float:
         if self._saturated_since_ms is None:
             return self._saturated_ms
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -68,7 +68,7 @@
         if last_start_ms <= now_ms:
             return [_expire(waiting)]
         self._queue.add(waiting, last_start_ms)
-        self._admission.on_arrival(waiting, last_start_ms, now_ms)
+        self._admission.on_arrival(waiting, last_start_ms)
         ids = self._waiting_ids_by_entry.setdefault(waiting.entry_id, set())
         ids.add(waiting.request_id)
         return self._decide(now_ms) + self._shed(now_ms)
@@ -153,17 +153,26 @@
         return actions + self._decide(now_ms) + self._shed(now_ms)
 
     def _decide(self, now_ms: float) -> list[Action]:
-        grants: list[Action] = []
+        actions: list[Action] = []
         free = self._group.free_servers(now_ms)
         while free and len(self._queue):
             placement = self._next_placement(free, now_ms)
             if placement is None:
                 break
-            grants.append(self._grant(placement, now_ms))
+            if self._is_hopeless(placement, now_ms):
+                actions.append(self._shed_one(placement.waiting, now_ms))
+            else:
+                actions.append(self._grant(placement, now_ms))
             free = self._group.free_servers(now_ms)
         saturated = not free and len(self._queue) > 0
         self._admission.on_saturation(saturated=saturated, now_ms=now_ms)
-        return grants
+        return actions
+
+    def _is_hopeless(self, placement: Placement, now_ms: float) -> bool:
+        # Only the lowest waiting tier may be shed.
+        if placement.meets_deadline(now_ms):
+            return False
+        return self._queue.waiting_ranks()[-1] == placement.waiting.tier_rank
 
     def _next_placement(
         self, free: list[ServerState], now_ms: float
@@ -220,20 +229,22 @@
         sheds: list[Action] = []
         waiting = self._admission.next_shed(now_ms)
         while waiting is not None:
-            self._drop_waiting(waiting.request_id)
-            shed = Shed(
-                request_id=waiting.request_id,
-                entry_id=waiting.entry_id,
-                tier_rank=waiting.tier_rank,
-                reason='overload',
-                retry_after_ms=self._admission.retry_after_ms(
-                    waiting.tier_rank, now_ms
-                ),
-            )
-            sheds.append(shed)
+            sheds.append(self._shed_one(waiting, now_ms))
             waiting = self._admission.next_shed(now_ms)
         return sheds
 
+    def _shed_one(self, waiting: WaitingRequest, now_ms: float) -> Shed:
+        rank = waiting.tier_rank
+        retry_after_ms = self._admission.retry_after_ms(rank, now_ms)
+        self._drop_waiting(waiting.request_id)
+        return Shed(
+            request_id=waiting.request_id,
+            entry_id=waiting.entry_id,
+            tier_rank=rank,
+            reason='overload',
+            retry_after_ms=retry_after_ms,
+        )
+
     def _hold(self, active: ActiveGrant, now_ms: float) -> None:
         self._active.add(active)
         self._group.take(active, now_ms)
--- a/marjoramfall/request/request_queue.py
+++ b/marjoramfall/request/request_queue.py
@@ -26,6 +26,7 @@
         self.tokens = 0
         self.teams_by_id: dict[str, _TeamQueue] = {}
         self.teams_by_time: SortedDict = SortedDict()
+        self.teams_by_demand: SortedDict = SortedDict()
         self._virtual_time = float(0)
 
     def add(self, key: tuple[float, str], waiting: WaitingRequest) -> None:
@@ -37,16 +38,13 @@
             # A team that was idle must not claim its unused share later.
             team.virtual_time = max(team.virtual_time, self._virtual_time)
             self.teams_by_time[(team.virtual_time, team.team_id)] = team
-        team.weight = waiting.team_weight
         team.requests_by_key[key] = waiting
-        team.tokens += waiting.work.total_tokens
-        self.tokens += waiting.work.total_tokens
+        self._change_demand(team, waiting.work.total_tokens, waiting.team_weight)
 
     def remove(self, key: tuple[float, str], team_id: str) -> WaitingRequest:
         team = self.teams_by_id[team_id]
         waiting = team.requests_by_key.pop(key)
-        team.tokens -= waiting.work.total_tokens
-        self.tokens -= waiting.work.total_tokens
+        self._change_demand(team, -waiting.work.total_tokens, team.weight)
         if not team.requests_by_key:
             self.teams_by_time.pop((team.virtual_time, team_id))
             if team.virtual_time <= self._virtual_time:
@@ -61,6 +59,15 @@
         team.virtual_time += waiting.work.total_tokens / waiting.team_weight
         self.teams_by_time[(team.virtual_time, team.team_id)] = team
 
+    def _change_demand(self, team: _TeamQueue, tokens: int, weight: float) -> None:
+        self.teams_by_demand.pop((team.tokens / team.weight, team.team_id), None)
+        team.weight = weight
+        team.tokens += tokens
+        self.tokens += tokens
+        if team.requests_by_key:
+            demand = team.tokens / team.weight
+            self.teams_by_demand[(demand, team.team_id)] = team
+
 
 class RequestQueue:
     """Keep waiting requests by tier, fair share of their team and slack.
@@ -128,15 +135,13 @@
             tier.tokens for other, tier in self._tiers_by_rank.items() if other <= rank
         )
 
-    def lowest_rank(self) -> int | None:
-        """Return the lowest tier with waiting requests."""
-        for rank in reversed(self._tiers_by_rank):
-            if self._tiers_by_rank[rank].teams_by_time:
-                return rank
-        return None
+    def waiting_ranks(self) -> list[int]:
+        """Return the tiers with waiting requests, the highest first."""
+        return [
+            rank for rank, tier in self._tiers_by_rank.items() if tier.teams_by_time
+        ]
 
     def last_of(self, rank: int) -> WaitingRequest:
         """Return the request with most slack of the most demanding team."""
-        teams = self._tiers_by_rank[rank].teams_by_time.values()
-        largest = max(teams, key=lambda team: team.tokens / team.weight)
+        largest = self._tiers_by_rank[rank].teams_by_demand.peekitem(-1)[1]
         return largest.requests_by_key.peekitem(-1)[1]
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -41,7 +41,9 @@
     ) -> float:
         """Return the expected time until the first token of a new request."""
         queued_ms = max(0, self._prefill_free_ms - now_ms)
-        return queued_ms + self._prefill_ms(prefill_tokens - cached_tokens)
+        # A prompt waits for the step that runs when it arrives.
+        step_ms = self.speed.decode_ms
+        return queued_ms + step_ms + self._prefill_ms(prefill_tokens - cached_tokens)
 
     def take(self, active: ActiveGrant, now_ms: float) -> None:
         """Take the credits of a granted request."""
