--- a/marjoramfall/connection/backend_client.py
+++ b/marjoramfall/connection/backend_client.py
@@ -18,9 +18,13 @@
 from marjoramfall.connection.event_stream import split_events
 from marjoramfall.connection.http_connection import HttpConnection, ResponseParser
 from marjoramfall.errors import BackendServerError, RunState
-from marjoramfall.request.answer import AnswerAssembler, StreamEvent
+from marjoramfall.request.answer import (
+    AnswerAssembler,
+    IncompleteAnswerError,
+    StreamEvent,
+)
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_RESUMES = 3
 MAX_PENDING_CANCELS = 256
 
@@ -193,8 +197,13 @@
     head = connection.read_head()
     body = _read_body(connection)
     _raise_for_leaving(head)
+    if connection.has_ended:
+        # Without a length or chunks, the end of a response proves nothing.
+        raise IncompleteAnswerError('the response ended with its connection')
+    has_body = request.method != 'HEAD' and head.status_code != HTTPStatus.NOT_MODIFIED
+    length = head.content_length if has_body else None
     answer = AnswerAssembler(request.request_id)
-    answer.check_whole(head.get('X-Request-Id'), head.content_length, body)
+    answer.check_whole(head.get('X-Request-Id'), length, body)
     return BackendResponse(
         status=head.status_code, headers=tuple(head.items()), body=body
     )
--- a/marjoramfall/connection/event_stream.py
+++ b/marjoramfall/connection/event_stream.py
@@ -19,10 +19,14 @@
     buffered = b''
     for part in body_parts:
         *complete, buffered = _normalized(buffered + part).split(EVENT_END)
+        _check_lengths((*complete, buffered))
         for block in complete:
             yield from _parse_block(block)
-        if len(buffered) > MAX_EVENT_BYTES:
-            raise MalformedResponseError('an event of the stream is too long')
+
+
+def _check_lengths(blocks: Iterable[bytes]) -> None:
+    if max(map(len, blocks)) > MAX_EVENT_BYTES:
+        raise MalformedResponseError('an event of the stream is too long')
 
 
 def _normalized(text: bytes) -> bytes:
--- a/marjoramfall/connection/http_connection.py
+++ b/marjoramfall/connection/http_connection.py
@@ -65,6 +65,7 @@
         host, _, port = address.rpartition(':')
         self.address = address
         self.idle_since_ms = float(0)
+        self._has_ended = False
         self._parser = ResponseParser('GET')
         try:
             self._socket = socket.create_connection(
@@ -125,6 +126,11 @@
                 return
             self._receive()
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the server closed the connection."""
+        return self._has_ended
+
     @property
     def can_reuse(self) -> bool:
         """Return whether a whole response was read and nothing beyond it."""
@@ -137,6 +143,7 @@
             raise BackendTimeoutError(f'{self.address} sent nothing') from error
         except OSError as error:
             raise BackendConnectionBrokenError(str(error)) from error
+        self._has_ended = not received
         self._parse(received)
         return len(received)
 
--- a/marjoramfall/request/answer.py
+++ b/marjoramfall/request/answer.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-import msgspec
-
 from marjoramfall.errors import BackendServerError
 
 DONE = b'[DONE]'
@@ -47,12 +45,6 @@
         return self.data == DONE
 
 
-class AnswerBody(msgspec.Struct):
-    """Read the fields of a model response that prove whose it is."""
-
-    id: str = ''
-
-
 class AnswerAssembler:
     """Accept only the next event of its own request."""
 
--- a/tests/scripted_backend.py
+++ b/tests/scripted_backend.py
@@ -1,6 +1,7 @@
 """Serve scripted bytes in place of a backend server."""
 
 from collections.abc import Callable
+from contextlib import suppress
 
 from gevent.server import StreamServer
 
@@ -57,7 +58,7 @@
     def _serve(self, sock, _address) -> None:
         self.connections += 1
         connection = self.connections
-        with sock.makefile('rb') as requests:
+        with sock.makefile('rb') as requests, suppress(OSError):
             while True:
                 head = self._read_request(requests)
                 if not head:
