Test the request path and fix the hashes of prompts and bodies

The installed xxhash takes only bytes; prompts above 256 characters and every keyed request failed with a TypeError that the first tests did not reach. Retries now look at the delivery that is configured when they are due, so that a service that operators have made once-only is not repeated.

--- a/marjoramfall/request/dispatch_attempt.py
+++ b/marjoramfall/request/dispatch_attempt.py
@@ -79,9 +79,10 @@
         if USAGE_MARK not in body:
             return
         try:
-            self._usage = msgspec.json.decode(body, type=UsageCarrier).usage or Usage()
+            usage = msgspec.json.decode(body, type=UsageCarrier).usage
         except msgspec.MsgspecError:
-            self._usage = Usage()
+            return
+        self._usage = usage or self._usage
 
     def finish(self, *, succeeded: bool, run_state: RunState = RunState.RUN) -> None:
         """Return the grant; later calls do nothing."""
--- a/marjoramfall/request/parsed_request.py
+++ b/marjoramfall/request/parsed_request.py
@@ -39,7 +39,7 @@
     @property
     def fingerprint(self) -> str:
         """Return a hash that tells a repeated request from a changed one."""
-        digest = xxhash.xxh3_128(f'{self.method} {self.path}\n')
+        digest = xxhash.xxh3_128(f'{self.method} {self.path}\n'.encode())
         digest.update(self.body)
         return digest.hexdigest()
 
--- a/marjoramfall/request/prompt.py
+++ b/marjoramfall/request/prompt.py
@@ -20,6 +20,6 @@
     whole_characters = len(prompt) - len(prompt) % BLOCK_CHARACTERS
     last_start = min(whole_characters, MAX_BLOCKS * BLOCK_CHARACTERS)
     for start in range(0, last_start, BLOCK_CHARACTERS):
-        digest.update(prompt[start : start + BLOCK_CHARACTERS])
+        digest.update(prompt[start : start + BLOCK_CHARACTERS].encode())
         hashes.append(digest.intdigest())
     return tuple(hashes)
--- a/marjoramfall/request/request_path.py
+++ b/marjoramfall/request/request_path.py
@@ -19,7 +19,7 @@
     DispatchNotPermittedError,
 )
 from marjoramfall.errors import BackendServerError, MarjoramfallError, RunState
-from marjoramfall.model import Configuration, Delivery, ServiceKind
+from marjoramfall.model import Configuration, Delivery, Service, ServiceKind
 from marjoramfall.request.dispatch_attempt import (
     AnswerStream,
     CallerGoneError,
@@ -114,7 +114,7 @@
         dispatch: Callable[[ParsedRequest, DispatchAttempt], Result],
     ) -> Result:
         self._retries.on_request(request.service.service_id)
-        policy = _AttemptPolicy(request, self._retries)
+        policy = _AttemptPolicy(request, self._retries, self._current_service)
         while True:
             try:
                 return dispatch(request, self._acquire(request, policy))
@@ -122,6 +122,9 @@
                 if not policy.allows_another(error):
                     raise
 
+    def _current_service(self, service_id: str) -> Service | None:
+        return self._configuration().services_by_id.get(service_id)
+
     def _acquire(
         self, request: ParsedRequest, policy: '_AttemptPolicy'
     ) -> DispatchAttempt:
@@ -167,11 +170,17 @@
 class _AttemptPolicy:
     """Decide whether a failed request may be dispatched again."""
 
-    def __init__(self, request: ParsedRequest, retries: RetryAllowance) -> None:
+    def __init__(
+        self,
+        request: ParsedRequest,
+        retries: RetryAllowance,
+        current_service: Callable[[str], Service | None],
+    ) -> None:
         self.excluded_server_ids: tuple[str, ...] = ()
         self.server_id = ''
         self._request = request
         self._retries = retries
+        self._current_service = current_service
         self._unsent = 0
         self._sent = 0
 
@@ -191,9 +200,13 @@
     def _may_repeat(self, error: BackendServerError) -> bool:
         if not self._request.is_idempotent or is_callers_fault(error):
             return False
-        if self._sent >= self._request.service.max_attempts:
+        # Operators may have made the service once-only or removed it meanwhile.
+        service = self._current_service(self._request.service.service_id)
+        if service is None or service.delivery is not Delivery.IDEMPOTENT:
+            return False
+        if self._sent >= service.max_attempts:
             return False
-        return self._retries.take_retry(self._request.service.service_id)
+        return self._retries.take_retry(service.service_id)
 
     def _correct_run_state(self, error: MarjoramfallError) -> None:
         # A refusal of the second attempt says nothing about the first one.
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -30,6 +30,7 @@
     },
     teams_by_id={
         'school': Team('school', 'gold', sha256(BEARER_KEY.encode()).hexdigest()),
+        'evening': Team('evening', 'bulk', sha256(b'bulk-key').hexdigest()),
         'lost': Team('lost', 'none', sha256(b'lost-key').hexdigest()),
     },
     services_by_id={service.service_id: service for service in SERVICES},
@@ -94,8 +95,11 @@
     def __init__(self) -> None:
         self.claimed = []
         self.outcomes = []
+        self.refusal = None
 
     def claim(self, scope, claim_id):
+        if self.refusal is not None:
+            raise self.refusal
         self.claimed.append(scope.key)
 
     def release(self, scope, claim_id, outcome):
--- /dev/null
+++ b/tests/test_request_path.py
@@ -0,0 +1,234 @@
+"""Test the way of one request: grants, retries, keys and callers that leave."""
+
+import unittest
+from dataclasses import replace
+
+from gevent import Timeout, sleep, spawn
+
+from marjoramfall.clock import PausedClock
+from marjoramfall.connection.backend_client import BackendClient
+from marjoramfall.connection.backend_errors import (
+    BackendConnectionBrokenError,
+    BackendNotReachedError,
+    BackendStatusError,
+)
+from marjoramfall.connection.connection_pool import ConnectionPool
+from marjoramfall.errors import RunState
+from marjoramfall.model import Configuration, Delivery
+from marjoramfall.request.dispatch_attempt import CallerGoneError
+from marjoramfall.request.grants import NoBackendServerError
+from marjoramfall.request.key_claim import KeyRequiredError
+from marjoramfall.request.request_path import MAX_UNSENT_ATTEMPTS, RequestPath
+from tests.request_fakes import (
+    CONFIGURATION,
+    FakeAllowance,
+    FakeClaims,
+    FakeGrants,
+    parsed_request,
+)
+from tests.scripted_backend import ScriptedBackend
+
+
+def respond_ok(exchange):
+    """Answer with a short whole response and its token counts."""
+    exchange.respond(b'{"usage":{"prompt_tokens_details":{"cached_tokens":5}}}')
+
+
+def fail(exchange):
+    """Answer that the server failed."""
+    exchange.respond(b'', '500 Failed')
+
+
+def leave(exchange):
+    """Refuse the request as a leaving server."""
+    exchange.respond(b'', '503 Busy', 'X-Leaving: 1\r\nConnection: close\r\n')
+
+
+def break_off(exchange):
+    """Break the connection after the request was read."""
+    return False
+
+
+def respond_late(exchange):
+    """Answer after the caller has left."""
+    sleep(0.02)
+    exchange.respond(b'late')
+
+
+def stall(exchange):
+    """Send one token and no more."""
+    if exchange.head.startswith(b'POST'):
+        exchange.start_stream()
+        exchange.event('e-1:0', 'a')
+    else:
+        exchange.respond(b'')
+
+
+class PathCase(unittest.TestCase):
+    """Connect a request path to scripted backends."""
+
+    def start(self, *script_lists, retries=1):
+        self.backends = [ScriptedBackend(*scripts) for scripts in script_lists]
+        for backend in self.backends:
+            self.addCleanup(backend.stop)
+        self.grants = FakeGrants(*(backend.address for backend in self.backends))
+        self.claims = FakeClaims()
+        self.configuration = CONFIGURATION
+        self.clock = PausedClock()
+        self.client = BackendClient(ConnectionPool(self.clock))
+        self.path = RequestPath(
+            grants=self.grants,
+            backend=self.client,
+            configuration=lambda: self.configuration,
+            clock=self.clock,
+            retries=FakeAllowance(retries),
+            claims=self.claims,
+        )
+
+    def dispatches(self):
+        return [backend.count('POST') for backend in self.backends]
+
+    def failure(self, service_id, kind):
+        with self.assertRaises(kind) as caught:
+            self.path.send(parsed_request(service_id))
+        return caught.exception.actual_run_state
+
+    def results(self):
+        return [(done.succeeded, done.dispatched) for done in self.grants.finished]
+
+    def leave_during(self, function, request, *, is_reached):
+        """Let the caller leave once a condition holds; wait for all to end."""
+        caller = spawn(self.assertRaises, CallerGoneError, function, request)
+        with Timeout(5):
+            while not is_reached():
+                sleep(0.001)
+            caller.kill(CallerGoneError('gone'))
+
+
+class RetryTest(PathCase):
+    """Repeat only what may be repeated."""
+
+    def test_retry_elsewhere(self):
+        """Guard against a retry on the server that has just failed."""
+        self.start([fail], [respond_ok])
+        self.path.send(parsed_request('lookups'))
+        self.assertEqual(self.dispatches(), [1, 1])
+        self.assertEqual(self.results(), [(False, True), (True, True)])
+        self.assertEqual(self.grants.finished[1].cached_tokens, 5)
+
+    def test_no_allowance(self):
+        """Guard against retries that multiply the load of an overload."""
+        self.start([fail], [respond_ok], retries=0)
+        self.assertIs(self.failure('lookups', BackendStatusError), RunState.UNKNOWN)
+        self.assertEqual(self.dispatches(), [1, 0])
+
+    def test_once_is_not_repeated(self):
+        """Guard against a booking that runs twice after a broken connection."""
+        self.start([break_off], [respond_ok])
+        state = self.failure('bookings', BackendConnectionBrokenError)
+        self.assertIs(state, RunState.UNKNOWN)
+        self.assertEqual(self.dispatches(), [1, 0])
+        self.assertEqual(self.claims.outcomes[0].run_state, RunState.UNKNOWN)
+
+    def test_changed_delivery(self):
+        """Guard against a repeat while operators change the delivery."""
+        once, idempotent = (
+            replace(CONFIGURATION.services_by_id['lookups'], delivery=delivery)
+            for delivery in (Delivery.DISPATCH_ONCE, Delivery.IDEMPOTENT)
+        )
+        for sent, current in ((once, idempotent), (idempotent, once)):
+            self.start([break_off], [respond_ok])
+            self.configuration = Configuration(services_by_id={'lookups': current})
+            with self.assertRaises(BackendConnectionBrokenError):
+                self.path.send(parsed_request('lookups', service=sent))
+            self.assertEqual(self.dispatches(), [1, 0])
+
+    def test_once_after_refusal(self):
+        """Guard against a booking lost to a leaving or unreachable server."""
+        self.start([respond_ok], [leave], [respond_ok])
+        self.backends[0].stop()
+        self.path.send(parsed_request('bookings'))
+        self.assertEqual(self.dispatches(), [0, 1, 1])
+        self.assertEqual(self.results(), [(False, False), (False, False), (True, True)])
+
+    def test_refusal_after_run(self):
+        """Guard against `not run` when the retry of a run attempt is refused."""
+        self.start([break_off])
+        state = self.failure('lookups', NoBackendServerError)
+        self.assertIs(state, RunState.UNKNOWN)
+
+    def test_lapsed_grant(self):
+        """Guard against a dispatch with a grant that lapsed during a pause."""
+        self.start([respond_ok])
+        self.grants.confirms = iter((False, True))
+        self.path.send(parsed_request('bookings'))
+        self.assertEqual(self.dispatches(), [1])
+        self.assertEqual(self.results(), [(False, False), (True, True)])
+
+    def test_bounded_attempts(self):
+        """Guard against asking for grants for ever while none can be used."""
+        self.start(*([respond_ok] for _ in range(MAX_UNSENT_ATTEMPTS + 1)))
+        for backend in self.backends:
+            backend.stop()
+        state = self.failure('bookings', BackendNotReachedError)
+        self.assertIs(state, RunState.NOT_RUN)
+        self.assertEqual(len(self.grants.asks), MAX_UNSENT_ATTEMPTS)
+        self.assertEqual(len(self.grants.finished), MAX_UNSENT_ATTEMPTS)
+        self.assertEqual(self.claims.outcomes[0].run_state, RunState.NOT_RUN)
+
+
+class LeavingCallerTest(PathCase):
+    """Free what a caller who left has held."""
+
+    def test_while_waiting(self):
+        """Guard against a grant for a caller who left, and a key kept by it."""
+        self.start([respond_ok])
+        self.grants.wait = lambda: sleep(60)
+        request = parsed_request('deposits')
+        self.leave_during(self.path.send, request, is_reached=lambda: self.grants.asks)
+        sleep(0)
+        self.assertEqual(len(self.grants.withdrawn), 1)
+        self.assertEqual(self.claims.outcomes[0].run_state, RunState.NOT_RUN)
+        self.assertEqual(self.dispatches(), [0])
+
+    def test_posting_goes_on(self):
+        """Guard against a posting whose response is lost with its caller."""
+        self.start([respond_late])
+        self.leave_during(
+            self.path.send,
+            parsed_request('deposits'),
+            is_reached=lambda: self.backends[0].heads,
+        )
+        with Timeout(5):
+            while not self.claims.outcomes:
+                sleep(0.001)
+        outcome = self.claims.outcomes[0]
+        self.assertEqual((outcome.body, outcome.recorded), (b'late', True))
+        self.assertEqual(self.results(), [(True, True)])
+
+    def test_unread_stream(self):
+        """Guard against a grant that is kept by a stream nobody reads."""
+        self.start([stall])
+        stream = self.path.stream(parsed_request('summaries'))
+        stream.close()
+        stream.close()
+        self.client.wait_for_cancels()
+        sleep(0)
+        self.assertEqual(self.backends[0].count('DELETE'), 1)
+        self.assertEqual(self.results(), [(True, True)])
+        self.assertEqual(self.claims.outcomes[0].run_state, RunState.UNKNOWN)
+
+    def test_left_after_deadline(self):
+        """Guard against a hanging version that callers' timeouts excuse."""
+        self.start([stall])
+        stream = self.path.stream(parsed_request('reviews'))
+        self.clock.advance_ms(20_000)
+        stream.close()
+        self.assertEqual(self.results(), [(False, True)])
+
+    def test_key_required(self):
+        """Guard against a booking without a key."""
+        self.start([respond_ok])
+        with self.assertRaises(KeyRequiredError):
+            self.path.send(parsed_request('bookings', idempotency_key=None))
+        self.assertEqual(self.grants.asks, [])
