Test claims in the store under concurrency, outages and lost replies

The test for two swaps of one row first counted only the granted claim, which a hanging claim satisfies as well; it now counts all.

--- /dev/null
+++ b/tests/test_key_claims.py
@@ -0,0 +1,217 @@
+"""Test claims in the store under concurrency, outages and lost replies."""
+
+import unittest
+
+from gevent import joinall, sleep, spawn
+
+from marjoramfall.borders.platform import (
+    PlatformAnswerLostError,
+    PlatformUnavailableError,
+    TableService,
+)
+from marjoramfall.clock import PausedClock
+from marjoramfall.errors import MarjoramfallError, RunState
+from marjoramfall.messages import ReleaseKey
+from marjoramfall.request.idempotency import KeyRegistry
+from marjoramfall.request.key_claim import (
+    AlreadyRunError,
+    ClaimOutcome,
+    InvalidKeyError,
+    KeyInUseError,
+    KeyOwnerUnavailableError,
+    KeyScope,
+    KeyStoreUnavailableError,
+)
+from marjoramfall.request.key_claims import (
+    IssuedClaims,
+    KeyOwnerClient,
+    RoutedClaims,
+    StoreClaims,
+)
+from marjoramfall.request.swap_batcher import MAX_BATCH_ROWS, SwapBatcher
+from tests.request_fakes import FakeClaims
+
+NOT_DISPATCHED = ClaimOutcome(dispatched=False)
+RECORDED = ClaimOutcome(dispatched=True, status=201, body=b'{}', recorded=True)
+
+
+class MemoryTable(TableService):
+    """Keep rows in memory; fail calls by a list of faults."""
+
+    def __init__(self):
+        self.rows = {}
+        self.transactions = 0
+        self.reads = 0
+        self.faults = iter(())
+
+    def transact(self, conditions, writes):
+        self.transactions += 1
+        fault = next(self.faults, None)
+        if fault == 'down':
+            raise PlatformUnavailableError(fault)
+        sleep(0)
+        applied = all(self.rows.get(row.key) == row.equals for row in conditions)
+        if applied:
+            self.rows.update({row.key: row.value for row in writes})
+        if fault == 'lost':
+            raise PlatformAnswerLostError(fault)
+        return applied
+
+    def read(self, table, key):
+        self.reads += 1
+        if next(self.faults, None) == 'down':
+            raise PlatformUnavailableError('down')
+        return self.rows.get(key)
+
+    def scan(self, table, *, prefix='', after='', limit=100):
+        raise NotImplementedError
+
+
+class LocalOwners(KeyOwnerClient):
+    """Reach the registries of other entries, or lose the reply."""
+
+    def __init__(self, **registries):
+        self.registries = registries
+        self.loses_replies = False
+        self.released = []
+
+    def claim(self, owner, message):
+        if owner not in self.registries:
+            raise KeyOwnerUnavailableError('no such entry')
+        reply = self.registries[owner].claim(message, 0)
+        if self.loses_replies:
+            raise KeyOwnerUnavailableError('no reply')
+        return reply
+
+    def release(self, owner, message: ReleaseKey):
+        self.registries[owner].release(message)
+
+
+def scope(key='k', fingerprint='f'):
+    """Return a key in the scope of one team and service."""
+    return KeyScope(
+        team_id='school', service_id='bookings', key=key, fingerprint=fingerprint
+    )
+
+
+class StoreCase(unittest.TestCase):
+    """Let two entries share a table."""
+
+    def setUp(self):
+        self.table = MemoryTable()
+        self.clock = PausedClock()
+        self.entries = [StoreClaims(self.table, self.clock, name) for name in 'ab']
+
+    def outcomes(self, claims):
+        """Claim all at the same instant; return error codes or `granted`."""
+        workers = [spawn(self.outcome, *claim) for claim in claims]
+        joinall(workers, timeout=5)
+        return [worker.value for worker in workers]
+
+    def outcome(self, entry, key, claim_id):
+        try:
+            entry.claim(scope(key), claim_id)
+        except MarjoramfallError as error:
+            return error.code
+        return 'granted'
+
+
+class StoreClaimsTest(StoreCase):
+    """Grant each key once, whatever fails."""
+
+    def test_same_instant(self):
+        """Guard against two entries that both get a key at the same instant."""
+        claims = [
+            (entry, f'k{index}', f'{name}{index}')
+            for index in range(30)
+            for name, entry in zip('ab', self.entries, strict=True)
+        ]
+        outcomes = self.outcomes(claims)
+        self.assertEqual(outcomes.count('granted'), 30)
+        self.assertEqual(outcomes.count('already_dispatched'), 30)
+
+    def test_same_batch(self):
+        """Guard against two swaps of one row that share a transaction."""
+        outcomes = self.outcomes([(self.entries[0], 'k', f'c{n}') for n in range(5)])
+        self.assertEqual(outcomes.count('granted'), 1)
+        self.assertEqual(outcomes.count('already_dispatched'), 4)
+
+    def test_batch(self):
+        """Guard against a transaction per claim, and one bad key spoiling all."""
+        claims = [(self.entries[0], f'k{n}', f'c{n}') for n in range(MAX_BATCH_ROWS)]
+        self.assertEqual(set(self.outcomes(claims)), {'granted'})
+        self.assertEqual(self.table.transactions, 1)
+        again = [(self.entries[1], 'k0', 'd0')]
+        again += [(self.entries[1], f'm{n}', f'd{n}') for n in range(1, 32)]
+        outcomes = self.outcomes(again)
+        self.assertEqual(outcomes.count('granted'), 31)
+        self.assertLess(self.table.transactions, 15)
+
+    def test_recorded_response(self):
+        """Guard against a repeated posting that does not get its response."""
+        self.entries[0].claim(scope(), 'c1')
+        self.entries[0].release(scope(), 'c1', RECORDED)
+        self.assertTrue(self.entries[0].drain(5000))
+        with self.assertRaises(AlreadyRunError) as caught:
+            self.entries[1].claim(scope(), 'c2')
+        self.assertEqual(caught.exception.outcome.body, b'{}')
+
+    def test_store_down(self):
+        """Guard against a dispatch without a claim during an outage."""
+        self.table.faults = iter(('down',))
+        with self.assertRaises(KeyStoreUnavailableError) as caught:
+            self.entries[0].claim(scope(), 'c1')
+        self.assertIs(caught.exception.actual_run_state, RunState.NOT_RUN)
+
+    def test_lost_claim_is_abandoned(self):
+        """Guard against a key kept for ever by a claim that was given up."""
+        self.table.faults = iter(('lost', 'down', 'down', 'lost'))
+        with self.assertRaises(KeyStoreUnavailableError):
+            self.entries[0].claim(scope(), 'c1')
+        self.assertTrue(self.entries[0].drain(5000))
+        self.entries[1].claim(scope(), 'c2')
+
+    def test_too_many_waiting(self):
+        """Guard against unbounded memory while the store is slow."""
+        batcher = SwapBatcher(self.table, self.clock, max_pending=2)
+        entry = StoreClaims(self.table, self.clock, 'c', batcher=batcher)
+        outcomes = self.outcomes([(entry, f'k{n}', f'c{n}') for n in range(4)])
+        self.assertEqual(outcomes.count('key_store_unavailable'), 2)
+
+
+class IssuedClaimsTest(unittest.TestCase):
+    """Ask the issuer of a key, and no one else."""
+
+    def setUp(self):
+        clock = PausedClock(start_wall_ms=0)
+        self.registry = KeyRegistry('a')
+        self.key = scope(self.registry.issue('school', 0))
+        self.owners = LocalOwners(a=self.registry)
+        self.store = FakeClaims()
+        local = IssuedClaims(self.registry, self.owners, clock, 'a')
+        remote = IssuedClaims(KeyRegistry('b'), self.owners, clock, 'b')
+        self.local = RoutedClaims(local, self.store)
+        self.remote = RoutedClaims(remote, self.store)
+
+    def test_other_entry(self):
+        """Guard against a key that two entries both dispatch."""
+        self.remote.claim(self.key, 'b1')
+        with self.assertRaises(KeyInUseError):
+            self.local.claim(self.key, 'a1')
+        self.remote.release(self.key, 'b1', RECORDED)
+        with self.assertRaises(AlreadyRunError):
+            self.local.claim(self.key, 'a2')
+
+    def test_lost_reply(self):
+        """Guard against a key kept for ever by a claim whose reply was lost."""
+        self.owners.loses_replies = True
+        with self.assertRaises(KeyOwnerUnavailableError) as caught:
+            self.remote.claim(self.key, 'b1')
+        self.assertIs(caught.exception.actual_run_state, RunState.UNKNOWN)
+        self.local.claim(self.key, 'a1')
+
+    def test_imitated_key(self):
+        """Guard against an invalid issued key that is taken as caller-made."""
+        with self.assertRaises(InvalidKeyError):
+            self.local.claim(scope('ek1~nonsense'), 'a1')
+        self.assertEqual(self.store.claimed, [])
