Test callers' failures and bound the wait for refused bodies

A caller whose body was refused by its announced length held its connection for as long as it did not send that body, because the server waits for the rest of a body before it goes on. The wait is now one second, and the connection is closed after it. Closing at once was ruled out, as it resets the connection under the response. While an entry is not ready, responses carry `Connection: close`.

--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -95,7 +95,11 @@
         self.active_requests += 1
         response = self._answer(environ, request_id)
         response.on_end(self._on_end)
-        start_response(response.status_line, response.header_list(request_id))
+        headers = response.header_list(request_id)
+        if not self._hooks.is_ready():
+            # Callers must not send a next request while the entry stops.
+            headers.append(('Connection', 'close'))
+        start_response(response.status_line, headers)
         return response
 
     @property
--- a/marjoramfall/borders/caller_server.py
+++ b/marjoramfall/borders/caller_server.py
@@ -6,7 +6,7 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 from loguru import logger
 
 from marjoramfall.borders.caller_errors import CallerWriteTimeoutError
@@ -17,6 +17,28 @@
 CALLER_SOCKET = 'marjoramfall.caller_socket'
 IDLE_TIMEOUT_SECONDS = 75
 HEAD_TIMEOUT_SECONDS = 10
+# Long enough for a caller to read why its body was refused; an immediate
+# close would reset the connection under the response.
+DISCARD_TIMEOUT_SECONDS = 1
+
+
+class CallerInput(Input):
+    """Bound how long the rest of a refused body is awaited."""
+
+    def __init__(self, original: Input) -> None:
+        super().__init__(
+            original.rfile,
+            original.content_length,
+            original.socket,
+            original.chunked_input,
+        )
+        self.is_cut = False
+
+    def _discard(self) -> None:
+        with gevent.Timeout(DISCARD_TIMEOUT_SECONDS, exception=False):
+            super()._discard()
+            return
+        self.is_cut = True
 
 
 class CallerHandler(WSGIHandler):
@@ -37,10 +59,19 @@
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the raw path and the socket."""
         environ = super().get_environ()
+        self.wsgi_input = CallerInput(self.wsgi_input)
+        environ['wsgi.input'] = self.wsgi_input
         environ[RAW_PATH] = self.path
         environ[CALLER_SOCKET] = self.socket
         return environ
 
+    def handle_one_response(self) -> Any:
+        """Answer a request; close after one whose body was not read whole."""
+        answered = super().handle_one_response()
+        if self.wsgi_input.is_cut:
+            self.close_connection = True
+        return answered
+
     def handle_error(self, kind: Any, error: Any, trace: Any) -> Any:
         """Close the connections of callers that stopped reading or left."""
         if isinstance(error, CallerWriteTimeoutError | CallerGoneError):
@@ -78,6 +109,11 @@
         self.count = count
         self.write_timeout_seconds = write_timeout_ms / MS_PER_SECOND
 
+    @property
+    def connection_count(self) -> int:
+        """Return how many connections are being served."""
+        return len(self.pool)
+
     def handle(self, client_socket: Any, address: Any) -> None:
         """Serve one connection, sending small segments at once."""
         # Head and body are separate writes; without this option a response
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -1,124 +1,21 @@
 """Test the callers' interface over loopback against a scripted backend."""
 
-import json
-import unittest
-from socket import IPPROTO_TCP, TCP_NODELAY
-
-from gevent import Timeout, sleep, socket
-
-from marjoramfall.borders.caller_http import CallerApplication, CallerHooks
-from marjoramfall.borders.caller_server import CALLER_SOCKET, CallerServer
-from marjoramfall.clock import RuntimeClock
-from marjoramfall.connection.backend_client import BackendClient
-from marjoramfall.connection.connection_pool import ConnectionPool
-from marjoramfall.identifiers import RequestIds
-from marjoramfall.request.request_path import RequestPath
-from tests.request_fakes import (
-    BEARER_KEY,
-    CONFIGURATION,
-    FakeAllowance,
-    FakeClaims,
-    FakeGrants,
+from unittest.mock import patch
+
+from gevent import Timeout, sleep
+
+from marjoramfall.borders import caller_server
+from marjoramfall.request.key_claim import AlreadyRunError, ClaimOutcome
+from tests.caller_case import (
+    STREAM,
+    CallerCase,
+    raise_shed,
+    report_no_delay,
+    stream_cut,
+    stream_endless,
+    stream_stalled,
+    stream_whole,
 )
-from tests.scripted_backend import ScriptedBackend
-
-STREAM = {'model': 'reviews', 'prompt': 'x', 'stream': True}
-
-
-def stream_whole(exchange):
-    """Send two tokens, the first one twice."""
-    exchange.start_stream()
-    exchange.event('e-1:0', 'a')
-    exchange.event('e-1:0', 'a')
-    exchange.event('e-1:1', 'b')
-    exchange.end_stream('e-1', 2)
-
-
-def stream_cut(exchange):
-    """Break the connection after a token and refuse to resume."""
-    if exchange.head.startswith(b'POST'):
-        exchange.start_stream()
-        exchange.event('e-1:0', 'a')
-    return False
-
-
-def stream_stalled(exchange):
-    """Send one token and no more."""
-    if exchange.head.startswith(b'DELETE'):
-        exchange.respond(b'')
-        return
-    exchange.start_stream()
-    exchange.event('e-1:0', 'a')
-
-
-def report_no_delay(environ, start_response):
-    """Answer with the option of the accepted socket."""
-    option = environ[CALLER_SOCKET].getsockopt(IPPROTO_TCP, TCP_NODELAY)
-    start_response('200 OK', [])
-    return [str(option).encode()]
-
-
-class CallerCase(unittest.TestCase):
-    """Start a callers' server in front of a scripted backend."""
-
-    def start(self, *scripts, **options):
-        self.backend = ScriptedBackend(*scripts)
-        self.addCleanup(self.backend.stop)
-        self.counts = []
-        self.grants = FakeGrants(self.backend.address)
-        self.claims = FakeClaims()
-        clock = RuntimeClock()
-        self.client = BackendClient(ConnectionPool(clock))
-        path = RequestPath(
-            grants=self.grants,
-            backend=self.client,
-            configuration=lambda: CONFIGURATION,
-            clock=clock,
-            retries=FakeAllowance(),
-            claims=self.claims,
-        )
-        hooks = CallerHooks(
-            configuration=lambda: CONFIGURATION,
-            is_ready=bool,
-            check_accepting=lambda: None,
-            count=self.counts.append,
-            issue_key=lambda team_id: f'key-of-{team_id}',
-        )
-        self.application = CallerApplication(
-            path, hooks, clock=clock, request_ids=RequestIds('e'), max_body_bytes=2048
-        )
-        self.server = CallerServer(
-            ('127.0.0.1', 0), self.application, count=self.counts.append, **options
-        )
-        self.server.start()
-        self.addCleanup(self.server.stop, timeout=0)
-
-    def connect(self):
-        address = ('127.0.0.1', self.server.server_port)
-        caller = socket.create_connection(address, timeout=5)
-        self.addCleanup(caller.close)
-        return caller
-
-    def request(self, path, body=None, *, method='POST', key=BEARER_KEY, headers=''):
-        text = b'' if body is None else json.dumps(body).encode()
-        head = (
-            f'{method} {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n'
-            f'Authorization: Bearer {key}\r\n{headers}'
-            f'Content-Length: {len(text)}\r\n\r\n'
-        )
-        return head.encode() + text
-
-    def ask(self, path, body=None, **options):
-        caller = self.connect()
-        caller.sendall(self.request(path, body, **options))
-        with caller.makefile('rb') as stream:
-            head, _, content = stream.read().partition(b'\r\n\r\n')
-        return int(head.split()[1]), content
-
-    def error(self, path, body=None, **options):
-        status, content = self.ask(path, body, **options)
-        described = json.loads(content)['error']
-        return status, described['code'], described['run_state']
 
 
 class CallerStreamTest(CallerCase):
@@ -157,6 +54,39 @@
         self.assertEqual(self.application.active_requests, 0)
         self.assertIn('caller_gone', self.counts)
 
+    def test_vanished_while_waiting(self):
+        """Guard against a place in the queue for a caller who left."""
+        self.start(stream_whole)
+        self.grants.wait = lambda: sleep(60)
+        caller = self.connect()
+        caller.sendall(self.request('/services/lookups/a'))
+        with Timeout(5):
+            while not self.grants.asks:
+                sleep(0.001)
+            caller.close()
+            while 'caller_gone' not in self.counts:
+                sleep(0.001)
+        self.assertEqual(len(self.grants.withdrawn), 1)
+
+    def test_slow_reader(self):
+        """Guard against a slot and memory held by a caller who never reads."""
+        self.start(stream_endless, write_timeout_ms=50)
+        caller = self.connect()
+        caller.sendall(self.request('/v1/completions', STREAM))
+        with Timeout(5):
+            while not (self.backend.count('DELETE') and self.grants.finished):
+                sleep(0.001)
+        self.assertIn('caller_write_timeout', self.counts)
+        self.assertEqual(self.application.active_requests, 0)
+
+    def test_connection_limit(self):
+        """Guard against unbounded connections."""
+        self.start(stream_whole, max_connections=2)
+        callers = [self.connect() for _ in range(4)]
+        sleep(0.01)
+        self.assertEqual(self.server.connection_count, 2)
+        self.assertEqual(len(callers), 4)
+
 
 class CallerRefusalTest(CallerCase):
     """Refuse what cannot be served, with a code and the state not run."""
@@ -199,6 +129,67 @@
                 self.assertEqual(answer, (status, code, 'not_run'))
         self.assertEqual(self.grants.asks, [])
 
+    def test_broken_requests(self):
+        """Guard against broken bodies and heads that end a handler unanswered."""
+        self.start(stream_whole)
+        self.is_ready = True
+        request = self.request('/v1/completions', {'model': 'reviews', 'prompt': 'x'})
+        huge = request.replace(b'Content-Length: ', b'Content-Length: 9999')
+        huge = huge.replace(b'close', b'keep-alive')
+        cases = (
+            (huge, 'body_too_large'),
+            (request[:-1], 'incomplete_body'),
+            (request.replace(b'"prompt"', b'"prompt ', 1), 'invalid_request'),
+            (request.replace(b'"x"', b'"\xff"'), 'invalid_request'),
+            (self.request('/v1/completions', {'prompt': 'x'}), 'invalid_request'),
+            (self.request('/v1/completions', method='GET'), 'method_not_allowed'),
+            (self.request('/v2'), 'unknown_path'),
+        )
+        for text, code in cases:
+            with self.subTest(code):
+                with patch.object(caller_server, 'DISCARD_TIMEOUT_SECONDS', 0.05):
+                    _, content = self.exchange(text, is_cut=code == 'incomplete_body')
+                self.assertIn(f'"{code}"'.encode(), content)
+                self.assertIn(code, self.counts)
+
+    def test_tier(self):
+        """Guard against a caller that raises its own tier."""
+        self.start(stream_whole)
+        self.ask('/v1/completions', STREAM, headers='X-Tier: bulk\r\n')
+        self.assertEqual(self.grants.asks[0].tier_rank, 1)
+        low = {'key': 'bulk-key', 'headers': 'X-Tier: gold\r\n'}
+        answer = self.error('/v1/completions', STREAM, **low)
+        self.assertEqual(answer, (403, 'tier_not_allowed', 'not_run'))
+
+    def test_shed(self):
+        """Guard against a shed caller who is not told when to come back."""
+        self.start(stream_whole)
+        self.grants.wait = raise_shed
+        caller = self.connect()
+        caller.sendall(self.request('/v1/completions', STREAM))
+        with caller.makefile('rb') as stream:
+            self.assertIn(b'Retry-After: 2\r\n', stream.read())
+        self.assertEqual(self.counts, ['shed'])
+
+    def test_replay(self):
+        """Guard against a repeated posting answered without its response."""
+        self.start(stream_whole)
+        outcome = ClaimOutcome(
+            dispatched=True, status=201, body=b'{"id":7}', recorded=True
+        )
+        self.claims.refusal = AlreadyRunError(outcome)
+        headers = 'Idempotency-Key: k\r\n'
+        answer = self.ask('/services/deposits/d', {'sum': 1}, headers=headers)
+        self.assertEqual(answer, (201, b'{"id":7}'))
+        self.assertEqual(self.backend.heads, [])
+
+    def test_key(self):
+        """Guard against keys for unknown callers."""
+        self.start(stream_whole)
+        answer = self.ask('/v1/idempotency-keys')
+        self.assertEqual(answer, (201, b'{"key":"key-of-school"}'))
+        self.assertEqual(self.ask('/v1/idempotency-keys', key='x')[0], 401)
+
     def test_plain_call(self):
         """Guard against a pass-through that changes path, status or body."""
         self.start(lambda exchange: exchange.respond(b'{"id":7}', '409 Conflict'))
