--- a/tests/test_prompt.py
+++ b/tests/test_prompt.py
@@ -1,20 +1,39 @@
+"""Test what the scheduler derives from a prompt."""
+
 import unittest
 
-from marjoramfall.request.prompt import BLOCK_BYTES, MAX_BLOCKS, prefix_hashes
+from marjoramfall.request.prompt import (
+    BLOCK_BYTES,
+    MAX_BLOCKS,
+    estimate_tokens,
+    prefix_hashes,
+)
 from marjoramfall_standins.engine.prompt import block_hashes
 
 
-class PrefixHashesTest(unittest.TestCase):
-    """Check that entries and engines name the same prefixes."""
+class PromptTest(unittest.TestCase):
+    """Estimate tokens and name prefixes."""
+
+    def test_prefix_hashes(self):
+        """Guard against expected cache hits after a different beginning."""
+        shared = 'a' * BLOCK_BYTES
+        first = prefix_hashes(f'{shared}{"b" * BLOCK_BYTES}rest')
+        second = prefix_hashes(f'{shared}{"c" * BLOCK_BYTES}')
+        moved = prefix_hashes(f'x{shared}{"b" * BLOCK_BYTES}')
+        self.assertEqual(len(first), 2)
+        self.assertEqual(first[0], second[0])
+        self.assertNotEqual(first[1], second[1])
+        self.assertTrue(set(first).isdisjoint(moved))
 
     def test_equal_to_the_engine(self):
-        """Guards against cache events that match no prompt, in any script."""
+        """Guard against cache events that match no prompt, in any script."""
         for prompt in ('plan ' * 200, 'გეგმა ' * 200):
             hashes = prefix_hashes(prompt)
             self.assertTrue(hashes)
             self.assertEqual(hashes, block_hashes(prompt)[: len(hashes)])
 
-    def test_bounded(self):
-        """Guards against asks for grants that grow with the prompt."""
-        prompt = 'x' * BLOCK_BYTES * (MAX_BLOCKS + 5)
+    def test_long_prompt(self):
+        """Guard against an ask for a grant that grows with the prompt."""
+        prompt = 'é' * BLOCK_BYTES * (MAX_BLOCKS + 5)
         self.assertEqual(len(prefix_hashes(prompt)), MAX_BLOCKS)
+        self.assertEqual(estimate_tokens('12345'), 2)
