Send the ends of claims with the next claims and count store writes

Each caller-made key took two transactions, one for its claim and one for its end, and at low rates batching alone merged few of them. Ends of dispatched requests now go with the next batch, or alone after 50 ms; a process that dies within that time leaves `unknown` instead of `run`, never a second dispatch. Ends of requests that were not dispatched stay urgent, because the caller may repeat the key at once. Leaving out the end was ruled out: repeated keys would never get their recorded response.

The test fails if the end is not deferred.

--- /dev/null
+++ b/benchmarks/store_writes.py
@@ -0,0 +1,128 @@
+"""Count the store transactions that keyed requests take.
+
+Run with `python -m benchmarks.store_writes`.
+"""
+
+import random
+from dataclasses import dataclass
+
+import gevent
+from gevent.pool import Pool
+from rich.console import Console
+from rich.table import Table
+
+from marjoramfall.borders.platform import Row, TableService
+from marjoramfall.clock import RuntimeClock
+from marjoramfall.request.key_claim import (
+    AlreadyDispatchedError,
+    ClaimOutcome,
+    KeyScope,
+    KeyStoreUnavailableError,
+)
+from marjoramfall.request.key_claims import StoreClaims
+from marjoramfall.request.swap_batcher import MAX_BATCH_ROWS, SwapBatcher
+
+STORE_LATENCY_SECONDS = 0.005
+REQUESTS = 600
+SEED = 7
+DISPATCHED = ClaimOutcome(dispatched=True, status=200)
+
+
+class CountingTable(TableService):
+    """Keep rows in memory and count transactions and reads."""
+
+    def __init__(self) -> None:
+        self.transactions = 0
+        self.reads = 0
+        self._rows = {}
+
+    def transact(self, conditions, writes) -> bool:
+        """Apply all writes if all conditions hold."""
+        self.transactions += 1
+        gevent.sleep(STORE_LATENCY_SECONDS)
+        holds = all(self._rows.get(row.key) == row.equals for row in conditions)
+        if holds:
+            self._rows.update({row.key: row.value for row in writes})
+        return holds
+
+    def read(self, table: str, key: str) -> str | None:
+        """Return a row."""
+        self.reads += 1
+        gevent.sleep(STORE_LATENCY_SECONDS)
+        return self._rows.get(key)
+
+    def scan(self, table, *, prefix='', after='', limit=100) -> list[Row]:
+        """Return nothing; claims never scan."""
+        return []
+
+
+@dataclass(frozen=True)
+class Load:
+    """Describe keyed requests at one entry."""
+
+    per_second: int
+    repeated_share: float
+    rows_per_batch: int
+
+
+class Caller:
+    """Send keyed requests and count those refused for lack of the store."""
+
+    def __init__(self, claims: StoreClaims) -> None:
+        self.unavailable = 0
+        self._claims = claims
+
+    def request(self, key: str, claim_id: str) -> None:
+        """Claim and release one key."""
+        scope = KeyScope(team_id='t', service_id='s', key=key, fingerprint='f')
+        try:
+            self._claims.claim(scope, claim_id)
+        except KeyStoreUnavailableError:
+            self.unavailable += 1
+        except AlreadyDispatchedError:
+            return
+        else:
+            self._claims.release(scope, claim_id, DISPATCHED)
+
+
+def run(load: Load) -> tuple[float, float, int]:
+    """Return transactions and reads per request, and refused requests."""
+    generator = random.Random(SEED)
+    clock = RuntimeClock()
+    table = CountingTable()
+    batcher = SwapBatcher(table, clock, max_rows=load.rows_per_batch)
+    claims = StoreClaims(table, clock, 'entry', batcher=batcher)
+    caller = Caller(claims)
+    workers = Pool()
+    for number in range(REQUESTS):
+        is_repeated = number > 0 and generator.random() < load.repeated_share
+        key = generator.randrange(number) if is_repeated else number
+        workers.spawn(caller.request, f'key-{key}', f'claim-{number}')
+        gevent.sleep(generator.expovariate(load.per_second))
+    workers.join()
+    claims.drain(60_000)
+    transactions = table.transactions / REQUESTS
+    return transactions, table.reads / REQUESTS, caller.unavailable
+
+
+def main() -> None:
+    """Print a table of loads and their store calls."""
+    report = Table('requests/s', 'repeated', 'batch', 'writes', 'reads', 'unavailable')
+    for per_second in (20, 100, 300, 1000):
+        for repeated in (0, 0.05):
+            for rows in (1, MAX_BATCH_ROWS):
+                load = Load(per_second, repeated, rows)
+                writes, reads, unavailable = run(load)
+                report.add_row(
+                    str(per_second),
+                    f'{repeated:.0%}',
+                    str(rows),
+                    f'{writes:.2f}',
+                    f'{reads:.2f}',
+                    str(unavailable),
+                )
+    Console().print(report)
+
+
+if __name__ == '__main__':
+    main()
--- a/marjoramfall/request/key_claims.py
+++ b/marjoramfall/request/key_claims.py
@@ -112,12 +112,14 @@
     ) -> gevent.Greenlet | None:
         if len(self._endings) >= MAX_PENDING_ENDINGS:
             return None
-        return self._endings.spawn(self._end, claim.ending(outcome))
+        # A key whose request was not dispatched may be repeated at once.
+        deferred = outcome.dispatched
+        return self._endings.spawn(self._end, claim.ending(outcome), deferred)
 
-    def _end(self, ending: RowSwap) -> None:
+    def _end(self, ending: RowSwap, deferred: bool) -> None:
         for _ in range(MAX_ENDING_RETRIES):
             try:
-                self._batcher.swap(ending)
+                self._batcher.swap(ending, deferred=deferred)
             except PlatformError:
                 self._clock.sleep_ms(ENDING_RETRY_MS)
                 continue
--- a/marjoramfall/request/swap_batcher.py
+++ b/marjoramfall/request/swap_batcher.py
@@ -18,6 +18,8 @@
 MAX_CONCURRENT_BATCHES = 4
 MAX_PENDING_SWAPS = 1024
 BATCH_DELAY_MS = 3
+# A claim's end is not urgent; it usually goes with the next claims.
+DEFERRED_DELAY_MS = 50
 
 
 @dataclass(slots=True)
@@ -25,6 +27,7 @@
     """Hold a swap and the result that its submitter waits for."""
 
     swap: RowSwap
+    due_ms: float = 0
     result: AsyncResult = field(default_factory=AsyncResult)
 
 
@@ -50,46 +53,52 @@
         self._max_rows = max_rows
         self._max_pending = max_pending
         self._pending: deque[PendingSwap] = deque()
+        self._deferred: deque[PendingSwap] = deque()
         self._batches = Pool(MAX_CONCURRENT_BATCHES)
         self._collector: gevent.Greenlet | None = None
 
-    def swap(self, swap: RowSwap) -> bool:
+    def swap(self, swap: RowSwap, *, deferred: bool = False) -> bool:
         """Wait for the swap; return whether it was applied.
 
+        A deferred one goes with the next batch or after 50 ms.
         Raises `PlatformUnavailableError`, also when too many swaps wait, or
         `PlatformAnswerLostError`.
         """
-        if len(self._pending) >= self._max_pending:
+        queue = self._deferred if deferred else self._pending
+        if len(queue) >= self._max_pending:
             raise PlatformUnavailableError('too many claims wait for the store')
-        pending = PendingSwap(swap)
-        self._pending.append(pending)
+        pending = PendingSwap(swap, self._clock.monotonic_ms() + DEFERRED_DELAY_MS)
+        queue.append(pending)
         if self._collector is None:
             self._collector = gevent.spawn(self._collect)
         return pending.result.get()
 
     def _collect(self) -> None:
-        while self._pending:
+        while self._pending or self._deferred:
             self._clock.sleep_ms(self._delay_ms)
-            self._batches.spawn(self._send, self._take())
+            if self._pending or self._is_deferred_due():
+                self._batches.spawn(self._send, self._take())
         self._collector = None
 
+    def _is_deferred_due(self) -> bool:
+        return self._deferred[0].due_ms <= self._clock.monotonic_ms()
+
     def _take(self) -> list[PendingSwap]:
         taken: dict[str, PendingSwap] = {}
-        left: list[PendingSwap] = []
-        characters = 0
-        while self._pending and len(taken) < self._max_rows:
-            pending = self._pending.popleft()
-            # Two swaps of one row in one transaction would both be applied.
-            if pending.swap.key in taken:
-                left.append(pending)
-                continue
-            taken[pending.swap.key] = pending
-            characters += len(pending.swap.text)
-            if characters >= MAX_BATCH_CHARACTERS:
-                break
-        self._pending.extendleft(reversed(left))
+        for queue in (self._pending, self._deferred):
+            left: list[PendingSwap] = []
+            while queue and self._has_room(taken):
+                pending = queue.popleft()
+                # Two swaps of one row in one transaction would both be applied.
+                if taken.setdefault(pending.swap.key, pending) is not pending:
+                    left.append(pending)
+            queue.extendleft(reversed(left))
         return list(taken.values())
 
+    def _has_room(self, taken: dict[str, PendingSwap]) -> bool:
+        characters = sum(len(pending.swap.text) for pending in taken.values())
+        return len(taken) < self._max_rows and characters < MAX_BATCH_CHARACTERS
+
     def _send(self, batch: list[PendingSwap]) -> None:
         conditions = [pending.swap.condition for pending in batch]
         writes = [pending.swap.write for pending in batch]
--- a/tests/test_key_claims.py
+++ b/tests/test_key_claims.py
@@ -147,6 +147,14 @@
         self.assertEqual(outcomes.count('granted'), 31)
         self.assertLess(self.table.transactions, 15)
 
+    def test_deferred_ending(self):
+        """Guard against a transaction of its own for each claim's end."""
+        self.entries[0].claim(scope('k1'), 'c1')
+        self.entries[0].release(scope('k1'), 'c1', RECORDED)
+        self.entries[0].claim(scope('k2'), 'c2')
+        self.assertTrue(self.entries[0].drain(5000))
+        self.assertEqual(self.table.transactions, 2)
+
     def test_recorded_response(self):
         """Guard against a repeated posting that does not get its response."""
         self.entries[0].claim(scope(), 'c1')
