Make the test of deferred claim ends fail without the deferral

Other tasks now run in between on a clock that yields, and the test fails without the deferral (3 transactions instead of 2).

--- a/tests/test_key_claims.py
+++ b/tests/test_key_claims.py
@@ -67,6 +67,14 @@
         raise NotImplementedError
 
 
+class YieldingClock(PausedClock):
+    """Let other tasks run in each sleep, without waiting."""
+
+    def sleep_ms(self, duration_ms):
+        self.advance_ms(duration_ms)
+        sleep(0)
+
+
 class LocalOwners(KeyOwnerClient):
     """Reach the registries of other entries, or lose the reply."""
 
@@ -149,10 +157,13 @@
 
     def test_deferred_ending(self):
         """Guard against a transaction of its own for each claim's end."""
-        self.entries[0].claim(scope('k1'), 'c1')
-        self.entries[0].release(scope('k1'), 'c1', RECORDED)
-        self.entries[0].claim(scope('k2'), 'c2')
-        self.assertTrue(self.entries[0].drain(5000))
+        entry = StoreClaims(self.table, YieldingClock(), 'c')
+        entry.claim(scope('k1'), 'c1')
+        entry.release(scope('k1'), 'c1', RECORDED)
+        for _ in range(10):
+            sleep(0)
+        entry.claim(scope('k2'), 'c2')
+        self.assertTrue(entry.drain(5000))
         self.assertEqual(self.table.transactions, 2)
 
     def test_recorded_response(self):
