--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -27,9 +27,9 @@
     CallerResponse,
     EventRelay,
     error_response,
+    failure_response,
     json_response,
     relayed_response,
-    replayed_response,
 )
 from marjoramfall.borders.caller_server import CALLER_SOCKET
 from marjoramfall.borders.caller_watch import CallerWatch
@@ -37,7 +37,6 @@
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.identifiers import RequestIds
 from marjoramfall.model import Configuration
-from marjoramfall.request.key_claim import AlreadyRunError
 from marjoramfall.request.parsed_request import ParsedRequest
 from marjoramfall.request.request_path import RequestPath
 
@@ -113,10 +112,8 @@
     def _answer(self, environ: Environ, request_id: str) -> CallerResponse:
         try:
             return self._route(environ, request_id)
-        except AlreadyRunError as error:
-            return replayed_response(error)
         except MarjoramfallError as error:
-            return error_response(error, request_id)
+            return failure_response(error, request_id)
         except Exception as error:
             logger.exception('request {} failed', request_id)
             return error_response(MarjoramfallError(repr(error)), request_id)
--- a/marjoramfall/borders/caller_responses.py
+++ b/marjoramfall/borders/caller_responses.py
@@ -9,12 +9,21 @@
 from marjoramfall.borders.caller_watch import CallerWatch
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.connection.backend_client import BackendResponse
+from marjoramfall.connection.backend_errors import BackendStatusError
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.request.answer import StreamEvent
-from marjoramfall.request.dispatch_attempt import AnswerStream, CallerGoneError
+from marjoramfall.request.dispatch_attempt import (
+    AnswerStream,
+    CallerGoneError,
+    is_callers_fault,
+)
 from marjoramfall.request.key_claim import AlreadyRunError
 
 OK_CODE = 'ok'
+UNKNOWN_TYPE = 'application/octet-stream'
+# The write timeout applies to each part, so that a slow but steady reader of
+# a large body is not taken for one who has stopped.
+PART_BYTES = 64 * 1024
 Headers = tuple[tuple[str, str], ...]
 JSON_TYPE: Headers = (('Content-Type', 'application/json'),)
 EVENT_STREAM_TYPE: Headers = (
@@ -68,10 +77,11 @@
     ) -> None:
         length = ('Content-Length', str(len(body)))
         super().__init__(status, (*headers, length), code)
-        self._parts = iter((body,))
+        starts = range(0, len(body), PART_BYTES)
+        self._parts = iter([body[start : start + PART_BYTES] for start in starts])
 
     def __next__(self) -> bytes:
-        """Return the body, once."""
+        """Return the next part of the body."""
         return next(self._parts)
 
 
@@ -155,6 +165,20 @@
     return WholeResponse(status, msgspec.json.encode(fields), headers=JSON_TYPE)
 
 
+def failure_response(error: MarjoramfallError, request_id: str) -> CallerResponse:
+    """Return the response to a request that raised an error.
+
+    That is the recorded response of an earlier run, the refusal by a backend
+    server of a request that is wrong, or else the error itself.
+    """
+    if isinstance(error, AlreadyRunError):
+        return replayed_response(error)
+    if isinstance(error, BackendStatusError) and is_callers_fault(error):
+        headers = (('Content-Type', error.content_type or UNKNOWN_TYPE),)
+        return WholeResponse(error.status, error.body, headers=headers, code=error.code)
+    return error_response(error, request_id)
+
+
 def relayed_response(response: BackendResponse) -> CallerResponse:
     """Return the response of a backend server to its caller."""
     headers = tuple(
@@ -168,6 +192,6 @@
 def replayed_response(error: AlreadyRunError) -> CallerResponse:
     """Return the recorded response of a key that was used before."""
     outcome = error.outcome
-    content_type = outcome.content_type or 'application/octet-stream'
+    content_type = outcome.content_type or UNKNOWN_TYPE
     headers = (('Content-Type', content_type), ('Idempotency-Status', error.code))
     return WholeResponse(outcome.status, outcome.body, headers=headers, code=error.code)
--- a/marjoramfall/connection/backend_client.py
+++ b/marjoramfall/connection/backend_client.py
@@ -219,7 +219,8 @@
         body = _read_body(connection)
         progress.may_run = False
         _raise_for_leaving(head)
-        raise BackendStatusError(head.status_code, body)
+        content_type = head.get('Content-Type') or ''
+        raise BackendStatusError(head.status_code, body, str(content_type))
     for event in split_events(connection.body_parts()):
         if progress.answer.is_done:
             raise MalformedResponseError('an event follows the terminal one')
--- a/marjoramfall/connection/backend_errors.py
+++ b/marjoramfall/connection/backend_errors.py
@@ -46,11 +46,12 @@
 
 
 class BackendStatusError(BackendServerError):
-    """Report a complete response of a server that failed (status 5xx)."""
+    """Carry a complete response that is not the wanted one."""
 
     code = 'backend_server_failed'
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(self, status: int, body: bytes, content_type: str = '') -> None:
         super().__init__(f'the backend server answered with status {status}')
         self.status = status
         self.body = body
+        self.content_type = content_type
--- a/marjoramfall/request/key_claim.py
+++ b/marjoramfall/request/key_claim.py
@@ -9,6 +9,7 @@
 MAX_KEY_LENGTH = 255
 MAX_RECORDED_BYTES = 16 * 1024
 HTTP_CONFLICT = 409
+IN_USE_RETRY_MS = 1000
 
 
 class KeyRequiredError(RefusedError):
@@ -151,7 +152,7 @@
         case ClaimVerdict.HAS_RUN:
             return AlreadyDispatchedError('the key was used', run_state=RunState.RUN)
         case ClaimVerdict.IN_USE:
-            return KeyInUseError('a request with the key is under way')
+            return KeyInUseError('the key is in use', retry_after_ms=IN_USE_RETRY_MS)
         case ClaimVerdict.REUSED:
             return KeyReusedError('the key came before with another request')
         case ClaimVerdict.EXPIRED:
--- a/tests/caller_case.py
+++ b/tests/caller_case.py
@@ -59,6 +59,11 @@
     return [str(option).encode()]
 
 
+def refuse(exchange):
+    """Refuse the request as wrong."""
+    exchange.respond(b'{"why":1}', '422 Wrong', 'Content-Type: text/x\r\n')
+
+
 def stream_endless(exchange):
     """Send tokens until the entry stops reading."""
     if exchange.head.startswith(b'DELETE'):
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -10,6 +10,7 @@
     STREAM,
     CallerCase,
     raise_shed,
+    refuse,
     report_no_delay,
     stream_cut,
     stream_endless,
@@ -152,6 +153,20 @@
                 self.assertIn(f'"{code}"'.encode(), content)
                 self.assertIn(code, self.counts)
 
+    def test_refused_stream(self):
+        """Guard against a caller's mistake reported as a server's failure."""
+        self.start(refuse)
+        answer = self.ask('/v1/completions', STREAM)
+        self.assertEqual(answer, (422, b'{"why":1}'))
+        self.assertEqual([result.succeeded for result in self.grants.finished], [True])
+
+    def test_large_response(self):
+        """Guard against a body that loses parts."""
+        body = bytes(range(256)) * 1024
+        self.start(lambda exchange: exchange.respond(body))
+        answer = self.ask('/services/lookups/a', method='GET')
+        self.assertEqual(answer, (200, body))
+
     def test_tier(self):
         """Guard against a caller that raises its own tier."""
         self.start(stream_whole)
