Close connections whose body was not read whole

After a malformed chunk the caller got its error, and the rest of the body was then read as a next request (two responses on one connection). Such errors now close the connection. Responses with status 204 and 304 carry no Content-Length. Accept-Encoding is not forwarded, since encoded events could not be read and recorded responses have no encoding.

The test of broken requests finds a second response without the close.

--- a/marjoramfall/borders/caller_errors.py
+++ b/marjoramfall/borders/caller_errors.py
@@ -44,7 +44,14 @@
     http_status = 405
 
 
-class BodyTooLargeError(InvalidRequestError):
+class UnreadBodyError(InvalidRequestError):
+    """Report a body that was not read to its end; the connection must close.
+
+    What follows on the connection could not be told from a next request.
+    """
+
+
+class BodyTooLargeError(UnreadBodyError):
     """Report a body above the limit in bytes."""
 
     code = 'body_too_large'
@@ -58,14 +65,14 @@
     http_status = 431
 
 
-class BodyTimeoutError(InvalidRequestError):
+class BodyTimeoutError(UnreadBodyError):
     """Report a body that did not arrive in time."""
 
     code = 'body_timeout'
     http_status = 408
 
 
-class IncompleteBodyError(InvalidRequestError):
+class IncompleteBodyError(UnreadBodyError):
     """Report a body that ended before its announced length."""
 
     code = 'incomplete_body'
--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -24,6 +24,7 @@
 )
 from marjoramfall.borders.caller_requests import CallerRequest, RequestBuilder
 from marjoramfall.borders.caller_responses import (
+    CLOSE,
     CallerResponse,
     EventRelay,
     error_response,
@@ -97,7 +98,7 @@
         headers = response.header_list(request_id)
         if not self._hooks.is_ready():
             # Callers must not send a next request while the entry stops.
-            headers.append(('Connection', 'close'))
+            headers.append(CLOSE)
         start_response(response.status_line, headers)
         return response
 
--- a/marjoramfall/borders/caller_parsing.py
+++ b/marjoramfall/borders/caller_parsing.py
@@ -27,8 +27,11 @@
 MAX_HEADER_BYTES = 16 * 1024
 BODY_TIMEOUT_SECONDS = 30
 # Connection headers concern only one hop; the others are set by the entry.
+# Encoded bodies are not asked for, because events could not be read and a
+# recorded response would lack its encoding.
 DROPPED_HEADERS = frozenset(
     (
+        'ACCEPT_ENCODING',
         'AUTHORIZATION',
         'CONNECTION',
         'CONTENT_LENGTH',
--- a/marjoramfall/borders/caller_responses.py
+++ b/marjoramfall/borders/caller_responses.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marjoramfall.borders.caller_errors import UnreadBodyError
 from marjoramfall.borders.caller_watch import CallerWatch
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.connection.backend_client import BackendResponse
@@ -25,6 +26,8 @@
 # a large body is not taken for one who has stopped.
 PART_BYTES = 64 * 1024
 Headers = tuple[tuple[str, str], ...]
+CLOSE = ('Connection', 'close')
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 JSON_TYPE: Headers = (('Content-Type', 'application/json'),)
 EVENT_STREAM_TYPE: Headers = (
     ('Content-Type', 'text/event-stream'),
@@ -75,8 +78,9 @@
     def __init__(
         self, status: int, body: bytes, *, headers: Headers, code: str = OK_CODE
     ) -> None:
-        length = ('Content-Length', str(len(body)))
-        super().__init__(status, (*headers, length), code)
+        if status not in BODILESS_STATUSES:
+            headers += (('Content-Length', str(len(body))),)
+        super().__init__(status, headers, code)
         starts = range(0, len(body), PART_BYTES)
         self._parts = iter([body[start : start + PART_BYTES] for start in starts])
 
@@ -152,6 +156,8 @@
     if error.retry_after_ms is not None:
         seconds = max(1, -(-error.retry_after_ms // MS_PER_SECOND))
         headers += (('Retry-After', str(seconds)),)
+    if isinstance(error, UnreadBodyError):
+        headers += (CLOSE,)
     return WholeResponse(
         error.http_status,
         error_json(error, request_id),
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -137,7 +137,9 @@
         request = self.request('/v1/completions', {'model': 'reviews', 'prompt': 'x'})
         huge = request.replace(b'Content-Length: ', b'Content-Length: 9999')
         huge = huge.replace(b'close', b'keep-alive')
+        cut = request.partition(b'Content-Length')[0].replace(b'close', b'keep-alive')
         cases = (
+            (cut + b'Transfer-Encoding: chunked\r\n\r\nzz\r\nab', 'incomplete_body'),
             (huge, 'body_too_large'),
             (request[:-1], 'incomplete_body'),
             (request.replace(b'"prompt"', b'"prompt ', 1), 'invalid_request'),
@@ -149,8 +151,9 @@
         for text, code in cases:
             with self.subTest(code):
                 with patch.object(caller_server, 'DISCARD_TIMEOUT_SECONDS', 0.05):
-                    _, content = self.exchange(text, is_cut=code == 'incomplete_body')
+                    _, content = self.exchange(text, is_cut=text == request[:-1])
                 self.assertIn(f'"{code}"'.encode(), content)
+                self.assertNotIn(b'HTTP/1.1', content)
                 self.assertIn(code, self.counts)
 
     def test_refused_stream(self):
