--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -24,12 +24,13 @@
 )
 from marjoramfall.borders.caller_requests import CallerRequest, RequestBuilder
 from marjoramfall.borders.caller_responses import (
+    CLOSE,
     CallerResponse,
     EventRelay,
     error_response,
+    failure_response,
     json_response,
     relayed_response,
-    replayed_response,
 )
 from marjoramfall.borders.caller_server import CALLER_SOCKET
 from marjoramfall.borders.caller_watch import CallerWatch
@@ -37,7 +38,6 @@
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.identifiers import RequestIds
 from marjoramfall.model import Configuration
-from marjoramfall.request.key_claim import AlreadyRunError
 from marjoramfall.request.parsed_request import ParsedRequest
 from marjoramfall.request.request_path import RequestPath
 
@@ -98,7 +98,7 @@
         headers = response.header_list(request_id)
         if not self._hooks.is_ready():
             # Callers must not send a next request while the entry stops.
-            headers.append(('Connection', 'close'))
+            headers.append(CLOSE)
         start_response(response.status_line, headers)
         return response
 
@@ -113,10 +113,8 @@
     def _answer(self, environ: Environ, request_id: str) -> CallerResponse:
         try:
             return self._route(environ, request_id)
-        except AlreadyRunError as error:
-            return replayed_response(error)
         except MarjoramfallError as error:
-            return error_response(error, request_id)
+            return failure_response(error, request_id)
         except Exception as error:
             logger.exception('request {} failed', request_id)
             return error_response(MarjoramfallError(repr(error)), request_id)
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -10,6 +10,7 @@
     STREAM,
     CallerCase,
     raise_shed,
+    refuse,
     report_no_delay,
     stream_cut,
     stream_endless,
@@ -136,7 +137,9 @@
         request = self.request('/v1/completions', {'model': 'reviews', 'prompt': 'x'})
         huge = request.replace(b'Content-Length: ', b'Content-Length: 9999')
         huge = huge.replace(b'close', b'keep-alive')
+        cut = request.partition(b'Content-Length')[0].replace(b'close', b'keep-alive')
         cases = (
+            (cut + b'Transfer-Encoding: chunked\r\n\r\nzz\r\nab', 'incomplete_body'),
             (huge, 'body_too_large'),
             (request[:-1], 'incomplete_body'),
             (request.replace(b'"prompt"', b'"prompt ', 1), 'invalid_request'),
@@ -148,10 +151,25 @@
         for text, code in cases:
             with self.subTest(code):
                 with patch.object(caller_server, 'DISCARD_TIMEOUT_SECONDS', 0.05):
-                    _, content = self.exchange(text, is_cut=code == 'incomplete_body')
+                    _, content = self.exchange(text, is_cut=text == request[:-1])
                 self.assertIn(f'"{code}"'.encode(), content)
+                self.assertNotIn(b'HTTP/1.1', content)
                 self.assertIn(code, self.counts)
 
+    def test_refused_stream(self):
+        """Guard against a caller's mistake reported as a server's failure."""
+        self.start(refuse)
+        answer = self.ask('/v1/completions', STREAM)
+        self.assertEqual(answer, (422, b'{"why":1}'))
+        self.assertEqual([result.succeeded for result in self.grants.finished], [True])
+
+    def test_large_response(self):
+        """Guard against a body that loses parts."""
+        body = bytes(range(256)) * 1024
+        self.start(lambda exchange: exchange.respond(body))
+        answer = self.ask('/services/lookups/a', method='GET')
+        self.assertEqual(answer, (200, body))
+
     def test_tier(self):
         """Guard against a caller that raises its own tier."""
         self.start(stream_whole)
