Record a run-once response before answering its caller

Ruled out: waiting in the test, since a balancer resends at once too; the owner-issued key was not affected. Ends with a recorded response are urgent now and release waits for them, at most 250 ms. test_deferred_ending asserted the deferral with a recorded response; it now uses an end without one, which is still deferred, and test_urgent_ending covers the other case. Conclusion: postings cost one more urgent write, and a repeated one gets its whole answer.

--- a/marjoramfall/request/key_claims.py
+++ b/marjoramfall/request/key_claims.py
@@ -35,8 +35,7 @@
 MAX_PENDING_ENDINGS = 2000
 ENDING_RETRY_MS = 500
 MAX_ENDING_RETRIES = 240
-# A caller told `not run` may repeat the key at once at another entry.
-ABANDON_WAIT_MS = 250
+URGENT_END_WAIT_MS = 250
 
 NOT_DISPATCHED = ClaimOutcome(dispatched=False)
 
@@ -90,13 +89,13 @@
         self._claims_by_id[claim_id] = claim
 
     def release(self, scope: KeyScope, claim_id: str, outcome: ClaimOutcome) -> None:
-        """Record the end; waits a little if the claim was abandoned."""
+        """Record the end; waits a little if a repeated key needs it at once."""
         claim = self._claims_by_id.pop(claim_id, None)
         if claim is None:
             return
         ending = self._start_ending(claim, outcome)
-        if ending is not None and not outcome.dispatched:
-            ending.join(timeout=ABANDON_WAIT_MS / MS_PER_SECOND)
+        if ending is not None and _is_urgent(outcome):
+            ending.join(timeout=URGENT_END_WAIT_MS / MS_PER_SECOND)
 
     def drain(self, timeout_ms: float) -> bool:
         """Wait for the endings to be recorded; return whether all were."""
@@ -112,8 +111,7 @@
     ) -> gevent.Greenlet | None:
         if len(self._endings) >= MAX_PENDING_ENDINGS:
             return None
-        # A key whose request was not dispatched may be repeated at once.
-        deferred = outcome.dispatched
+        deferred = not _is_urgent(outcome)
         return self._endings.spawn(self._end, claim.ending(outcome), deferred)
 
     def _end(self, ending: RowSwap, deferred: bool) -> None:
@@ -213,6 +211,15 @@
         return self._issued if is_issued_key(key) else self._caller_made
 
 
+def _is_urgent(outcome: ClaimOutcome) -> bool:
+    """Return whether a key repeated at once at another entry needs the end.
+
+    A caller told `not run` may repeat the key; one whose response was lost on
+    its way repeats it to get the recorded response.
+    """
+    return outcome.recorded or not outcome.dispatched
+
+
 def _owner_of(key: str) -> str:
     parsed = parse_issued_key(key)
     if parsed is None:
--- a/tests/test_key_claims.py
+++ b/tests/test_key_claims.py
@@ -159,13 +159,20 @@
         """Guard against a transaction of its own for each claim's end."""
         entry = StoreClaims(self.table, YieldingClock(), 'c')
         entry.claim(scope('k1'), 'c1')
-        entry.release(scope('k1'), 'c1', RECORDED)
+        entry.release(scope('k1'), 'c1', ClaimOutcome(dispatched=True, status=200))
         for _ in range(10):
             sleep(0)
         entry.claim(scope('k2'), 'c2')
         self.assertTrue(entry.drain(5000))
         self.assertEqual(self.table.transactions, 2)
 
+    def test_urgent_ending(self):
+        """Guard against a response that is recorded after the caller repeats."""
+        entry = StoreClaims(self.table, YieldingClock(), 'c')
+        entry.claim(scope('k1'), 'c1')
+        entry.release(scope('k1'), 'c1', RECORDED)
+        self.assertEqual(self.table.transactions, 2)
+
     def test_recorded_response(self):
         """Guard against a repeated posting that does not get its response."""
         self.entries[0].claim(scope(), 'c1')
