Keep a quarter of each limit for sessions cached at the server

Now only 0.75 of a limit is common; the rest takes requests whose longest known prefix is at that server alone, in the same strict order. Placement counts prefill fourfold.

--- a/marjoramfall/request/admission.py
+++ b/marjoramfall/request/admission.py
@@ -8,6 +8,9 @@
 
 MAX_WAITING = 20_000
 WINDOW_MS = 5000
+ARRIVAL_WINDOW_MS = 10_000
+# Saturation ends when a server has been free for so long.
+SATURATION_END_MS = 2000
 # Work is shed while its predicted wait exceeds this share of its slack: the
 # rest covers the error of the prediction and the time spent in the engine.
 MAX_WAIT_SHARE = 0.5
@@ -20,17 +23,30 @@
 
     def __init__(self, queue: RequestQueue) -> None:
         self._queue = queue
+        self._arrivals_by_rank: dict[int, RateWindow] = {}
         self._drained = RateWindow(WINDOW_MS)
         self._saturated_ms = float(0)
         self._saturated_since_ms: float | None = None
+        self._overload_since_ms = float(0)
+        self._saturated_last_ms = float('-inf')
         self._deadlines: list[tuple[float, str]] = []
 
-    def on_arrival(self, waiting: WaitingRequest, last_start_ms: float) -> None:
-        """Remember when an arrival expires, in milliseconds."""
+    def on_arrival(
+        self, waiting: WaitingRequest, last_start_ms: float, now_ms: float
+    ) -> None:
+        """Count an arrival that expires at a time in milliseconds."""
+        rank = waiting.tier_rank
+        if rank not in self._arrivals_by_rank:
+            self._arrivals_by_rank[rank] = RateWindow(ARRIVAL_WINDOW_MS)
+        self._arrivals_by_rank[rank].add(waiting.work.total_tokens, now_ms)
         heapq.heappush(self._deadlines, (last_start_ms, waiting.request_id))
 
     def on_saturation(self, *, saturated: bool, now_ms: float) -> None:
         """Note whether requests wait because all servers are full."""
+        if saturated:
+            if now_ms - self._saturated_last_ms > SATURATION_END_MS:
+                self._overload_since_ms = now_ms
+            self._saturated_last_ms = now_ms
         if saturated and self._saturated_since_ms is None:
             self._saturated_since_ms = now_ms
         elif not saturated and self._saturated_since_ms is not None:
@@ -43,16 +59,27 @@
             self._drained.add(work.total_tokens, self._saturated_time(now_ms))
 
     def predicted_wait_ms(self, rank: int, now_ms: float) -> float:
-        """Return how long what waits in this and higher tiers takes.
+        """Return how long the last request of a tier is going to wait.
 
-        Later arrivals are left out: a burst that ends leaves time for work
-        that was kept, and kept work costs nothing until it is granted.
+        An overload is expected to last as long again as it has lasted, so
+        that a short burst does not shed work that can wait until it is over.
         """
         saturated_ms = self._saturated_time(now_ms)
         if saturated_ms < MIN_SATURATED_MS:
             return 0
         rate = self._drained.per_ms(saturated_ms)
-        return self._queue.tokens_until(rank) / rate if rate else 0
+        if not rate:
+            return 0
+        left_rate = rate - sum(
+            arrivals.per_ms(now_ms)
+            for higher, arrivals in self._arrivals_by_rank.items()
+            if higher < rank
+        )
+        tokens = self._queue.tokens_until(rank)
+        lasting_ms = now_ms - self._overload_since_ms
+        if tokens <= left_rate * lasting_ms:
+            return tokens / left_rate
+        return lasting_ms + (tokens - left_rate * lasting_ms) / rate
 
     def next_shed(self, now_ms: float) -> WaitingRequest | None:
         """Return the request to shed now, from the lowest waiting tier.
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -68,7 +68,7 @@
         if last_start_ms <= now_ms:
             return [_expire(waiting)]
         self._queue.add(waiting, last_start_ms)
-        self._admission.on_arrival(waiting, last_start_ms)
+        self._admission.on_arrival(waiting, last_start_ms, now_ms)
         ids = self._waiting_ids_by_entry.setdefault(waiting.entry_id, set())
         ids.add(waiting.request_id)
         return self._decide(now_ms) + self._shed(now_ms)
@@ -155,7 +155,7 @@
     def _decide(self, now_ms: float) -> list[Action]:
         actions: list[Action] = []
         free = self._group.free_servers(now_ms)
-        while free and len(self._queue):
+        while len(self._queue):
             placement = self._next_placement(free, now_ms)
             if placement is None:
                 break
@@ -184,6 +184,8 @@
         placements = list(self._placements(lead, free, now_ms))
         if placements:
             return best_of(placements)
+        if not free:
+            return None
         following = islice(self._queue, MAX_PASSED_OVER)
         return next(self._placements(following, free, now_ms), None)
 
@@ -194,9 +196,15 @@
         now_ms: float,
     ) -> Iterable[Placement]:
         for waiting in requests:
+            home = self._group.home_of(waiting, now_ms)
+            if home is None and not free:
+                continue
+            candidates = free if home is None or home in free else [*free, home]
             for version_id in self._router.preferred_versions(waiting, now_ms):
                 servers = [
-                    server for server in free if server.info.version_id == version_id
+                    server
+                    for server in candidates
+                    if server.info.version_id == version_id
                 ]
                 placement = choose(waiting, servers, now_ms)
                 if placement is not None:
@@ -221,7 +229,7 @@
             predicted_first_ms=placement.first_token_ms,
         )
         self._hold(active, now_ms)
-        placement.server.prefixes.record(waiting.prefix_hashes)
+        self._group.record_prefix(waiting, placement.server)
         self._router.on_granted(waiting, grant.version_id, now_ms)
         return grant
 
--- a/marjoramfall/request/placement.py
+++ b/marjoramfall/request/placement.py
@@ -8,6 +8,9 @@
 
 # Decode lengths are guesses, so that a deadline needs some spare time.
 DECODE_MARGIN = 1.25
+# Prefill also delays the other requests of a server, so that it counts more
+# than by its own time.
+PREFILL_WEIGHT = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +20,7 @@
     waiting: WaitingRequest
     server: ServerState
     cached_tokens: float
+    prefill_ms: float
     first_token_ms: float
     total_ms: float
 
@@ -31,7 +35,9 @@
     cached = server.prefixes.expected_tokens(waiting.prefix_hashes, work.prefill_tokens)
     first_ms = server.first_token_ms(work.prefill_tokens, cached, now_ms)
     decode_ms = work.decode_tokens * server.speed.decode_ms * DECODE_MARGIN
-    return Placement(waiting, server, cached, first_ms, first_ms + decode_ms)
+    prefill_ms = (work.prefill_tokens - cached) * server.speed.prefill_ms
+    total_ms = first_ms + decode_ms
+    return Placement(waiting, server, cached, prefill_ms, first_ms, total_ms)
 
 
 def choose(
@@ -60,5 +66,6 @@
 
 def _preference(placement: Placement, now_ms: float) -> tuple[bool, float, float]:
     if placement.meets_deadline(now_ms):
-        return False, placement.first_token_ms, placement.total_ms
+        cost_ms = placement.first_token_ms + PREFILL_WEIGHT * placement.prefill_ms
+        return False, cost_ms, placement.total_ms
     return True, placement.total_ms, placement.first_token_ms
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -9,9 +9,15 @@
     FinishReport,
     LoadReport,
     ServerInfo,
+    WaitingRequest,
     WorkEstimate,
 )
 from marjoramfall.request.server_state import ServerState
+from marjoramfall.request.session_homes import SessionHomes
+
+# The rest of a limit is kept for sessions whose prefix the server caches; if
+# all of it were common, a full group would scatter sessions over its servers.
+COMMON_SHARE = 0.75
 
 
 class ServerGroup:
@@ -20,6 +26,7 @@
     def __init__(self) -> None:
         self._servers_by_id: dict[str, ServerState] = {}
         self._ejection = OutlierEjection()
+        self._homes = SessionHomes()
 
     def set_servers(self, servers: Sequence[ServerInfo]) -> None:
         """Replace the servers; what is known of kept ones stays."""
@@ -39,14 +46,28 @@
         return self._servers_by_id.get(server_id)
 
     def free_servers(self, now_ms: float) -> list[ServerState]:
-        """Return the servers that may get one more request now."""
+        """Return the servers that may get one more request of any kind."""
         return [
             server
             for server_id, server in self._servers_by_id.items()
-            if server.has_room(now_ms)
+            if server.has_room(now_ms, COMMON_SHARE)
             and self._ejection.allowed(server_id, server.running, now_ms)
         ]
 
+    def home_of(self, waiting: WaitingRequest, now_ms: float) -> ServerState | None:
+        """Return the server with the session's prefix if it has any room."""
+        server_id = self._homes.home_of(waiting.prefix_hashes)
+        server = self._servers_by_id.get(server_id)
+        if server is None or not server.has_room(now_ms):
+            return None
+        allowed = self._ejection.allowed(server_id, server.running, now_ms)
+        return server if allowed else None
+
+    def record_prefix(self, waiting: WaitingRequest, server: ServerState) -> None:
+        """Note which server is going to cache the prompt of a request."""
+        server.prefixes.record(waiting.prefix_hashes)
+        self._homes.record(waiting.prefix_hashes, server.info.server_id)
+
     def least_ms(self, work: WorkEstimate) -> float:
         """Return the time of a request on the fastest server when idle."""
         times_ms = [
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -25,14 +25,14 @@
         self._prefill_free_ms = float(0)
         self._last_grant_ms = float(0)
 
-    def has_room(self, now_ms: float) -> bool:
-        """Return whether the server may get one more request."""
+    def has_room(self, now_ms: float, share: float = 1) -> bool:
+        """Return whether the server is below a share of its limit."""
         running = self.running
         if now_ms < self._foreign_until_ms:
             running += self._foreign_running
         return (
-            running < self.info.max_concurrency
-            and self.tokens < self.limit.tokens
+            running < self.info.max_concurrency * share
+            and self.tokens < self.limit.tokens * share
             and not self.info.leaving
         )
 
