--- a/marjoramfall/connection/outlier_ejection.py
+++ b/marjoramfall/connection/outlier_ejection.py
@@ -11,13 +11,15 @@
 BASELINE_SMOOTHING = 0.005
 # Without a healthy past, only a speed far from all peers is a fault.
 SLOW_FROM_START_RATIO = 8.0
-MIN_REPORTS = 8
+MIN_REPORTS = 16
+# The time per token of shorter responses is mostly that of other prompts.
+MIN_DECODE_TOKENS = 16
 MIN_PEERS = 2
 FIRST_EJECTION_MS = 5000
 MAX_EJECTION_MS = 300_000
 TRICKLE_SUCCESSES = 3
 MAX_EJECTED_SHARE = 0.5
-SMOOTHING = 0.25
+SMOOTHING = 0.1
 
 
 @dataclass(slots=True)
--- a/marjoramfall/request/active_grants.py
+++ b/marjoramfall/request/active_grants.py
@@ -13,6 +13,7 @@
     grant: Grant
     work: WorkEstimate
     started: bool = False
+    deadline_ms: float = float('inf')
     expected_cached: float = 0
     predicted_first_ms: float = 0
 
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -1,7 +1,6 @@
 """Decide which waiting request of an engine group goes to which server."""
 
-from collections.abc import Iterable, Sequence
-from itertools import islice
+from collections.abc import Sequence
 
 from marjoramfall.request.active_grants import ActiveGrant, ActiveGrants
 from marjoramfall.request.admission import Admission
@@ -17,19 +16,13 @@
     WaitingRequest,
     WorkEstimate,
 )
-from marjoramfall.request.placement import Placement, best_of, choose
+from marjoramfall.request.placement import Placement
+from marjoramfall.request.placement_search import PlacementSearch
 from marjoramfall.request.request_queue import RequestQueue
 from marjoramfall.request.server_group import ServerGroup
-from marjoramfall.request.server_state import ServerState
 from marjoramfall.version.router import VersionRouter
 
 GRANT_VALID_MS = 500
-# Among this many requests of the team whose turn it is, the one with the most
-# cached prefix goes first, unless the first one has little slack left.
-LOOKAHEAD = 8
-URGENT_SLACK_MS = 2000
-# Requests that no free server may serve are passed over up to this count.
-MAX_PASSED_OVER = 256
 
 
 class Dispatcher:
@@ -44,6 +37,7 @@
         self._queue = RequestQueue()
         self._admission = Admission(self._queue)
         self._group = ServerGroup()
+        self._search = PlacementSearch(self._queue, self._group, router)
         self._active = ActiveGrants()
         self._waiting_ids_by_entry: dict[str, set[str]] = {}
 
@@ -67,11 +61,14 @@
         last_start_ms = waiting.deadline_ms - self._group.least_ms(waiting.work)
         if last_start_ms <= now_ms:
             return [_expire(waiting)]
+        blocked = len(self._queue) > 0
         self._queue.add(waiting, last_start_ms)
         self._admission.on_arrival(waiting, last_start_ms, now_ms)
         ids = self._waiting_ids_by_entry.setdefault(waiting.entry_id, set())
         ids.add(waiting.request_id)
-        return self._decide(now_ms) + self._shed(now_ms)
+        if blocked:
+            return self._decide_new(waiting, now_ms)
+        return self._decide(now_ms)
 
     def withdraw(self, request_id: str, now_ms: float) -> list[Action]:
         """Forget a request that waits or whose grant is not started."""
@@ -154,69 +151,33 @@
 
     def _decide(self, now_ms: float) -> list[Action]:
         actions: list[Action] = []
-        free = self._group.free_servers(now_ms)
-        while len(self._queue):
-            placement = self._next_placement(free, now_ms)
+        rooms = self._group.rooms(now_ms)
+        while rooms.by_id and len(self._queue):
+            placement = self._search.next_placement(rooms, now_ms)
             if placement is None:
                 break
-            if self._is_hopeless(placement, now_ms):
-                actions.append(self._shed_one(placement.waiting, now_ms))
-            else:
-                actions.append(self._grant(placement, now_ms))
-            free = self._group.free_servers(now_ms)
-        saturated = not free and len(self._queue) > 0
+            actions.append(self._settle(placement, now_ms))
+            rooms = self._group.rooms(now_ms)
+        saturated = not rooms.common and len(self._queue) > 0
         self._admission.drain_rate.on_saturation(saturated=saturated, now_ms=now_ms)
         return actions
 
-    def _is_hopeless(self, placement: Placement, now_ms: float) -> bool:
-        # Only the lowest waiting tier may be shed.
-        if placement.meets_deadline(now_ms):
-            return False
-        return self._queue.waiting_ranks()[-1] == placement.waiting.tier_rank
-
-    def _next_placement(
-        self, free: list[ServerState], now_ms: float
-    ) -> Placement | None:
-        lead = self._queue.lead(LOOKAHEAD)
-        slack_ms = self._queue.latest_start_ms(lead[0]) - now_ms
-        if slack_ms < URGENT_SLACK_MS:
-            lead = lead[:1]
-        placements = list(self._placements(lead, free, now_ms))
-        if placements:
-            return best_of(placements)
-        if not free:
-            return None
-        following = islice(self._queue, MAX_PASSED_OVER)
-        return next(self._placements(following, free, now_ms), None)
-
-    def _placements(
-        self,
-        requests: Iterable[WaitingRequest],
-        free: list[ServerState],
-        now_ms: float,
-    ) -> Iterable[Placement]:
-        for waiting in requests:
-            candidates = free
-            home = self._group.home_of(waiting, now_ms)
-            if home is not None and home not in free:
-                candidates = [*free, home]
-            placement = self._place(waiting, candidates, now_ms)
-            if placement is not None:
-                yield placement
+    def _decide_new(self, waiting: WaitingRequest, now_ms: float) -> list[Action]:
+        rooms = self._group.rooms(now_ms)
+        if rooms.common:
+            return self._decide(now_ms)
+        # What waited before had no room, and only its own arrival is new.
+        placement = self._search.place_new(waiting, rooms, now_ms)
+        return [] if placement is None else [self._settle(placement, now_ms)]
 
-    def _place(
-        self, waiting: WaitingRequest, candidates: list[ServerState], now_ms: float
-    ) -> Placement | None:
-        if not candidates:
-            return None
-        for version_id in self._router.preferred_versions(waiting, now_ms):
-            servers = [
-                server for server in candidates if server.info.version_id == version_id
-            ]
-            placement = choose(waiting, servers, now_ms)
-            if placement is not None:
-                return placement
-        return None
+    def _settle(self, placement: Placement, now_ms: float) -> Action:
+        waiting = placement.waiting
+        if placement.meets_deadline(now_ms):
+            return self._grant(placement, now_ms)
+        # Only the lowest waiting tier may be shed.
+        if self._queue.waiting_ranks()[-1] == waiting.tier_rank:
+            return self._shed_one(waiting, now_ms)
+        return self._grant(placement, now_ms)
 
     def _grant(self, placement: Placement, now_ms: float) -> Grant:
         waiting = placement.waiting
@@ -232,6 +193,7 @@
         active = ActiveGrant(
             grant=grant,
             work=waiting.work,
+            deadline_ms=waiting.deadline_ms,
             expected_cached=placement.cached_tokens,
             predicted_first_ms=placement.first_token_ms,
         )
--- a/marjoramfall/request/placement.py
+++ b/marjoramfall/request/placement.py
@@ -1,19 +1,19 @@
 """Choose the backend server that should answer a request first."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramfall.request.events import WaitingRequest
 from marjoramfall.request.server_state import ServerState
 
 # Decode lengths are guesses, so that a deadline needs some spare time.
-DECODE_MARGIN = 1.25
+DECODE_MARGIN = 1.5
 # Prefill also delays the other requests of a server, so that it counts more
 # than by its own time.
 PREFILL_WEIGHT = 3
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Placement:
     """Propose a server for a request; times are from now on."""
 
@@ -28,6 +28,12 @@
         """Return whether the whole response is expected in time."""
         return now_ms + self.total_ms <= self.waiting.deadline_ms
 
+    def cost(self, now_ms: float) -> tuple[bool, float]:
+        """Return what to minimise: a missed deadline, then the time in ms."""
+        if self.meets_deadline(now_ms):
+            return False, self.first_token_ms + PREFILL_WEIGHT * self.prefill_ms
+        return True, self.total_ms
+
 
 def propose(waiting: WaitingRequest, server: ServerState, now_ms: float) -> Placement:
     """Predict the latency of a request at a server."""
@@ -41,31 +47,26 @@
 
 
 def choose(
-    waiting: WaitingRequest, servers: Iterable[ServerState], now_ms: float
+    waiting: WaitingRequest,
+    servers: Iterable[ServerState],
+    version_id: str,
+    now_ms: float,
 ) -> Placement | None:
-    """Return the placement with the least first-token time.
+    """Return the placement on a version with the least first-token time.
 
     Servers that are expected to meet the deadline come before the others.
     """
-    placements = [
-        propose(waiting, server, now_ms)
-        for server in servers
-        if server.info.server_id not in waiting.excluded_server_ids
-    ]
-    return min(
-        placements,
-        key=lambda placement: _preference(placement, now_ms),
-        default=None,
-    )
-
-
-def best_of(placements: Sequence[Placement]) -> Placement:
-    """Return the placement that saves most prefill, the earliest of equals."""
-    return max(placements, key=lambda placement: placement.cached_tokens)
-
-
-def _preference(placement: Placement, now_ms: float) -> tuple[bool, float, float]:
-    if placement.meets_deadline(now_ms):
-        cost_ms = placement.first_token_ms + PREFILL_WEIGHT * placement.prefill_ms
-        return False, cost_ms, placement.total_ms
-    return True, placement.total_ms, placement.first_token_ms
+    best: Placement | None = None
+    best_cost: tuple[bool, float] = (True, float('inf'))
+    for server in servers:
+        info = server.info
+        if info.version_id != version_id:
+            continue
+        if info.server_id in waiting.excluded_server_ids:
+            continue
+        placement = propose(waiting, server, now_ms)
+        cost = placement.cost(now_ms)
+        if best is None or cost < best_cost:
+            best = placement
+            best_cost = cost
+    return best
--- /dev/null
+++ b/marjoramfall/request/placement_search.py
@@ -0,0 +1,89 @@
+"""Find which waiting request goes next and to which backend server."""
+
+from collections.abc import Iterable
+from itertools import islice
+
+from marjoramfall.request.events import WaitingRequest
+from marjoramfall.request.placement import Placement, choose
+from marjoramfall.request.request_queue import RequestQueue
+from marjoramfall.request.server_group import Rooms, ServerGroup
+from marjoramfall.request.server_state import ServerState
+from marjoramfall.version.router import VersionRouter
+
+# Among this many requests of the team whose turn it is, the one with the most
+# cached prefix goes first, unless the first one has little slack left.
+LOOKAHEAD = 8
+URGENT_SLACK_MS = 2000
+# Requests that no free server may serve are passed over up to this count.
+MAX_PASSED_OVER = 256
+
+
+class PlacementSearch:
+    """Search the queue in order for a request that has a server."""
+
+    def __init__(
+        self, queue: RequestQueue, group: ServerGroup, router: VersionRouter
+    ) -> None:
+        self._queue = queue
+        self._group = group
+        self._router = router
+
+    def next_placement(self, rooms: Rooms, now_ms: float) -> Placement | None:
+        """Return the next request with its server, or None."""
+        lead = self._queue.lead(LOOKAHEAD)
+        best = self._place(lead[0], rooms, now_ms)
+        slack_ms = self._queue.latest_start_ms(lead[0]) - now_ms
+        if slack_ms >= URGENT_SLACK_MS:
+            best = self._best_at_home(lead[1:], best, rooms, now_ms)
+        if best is not None or not rooms.common:
+            return best
+        for waiting in islice(self._queue, MAX_PASSED_OVER):
+            placement = self._place(waiting, rooms, now_ms)
+            if placement is not None:
+                return placement
+        return None
+
+    def place_new(
+        self, waiting: WaitingRequest, rooms: Rooms, now_ms: float
+    ) -> Placement | None:
+        """Return a server for a new request while nothing else has room."""
+        if rooms.by_id and waiting in self._queue.lead(LOOKAHEAD):
+            return self._place(waiting, rooms, now_ms)
+        return None
+
+    def _best_at_home(
+        self,
+        requests: Iterable[WaitingRequest],
+        best: Placement | None,
+        rooms: Rooms,
+        now_ms: float,
+    ) -> Placement | None:
+        for waiting in requests:
+            home = self._group.home_of(waiting, rooms)
+            if home is None:
+                continue
+            placement = self._choose(waiting, (home,), now_ms)
+            if placement is None or not placement.meets_deadline(now_ms):
+                continue
+            if best is None or placement.cached_tokens > best.cached_tokens:
+                best = placement
+        return best
+
+    def _place(
+        self, waiting: WaitingRequest, rooms: Rooms, now_ms: float
+    ) -> Placement | None:
+        home = self._group.home_of(waiting, rooms)
+        if home is None or home in rooms.common:
+            return self._choose(waiting, rooms.common, now_ms)
+        return self._choose(waiting, (*rooms.common, home), now_ms)
+
+    def _choose(
+        self, waiting: WaitingRequest, servers: Iterable[ServerState], now_ms: float
+    ) -> Placement | None:
+        if not servers:
+            return None
+        for version_id in self._router.preferred_versions(waiting, now_ms):
+            placement = choose(waiting, servers, version_id, now_ms)
+            if placement is not None:
+                return placement
+        return None
--- a/marjoramfall/request/request_queue.py
+++ b/marjoramfall/request/request_queue.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Iterator
 from itertools import islice
+from operator import itemgetter
 
-from sortedcontainers import SortedDict
+from sortedcontainers import SortedDict, SortedList
 
 from marjoramfall.request.events import WaitingRequest
 
+# The latest start in ms, the request id and the request.
+_Entry = tuple[float, str, WaitingRequest]
+_REQUEST_OF = itemgetter(-1)
+
 
 class _TeamQueue:
     """Order the requests of one team in one tier by least slack."""
@@ -16,7 +21,7 @@
         self.virtual_time = float(0)
         self.weight = float(1)
         self.tokens = 0
-        self.requests_by_key: SortedDict = SortedDict()
+        self.entries: SortedList = SortedList()
 
 
 class _TierQueue:
@@ -29,27 +34,29 @@
         self.teams_by_demand: SortedDict = SortedDict()
         self._virtual_time = float(0)
 
-    def add(self, key: tuple[float, str], waiting: WaitingRequest) -> None:
+    def add(self, entry: _Entry) -> None:
+        waiting = entry[-1]
         team = self.teams_by_id.get(waiting.team_id)
         if team is None:
             team = _TeamQueue(waiting.team_id)
             self.teams_by_id[waiting.team_id] = team
-        if not team.requests_by_key:
+        if not team.entries:
             # A team that was idle must not claim its unused share later.
             team.virtual_time = max(team.virtual_time, self._virtual_time)
             self.teams_by_time[(team.virtual_time, team.team_id)] = team
-        team.requests_by_key[key] = waiting
+        team.entries.add(entry)
         self._change_demand(team, waiting.work.total_tokens, waiting.team_weight)
 
-    def remove(self, key: tuple[float, str], team_id: str) -> WaitingRequest:
+    def remove(self, entry: _Entry) -> None:
+        waiting = entry[-1]
+        team_id = waiting.team_id
         team = self.teams_by_id[team_id]
-        waiting = team.requests_by_key.pop(key)
+        team.entries.remove(entry)
         self._change_demand(team, -waiting.work.total_tokens, team.weight)
-        if not team.requests_by_key:
+        if not team.entries:
             self.teams_by_time.pop((team.virtual_time, team_id))
             if team.virtual_time <= self._virtual_time:
                 self.teams_by_id.pop(team_id)
-        return waiting
 
     def charge(self, waiting: WaitingRequest) -> None:
         """Charge a granted request, which is still queued, to its team."""
@@ -64,7 +71,7 @@
         team.weight = weight
         team.tokens += tokens
         self.tokens += tokens
-        if team.requests_by_key:
+        if team.entries:
             demand = team.tokens / team.weight
             self.teams_by_demand[(demand, team.team_id)] = team
 
@@ -77,27 +84,27 @@
 
     def __init__(self) -> None:
         self._tiers_by_rank: SortedDict = SortedDict()
-        self._places_by_id: dict[str, tuple[WaitingRequest, tuple[float, str]]] = {}
+        self._entries_by_id: dict[str, _Entry] = {}
 
     def __len__(self) -> int:
-        return len(self._places_by_id)
+        return len(self._entries_by_id)
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._places_by_id
+        return request_id in self._entries_by_id
 
     def __iter__(self) -> Iterator[WaitingRequest]:
         for tier in self._tiers_by_rank.values():
             for team in tier.teams_by_time.values():
-                yield from team.requests_by_key.values()
+                yield from map(_REQUEST_OF, team.entries)
 
     def get(self, request_id: str) -> WaitingRequest | None:
         """Return a waiting request, or None."""
-        place = self._places_by_id.get(request_id)
-        return place[0] if place else None
+        entry = self._entries_by_id.get(request_id)
+        return entry[-1] if entry else None
 
     def latest_start_ms(self, waiting: WaitingRequest) -> float:
         """Return the time by which a queued request should be granted."""
-        return self._places_by_id[waiting.request_id][1][0]
+        return self._entries_by_id[waiting.request_id][0]
 
     def add(self, waiting: WaitingRequest, latest_start_ms: float) -> None:
         """Add a request that is not in the queue yet."""
@@ -105,20 +112,19 @@
         if tier is None:
             tier = _TierQueue()
             self._tiers_by_rank[waiting.tier_rank] = tier
-        key = (latest_start_ms, waiting.request_id)
-        self._places_by_id[waiting.request_id] = (waiting, key)
-        tier.add(key, waiting)
+        entry = (latest_start_ms, waiting.request_id, waiting)
+        self._entries_by_id[waiting.request_id] = entry
+        tier.add(entry)
 
     def remove(self, request_id: str, *, granted: bool = False) -> bool:
         """Remove a request, charging its team if it was granted."""
-        place = self._places_by_id.pop(request_id, None)
-        if place is None:
+        entry = self._entries_by_id.pop(request_id, None)
+        if entry is None:
             return False
-        waiting, key = place
-        tier = self._tiers_by_rank[waiting.tier_rank]
+        tier = self._tiers_by_rank[entry[-1].tier_rank]
         if granted:
-            tier.charge(waiting)
-        tier.remove(key, waiting.team_id)
+            tier.charge(entry[-1])
+        tier.remove(entry)
         return True
 
     def lead(self, count: int) -> list[WaitingRequest]:
@@ -126,7 +132,7 @@
         for tier in self._tiers_by_rank.values():
             if tier.teams_by_time:
                 team = tier.teams_by_time.peekitem(0)[1]
-                return list(islice(team.requests_by_key.values(), count))
+                return list(map(_REQUEST_OF, islice(team.entries, count)))
         return []
 
     def tokens_until(self, rank: int) -> int:
@@ -144,4 +150,4 @@
     def last_of(self, rank: int) -> WaitingRequest:
         """Return the request with most slack of the most demanding team."""
         largest = self._tiers_by_rank[rank].teams_by_demand.peekitem(-1)[1]
-        return largest.requests_by_key.peekitem(-1)[1]
+        return largest.entries[-1][-1]
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -1,8 +1,12 @@
 """Keep the backend servers of an engine group."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
-from marjoramfall.connection.outlier_ejection import OutlierEjection
+from marjoramfall.connection.outlier_ejection import (
+    MIN_DECODE_TOKENS,
+    OutlierEjection,
+)
 from marjoramfall.request.active_grants import ActiveGrant
 from marjoramfall.request.events import (
     CacheEvent,
@@ -20,6 +24,14 @@
 COMMON_SHARE = 0.75
 
 
+@dataclass(frozen=True, slots=True)
+class Rooms:
+    """List servers with any room, and those with room for all sessions."""
+
+    by_id: Mapping[str, ServerState]
+    common: Sequence[ServerState]
+
+
 class ServerGroup:
     """Track credits, speed and health of the servers of a group."""
 
@@ -45,23 +57,22 @@
         """Return a server of the group, or None."""
         return self._servers_by_id.get(server_id)
 
-    def free_servers(self, now_ms: float) -> list[ServerState]:
-        """Return the servers that may get one more request of any kind."""
-        return [
-            server
+    def rooms(self, now_ms: float) -> Rooms:
+        """Return the servers that may get one more request now."""
+        by_id = {
+            server_id: server
             for server_id, server in self._servers_by_id.items()
-            if server.has_room(now_ms, COMMON_SHARE)
+            if server.has_room(now_ms)
             and self._ejection.allowed(server_id, server.running, now_ms)
+        }
+        common = [
+            server for server in by_id.values() if server.has_room(now_ms, COMMON_SHARE)
         ]
+        return Rooms(by_id, common)
 
-    def home_of(self, waiting: WaitingRequest, now_ms: float) -> ServerState | None:
+    def home_of(self, waiting: WaitingRequest, rooms: Rooms) -> ServerState | None:
         """Return the server with the session's prefix if it has any room."""
-        server_id = self._homes.home_of(waiting.prefix_hashes)
-        server = self._servers_by_id.get(server_id)
-        if server is None or not server.has_room(now_ms):
-            return None
-        allowed = self._ejection.allowed(server_id, server.running, now_ms)
-        return server if allowed else None
+        return rooms.by_id.get(self._homes.home_of(waiting.prefix_hashes))
 
     def record_prefix(self, waiting: WaitingRequest, server: ServerState) -> None:
         """Note which server is going to cache the prompt of a request."""
@@ -96,9 +107,14 @@
         if server is None:
             return
         server.on_finished(active, report)
+        cut_off = report.first_token_ms is not None and now_ms >= active.deadline_ms
+        if cut_off and not report.succeeded:
+            # A response that began but missed its deadline shows load, no fault.
+            return
         token_ms = None
-        if report.decode_tokens and report.first_token_ms is not None:
-            token_ms = (report.total_ms - report.first_token_ms) / report.decode_tokens
+        if report.decode_tokens >= MIN_DECODE_TOKENS:
+            spent_ms = report.total_ms - (report.first_token_ms or 0)
+            token_ms = spent_ms / report.decode_tokens
         self._ejection.on_finished(
             active.grant.server_id,
             now_ms,
