--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -1,17 +1,35 @@
 """Keep the backend servers of an engine group."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
-from marjoramfall.connection.outlier_ejection import OutlierEjection
+from marjoramfall.connection.outlier_ejection import (
+    MIN_DECODE_TOKENS,
+    OutlierEjection,
+)
 from marjoramfall.request.active_grants import ActiveGrant
 from marjoramfall.request.events import (
     CacheEvent,
     FinishReport,
     LoadReport,
     ServerInfo,
+    WaitingRequest,
     WorkEstimate,
 )
 from marjoramfall.request.server_state import ServerState
+from marjoramfall.request.session_homes import SessionHomes
+
+# The rest of a limit is kept for sessions whose prefix the server caches; if
+# all of it were common, a full group would scatter sessions over its servers.
+COMMON_SHARE = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class Rooms:
+    """List servers with any room, and those with room for all sessions."""
+
+    by_id: Mapping[str, ServerState]
+    common: Sequence[ServerState]
 
 
 class ServerGroup:
@@ -20,6 +38,7 @@
     def __init__(self) -> None:
         self._servers_by_id: dict[str, ServerState] = {}
         self._ejection = OutlierEjection()
+        self._homes = SessionHomes()
 
     def set_servers(self, servers: Sequence[ServerInfo]) -> None:
         """Replace the servers; what is known of kept ones stays."""
@@ -38,14 +57,27 @@
         """Return a server of the group, or None."""
         return self._servers_by_id.get(server_id)
 
-    def free_servers(self, now_ms: float) -> list[ServerState]:
+    def rooms(self, now_ms: float) -> Rooms:
         """Return the servers that may get one more request now."""
-        return [
-            server
+        by_id = {
+            server_id: server
             for server_id, server in self._servers_by_id.items()
             if server.has_room(now_ms)
             and self._ejection.allowed(server_id, server.running, now_ms)
+        }
+        common = [
+            server for server in by_id.values() if server.has_room(now_ms, COMMON_SHARE)
         ]
+        return Rooms(by_id, common)
+
+    def home_of(self, waiting: WaitingRequest, rooms: Rooms) -> ServerState | None:
+        """Return the server with the session's prefix if it has any room."""
+        return rooms.by_id.get(self._homes.home_of(waiting.prefix_hashes))
+
+    def record_prefix(self, waiting: WaitingRequest, server: ServerState) -> None:
+        """Note which server is going to cache the prompt of a request."""
+        server.prefixes.record(waiting.prefix_hashes)
+        self._homes.record(waiting.prefix_hashes, server.info.server_id)
 
     def least_ms(self, work: WorkEstimate) -> float:
         """Return the time of a request on the fastest server when idle."""
@@ -75,9 +107,14 @@
         if server is None:
             return
         server.on_finished(active, report)
+        cut_off = report.first_token_ms is not None and now_ms >= active.deadline_ms
+        if cut_off and not report.succeeded:
+            # A response that began but missed its deadline shows load, no fault.
+            return
         token_ms = None
-        if report.decode_tokens and report.first_token_ms is not None:
-            token_ms = (report.total_ms - report.first_token_ms) / report.decode_tokens
+        if report.decode_tokens >= MIN_DECODE_TOKENS:
+            spent_ms = report.total_ms - (report.first_token_ms or 0)
+            token_ms = spent_ms / report.decode_tokens
         self._ejection.on_finished(
             active.grant.server_id,
             now_ms,
