--- a/marjoramfall/identifiers.py
+++ b/marjoramfall/identifiers.py
@@ -17,7 +17,10 @@
     """Return the members of a group, the preferred one first."""
     return sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f'{group_id}/{member}'), member),
+        key=lambda member: (
+            xxhash.xxh3_64_intdigest(f'{group_id}/{member}'.encode()),
+            member,
+        ),
         reverse=True,
     )
 
--- a/marjoramfall/messages.py
+++ b/marjoramfall/messages.py
@@ -70,10 +70,15 @@
 
 
 class ConfigEntries(Message):
-    """Carry consecutive entries of the configuration log, as JSON texts."""
+    """Carry consecutive entries of the configuration log, as JSON texts.
+
+    `snapshot` is the JSON text of the configuration before the first entry,
+    for a receiver that misses entries which the sender no longer has.
+    """
 
     first_revision: int
     entries: list[str]
+    snapshot: str = ''
 
 
 class ConfigRequest(Message):
--- a/marjoramfall/process/config_log.py
+++ b/marjoramfall/process/config_log.py
@@ -1,6 +1,6 @@
 """Write and read the configuration log in the table service."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -63,11 +63,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LogTail:
-    """Hold the head revision and consecutive log records read with it."""
+    """Hold the head revision and consecutive log records read with it.
+
+    `verified` tells that no later revision existed when the read was sent.
+    """
 
     head: int
     first_revision: int
     texts: list[str]
+    verified: bool = False
 
 
 def log_key(revision: int) -> str:
@@ -109,6 +113,19 @@
                 texts.append(row.value)
         return LogTail(head, after_revision + 1, texts)
 
+    def poll(self, after_revision: int) -> LogTail:
+        """Return the tail, verified if it reaches the head.
+
+        A plain read may be stale and must not extend a lease; a transaction
+        without writes shows that the head is still the one that was read.
+        Raises `PlatformUnavailableError`.
+        """
+        tail = self.read_tail(after_revision)
+        if tail.head != after_revision + len(tail.texts):
+            return tail
+        verified = self._holds(_head_condition(tail.head))
+        return replace(tail, verified=verified)
+
     def catch_up(self, state: ConfigState) -> int:
         """Apply the log to the state up to the head; return the head."""
         while True:
@@ -193,7 +210,7 @@
         base = record.revision - 1
         used_key = change_key(record.change_id)
         conditions = (
-            RowCondition(TABLE, HEAD_KEY, str(base) if base else None),
+            _head_condition(base),
             RowCondition(TABLE, used_key, None),
         )
         writes = (
@@ -228,11 +245,8 @@
         certainly absent.
         """
         used_key = change_key(submission.change_id)
-        try:
-            if self._tables.transact((RowCondition(TABLE, used_key, None),), ()):
-                return None
-        except PlatformAnswerLostError as error:
-            raise PlatformUnavailableError('the check was not answered') from error
+        if self._holds(RowCondition(TABLE, used_key, None)):
+            return None
         for attempt in range(MAX_TRIES):
             self._clock.sleep_ms(attempt * RETRY_DELAY_MS)
             written = self._read_written(used_key)
@@ -240,6 +254,12 @@
                 return _require_same_change(written, submission)
         raise ChangeOutcomeUnknownError(UNKNOWN_OUTCOME)
 
+    def _holds(self, condition: RowCondition) -> bool:
+        try:
+            return self._tables.transact((condition,), ())
+        except PlatformAnswerLostError as error:
+            raise PlatformUnavailableError('the check was not answered') from error
+
     def _read_written(self, used_key: str) -> WrittenChange | None:
         revision_text = self._tables.read(TABLE, used_key)
         if revision_text is None:
@@ -262,6 +282,10 @@
     return written
 
 
+def _head_condition(revision: int) -> RowCondition:
+    return RowCondition(TABLE, HEAD_KEY, str(revision) if revision else None)
+
+
 def _as_dict(configuration: Configuration, change: Change) -> dict | None:
     entity = find_entity(configuration, *change.target)
     return None if entity is None else msgspec.to_builtins(entity)
--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config_spread.py
@@ -7,6 +7,7 @@
 from marjoramfall.process.config_freshness import FreshnessLease
 from marjoramfall.process.config_log import LogTail
 from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
+from marjoramfall.process.config_snapshot import SnapshotCodec
 from marjoramfall.process.config_state import ConfigState
 
 READER_POLL_MS = 500
@@ -164,6 +165,8 @@
         """Apply records and confirm them, or ask for those in between."""
         last = message.first_revision + len(message.entries) - 1
         self._peers.note_revision(peer_id, last, now_ms)
+        if message.snapshot:
+            self._state.restore(SnapshotCodec.decode(message.snapshot))
         self._state.offer(message.first_revision, message.entries)
         confirm = ConfigRequest(after_revision=self._state.revision)
         return [SendToPeer(peer_id, confirm), *self._report_in_force(now_ms)]
@@ -176,7 +179,9 @@
         if message.after_revision > self._state.revision:
             return self._request(peer_id, now_ms)
         actions = self._report_in_force(now_ms)
-        if message.after_revision < self._state.revision:
+        if message.after_revision + 1 < self._state.oldest_retained:
+            actions.append(SendToPeer(peer_id, _snapshot_message(self._state)))
+        elif message.after_revision < self._state.revision:
             actions.extend(self._send_records(peer_id, message.after_revision))
         return actions
 
@@ -194,7 +199,7 @@
         self._lease.store_reachable = True
         before = self._state.revision
         self._state.offer(tail.first_revision, tail.texts)
-        if tail.head == self._state.revision:
+        if tail.verified and tail.head == self._state.revision:
             self._lease.note_head(started_ms)
         actions: list[SpreadAction] = []
         if self._state.revision > before:
@@ -286,3 +291,11 @@
             return []
         self._awaited_revision = 0
         return [RevisionInForce(awaited)]
+
+
+def _snapshot_message(state: ConfigState) -> ConfigEntries:
+    """Return a snapshot, which serves a new VM while the store is down."""
+    snapshot = SnapshotCodec.encode(state.configuration).decode()
+    return ConfigEntries(
+        first_revision=state.revision + 1, entries=[], snapshot=snapshot
+    )
