--- a/marjoramfall/process/config_peers.py
+++ b/marjoramfall/process/config_peers.py
@@ -13,6 +13,22 @@
 SILENCE_MS = LEASE_MS + 500
 
 
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """Hold what a heartbeat or probe reply says of its sender.
+
+    `asked_ms` is the monotonic time at which the probe was sent that this
+    answers; None for an unasked heartbeat. Only an answer extends the lease:
+    an unasked heartbeat may have waited in a buffer while this process was
+    paused, so its age is unknown.
+    """
+
+    revision: int
+    head_age_ms: float | None
+    store_reachable: bool
+    asked_ms: float | None = None
+
+
 @dataclass(slots=True)
 class PeerView:
     """Hold the last news of one peer; times are monotonic milliseconds.
--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config_spread.py
@@ -6,7 +6,7 @@
 from marjoramfall.messages import ConfigEntries, ConfigRequest
 from marjoramfall.process.config_freshness import FreshnessLease
 from marjoramfall.process.config_log import LogTail
-from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
+from marjoramfall.process.config_peers import LEASE_MS, PeerReport, PeerView, PeerViews
 from marjoramfall.process.config_snapshot import SnapshotCodec
 from marjoramfall.process.config_state import ConfigState
 
@@ -23,22 +23,6 @@
 MAX_RECORDS_PER_MESSAGE = 100
 
 
-@dataclass(frozen=True, slots=True)
-class PeerReport:
-    """Hold what a heartbeat or probe reply says of its sender.
-
-    `asked_ms` is the monotonic time at which the probe was sent that this
-    answers; None for an unasked heartbeat. Only an answer extends the lease:
-    an unasked heartbeat may have waited in a buffer while this process was
-    paused, so its age is unknown.
-    """
-
-    revision: int
-    head_age_ms: float | None
-    store_reachable: bool
-    asked_ms: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class SendToPeer:
     """Ask the daemon to send a message to a member."""
--- /dev/null
+++ b/tests/test_config_freshness.py
@@ -0,0 +1,158 @@
+import unittest
+
+from marjoramfall.clock import PausedClock
+from marjoramfall.messages import ConfigEntries, ConfigRequest
+from marjoramfall.model import Tier
+from marjoramfall.process.config_changes import PutTier
+from marjoramfall.process.config_log import ConfigLog, LogTail, Submission
+from marjoramfall.process.config_peers import LEASE_MS, SILENCE_MS, PeerReport
+from marjoramfall.process.config_spread import ConfigSpread, PollStore, SendToPeer
+from marjoramfall.process.config_state import ConfigState
+from tests.fakes import FakeTableService
+
+OWN = 'vm-0.0.a'
+PEERS = tuple(f'vm-{vm}.0.a' for vm in range(1, 5))
+LATER_MS = 10 * LEASE_MS
+
+
+def written_texts(changes):
+    """Return the log of that many changes."""
+    log = ConfigLog(FakeTableService(), PausedClock())
+    state = ConfigState()
+    for number in range(changes):
+        tier = PutTier(entity=Tier('gold', 0, number + 1))
+        written = log.submit(Submission(tier, f'c{number}', 'ada', 0), state)
+        state.offer(written.revision, [written.text])
+    return state.records_after(0, limit=changes)
+
+
+class ConfigSpreadTest(unittest.TestCase):
+    """Check the rules of the lease and of the confirmations one by one."""
+
+    def setUp(self):
+        self.texts = written_texts(2)
+        self.state = ConfigState()
+        self.spread = ConfigSpread(OWN, self.state)
+        self.spread.on_members((OWN, *PEERS), 0)
+
+    def hear(self, peers, now_ms, *, revision=0, age_ms=None, store=False, asked=True):
+        actions = []
+        for peer in peers:
+            report = PeerReport(revision, age_ms, store, now_ms if asked else None)
+            actions += self.spread.on_heartbeat(peer, report, now_ms)
+        return actions
+
+    def lose_store(self):
+        """Know the head at the start and lose the store afterwards."""
+        self.spread.on_polled(LogTail(0, 1, [], verified=True), 0, 0)
+        self.spread.on_poll_failed(1)
+
+    def test_lease(self):
+        """Guards against serving for ever with what was once the head."""
+        self.lose_store()
+        self.assertTrue(self.spread.is_fresh(LEASE_MS))
+        self.assertFalse(self.spread.is_fresh(LEASE_MS + 1))
+
+    def test_unverified_head(self):
+        """Guards against a stale read of the head that extends the lease."""
+        self.spread.on_polled(LogTail(0, 1, []), 0, 0)
+        self.assertFalse(self.spread.is_fresh(0))
+
+    def test_stale_head(self):
+        """Guards against a poll that takes an old head for the head."""
+        tables = FakeTableService()
+        log = ConfigLog(tables, PausedClock())
+        tier = PutTier(entity=Tier('gold', 0, 1))
+        log.submit(Submission(tier, 'c1', 'ada', 0), ConfigState())
+        tables.faults.stale_reads = 1
+        self.assertFalse(log.poll(0).verified)
+        self.assertTrue(log.poll(1).verified)
+
+    def test_answered_probe(self):
+        """Guards against a heartbeat from a buffer that extends the lease."""
+        self.hear(PEERS[:1], LATER_MS, age_ms=0, asked=False)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+        self.hear(PEERS[:1], LATER_MS, age_ms=0)
+        self.assertTrue(self.spread.is_fresh(LATER_MS))
+
+    def test_head_of_later_revision(self):
+        """Guards against serving an old revision on news of a later head."""
+        actions = self.hear(PEERS[:1], LATER_MS, revision=1, age_ms=0)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+        request = SendToPeer(PEERS[0], ConfigRequest(after_revision=0))
+        self.assertEqual(actions, [request])
+
+    def test_majority(self):
+        """Guards against refusing all requests while nobody reaches the store."""
+        self.lose_store()
+        self.hear(PEERS[:1], LATER_MS)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+        self.hear(PEERS[:2], LATER_MS)
+        self.assertTrue(self.spread.is_fresh(LATER_MS))
+
+    def test_majority_shrinks(self):
+        """Guards against a minority that drops the others from its list."""
+        self.lose_store()
+        self.spread.on_members((OWN, PEERS[0]), LATER_MS)
+        self.hear(PEERS[:1], LATER_MS)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+        for peer in PEERS[1:]:
+            self.spread.on_left(peer, LATER_MS)
+        self.assertTrue(self.spread.is_fresh(LATER_MS))
+
+    def test_majority_with_store(self):
+        """Guards against a majority while one of it may write changes."""
+        self.lose_store()
+        self.hear(PEERS[:3], LATER_MS)
+        self.hear(PEERS[3:], LATER_MS, store=True)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+
+    def test_majority_behind(self):
+        """Guards against a majority that serves a revision known to be old."""
+        self.lose_store()
+        self.hear(PEERS[:3], LATER_MS)
+        self.hear(PEERS[3:], LATER_MS, revision=1)
+        self.assertFalse(self.spread.is_fresh(LATER_MS))
+
+    def test_silent_majority(self):
+        """Guards against calling a change in force that a majority lacks."""
+        self.spread.on_written(1, self.texts[0], 0)
+        self.hear(PEERS[:1], LATER_MS, revision=1)
+        confirmation = self.spread.confirmation(1, 2 * LATER_MS)
+        self.assertEqual(confirmation.unconfirmed, PEERS[1:])
+
+    def test_silent_minority(self):
+        """Guards against waiting for ever for an entry that serves nothing."""
+        self.spread.on_written(1, self.texts[0], 0)
+        self.hear(PEERS[:3], LATER_MS, revision=1)
+        soon_ms = LATER_MS + SILENCE_MS
+        confirmation = self.spread.confirmation(1, soon_ms)
+        self.assertEqual(confirmation.unconfirmed, PEERS[3:])
+        confirmation = self.spread.confirmation(1, soon_ms + 1)
+        self.assertTrue(confirmation.in_force_everywhere)
+
+    def test_fallback_poll(self):
+        """Guards against an entry that no reader reaches and that never polls."""
+        spread = ConfigSpread(OWN, self.state)
+        others = [f'vm-{vm}.0.a' for vm in range(1, 30)]
+        spread.on_members((OWN, *others), 0)
+        self.assertNotIn(OWN, spread.reader_ids)
+        self.assertEqual(spread.tick(LATER_MS), [PollStore(0)])
+
+    def test_new_vm_without_store(self):
+        """Guards against a new VM that waits for the store to return."""
+        source = ConfigState()
+        source.offer(1, self.texts)
+        self.state.restore(source.configuration)
+        ask = ConfigRequest(after_revision=0)
+        sent = self.spread.on_request(PEERS[0], ask, 0)[0].message
+        other = ConfigState()
+        ConfigSpread(PEERS[0], other).on_entries(OWN, sent, 0)
+        self.assertEqual(other.configuration, self.state.configuration)
+
+    def test_gap(self):
+        """Guards against confirming records that wait for their predecessor."""
+        message = ConfigEntries(first_revision=2, entries=self.texts[1:])
+        answer = self.spread.on_entries(PEERS[0], message, 0)
+        request = SendToPeer(PEERS[0], ConfigRequest(after_revision=0))
+        self.assertEqual(answer, [request])
