Ask members for the head when heartbeats bring no news

Entries lost their freshness lease during an outage of the store, because answered heartbeats reach too few members in 3 s.

An entry without news now asks a reader after 1 s and all members after 1.5 s. Longer leases were ruled out, since the lease bounds how long an old revision is served. Unasked heartbeats were ruled out as well, as their age is unknown after a pause.

--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -14,8 +14,8 @@
 from marjoramfall.model import Tier
 from marjoramfall.process.config_changes import PutTier
 from marjoramfall.process.config_log import Submission
+from marjoramfall.process.config_polls import READER_POLL_MS
 from marjoramfall.process.config_spread import (
-    READER_POLL_MS,
     SendToPeer,
     SpreadAction,
 )
--- a/marjoramfall/messages.py
+++ b/marjoramfall/messages.py
@@ -73,18 +73,28 @@
     """Carry consecutive entries of the configuration log, as JSON texts.
 
     `snapshot` is the JSON text of the configuration before the first entry,
-    for a receiver that misses entries which the sender no longer has.
+    for a receiver that misses entries which the sender no longer has. An
+    answer repeats `asked_ms` of the request; `head_age_ms` is how long ago
+    no later revision existed than this message brings the receiver to.
     """
 
     first_revision: int
     entries: list[str]
     snapshot: str = ''
+    asked_ms: float = 0
+    head_age_ms: float | None = None
+    store_reachable: bool = False
 
 
 class ConfigRequest(Message):
-    """Ask for the configuration log after a revision."""
+    """Ask for the configuration log after a revision, which is applied.
+
+    With `asked_ms`, the sender's monotonic time, an answer is wanted also if
+    there is no later revision.
+    """
 
     after_revision: int
+    asked_ms: float = 0
 
 
 class AskGrant(Message):
--- a/marjoramfall/process/config_freshness.py
+++ b/marjoramfall/process/config_freshness.py
@@ -76,19 +76,32 @@
             for peer_id, view in self._peers
             if self._is_reached(peer_id, view, now_ms)
         ]
-        if any(view.store_reachable or view.revision > applied for _, view in reached):
+        if any(self._may_know_more(view, applied, now_ms) for _, view in reached):
             return
-        reached_vms = {vm for vm, _ in reached if vm in self._known_vms}
-        if 2 * (len(reached_vms) + 1) > len(self._known_vms):
-            self._majority_ms = now_ms - self._oldest_age(reached, now_ms)
+        ages_by_vm = {
+            vm: self._answer_age_ms(view, now_ms)
+            for vm, view in reached
+            if vm in self._known_vms
+        }
+        needed = len(self._known_vms) // 2
+        if len(ages_by_vm) >= needed:
+            completing = sorted(ages_by_vm.values())[:needed]
+            self._majority_ms = now_ms - max(completing, default=0)
+
+    @property
+    def _is_direct(self) -> bool:
+        return len(self._known_vms) <= MAX_DIRECT_MEMBERS
+
+    def _may_know_more(self, view: PeerView, applied: int, now_ms: float) -> bool:
+        answered = view.reached_ms is not None and now_ms - view.reached_ms <= LEASE_MS
+        return view.revision > applied or (answered and view.store_reachable)
 
     def _is_reached(self, peer_id: str, view: PeerView, now_ms: float) -> bool:
-        if len(self._known_vms) > MAX_DIRECT_MEMBERS:
+        if not self._is_direct:
             return peer_id not in self._suspect_ids
         return view.reached_ms is not None and now_ms - view.reached_ms <= LEASE_MS
 
-    def _oldest_age(self, reached: list[tuple[str, PeerView]], now_ms: float) -> float:
-        """Return the age of the answer that completes the majority."""
-        ages = sorted(now_ms - (view.reached_ms or now_ms) for _, view in reached)
-        needed = len(self._known_vms) // 2
-        return ages[needed - 1] if 0 < needed <= len(ages) else 0
+    def _answer_age_ms(self, view: PeerView, now_ms: float) -> float:
+        if not self._is_direct or view.reached_ms is None:
+            return 0
+        return now_ms - view.reached_ms
--- /dev/null
+++ b/marjoramfall/process/config_polls.py
@@ -0,0 +1,37 @@
+"""Decide when an entry reads the configuration log from the store."""
+
+from marjoramfall.process.config_peers import LEASE_MS, PeerViews
+
+READER_POLL_MS = 500
+# Members that are not readers poll only while no reader's news reaches them.
+FALLBACK_POLL_MS = 1000
+FALLBACK_AGE_MS = LEASE_MS / 2
+POLL_TIMEOUT_MS = 3000
+
+
+class StorePolls:
+    """Time the polls of a reader and, without news, of any other member."""
+
+    def __init__(self, peers: PeerViews) -> None:
+        self._peers = peers
+        self._started_ms = float('-inf')
+        self._is_pending = False
+
+    def start(self, now_ms: float) -> None:
+        """Take note that a poll is sent."""
+        self._started_ms = now_ms
+        self._is_pending = True
+
+    def finish(self) -> None:
+        """Take note that the poll was answered or has failed."""
+        self._is_pending = False
+
+    def is_due(self, head_age_ms: float | None, now_ms: float) -> bool:
+        """Return whether to poll now."""
+        waited_ms = now_ms - self._started_ms
+        if self._is_pending and waited_ms < POLL_TIMEOUT_MS:
+            return False
+        if self._peers.own_id in self._peers.reader_ids:
+            return waited_ms >= READER_POLL_MS
+        is_late = head_age_ms is None or head_age_ms > FALLBACK_AGE_MS
+        return is_late and waited_ms >= FALLBACK_POLL_MS
--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config_spread.py
@@ -6,15 +6,12 @@
 from marjoramfall.messages import ConfigEntries, ConfigRequest
 from marjoramfall.process.config_freshness import FreshnessLease
 from marjoramfall.process.config_log import LogTail
-from marjoramfall.process.config_peers import LEASE_MS, PeerReport, PeerView, PeerViews
+from marjoramfall.process.config_peers import PeerReport, PeerView, PeerViews
+from marjoramfall.process.config_polls import StorePolls
+from marjoramfall.process.config_questions import HeadQuestions
 from marjoramfall.process.config_snapshot import SnapshotCodec
 from marjoramfall.process.config_state import ConfigState
 
-READER_POLL_MS = 500
-# Members that are not readers poll only while no reader's news reaches them.
-FALLBACK_POLL_MS = 1000
-FALLBACK_AGE_MS = LEASE_MS / 2
-POLL_TIMEOUT_MS = 3000
 RESEND_MS = 200
 MAX_RESEND_MS = 1000
 # Afterwards the exchange on heartbeats reaches those that were cut off.
@@ -69,9 +66,9 @@
         self._state = state
         self._peers = PeerViews(own_id)
         self._lease = FreshnessLease(self._peers)
+        self._questions = HeadQuestions(self._peers)
         self._push_until_ms = float('-inf')
-        self._polled_ms = float('-inf')
-        self._poll_pending = False
+        self._polls = StorePolls(self._peers)
         self._requested_ms = float('-inf')
         self._awaited_revision = 0
 
@@ -152,8 +149,14 @@
         if message.snapshot:
             self._state.restore(SnapshotCodec.decode(message.snapshot))
         self._state.offer(message.first_revision, message.entries)
-        confirm = ConfigRequest(after_revision=self._state.revision)
-        return [SendToPeer(peer_id, confirm), *self._report_in_force(now_ms)]
+        report = self._questions.report_of(message, now_ms)
+        if report is not None:
+            self._note_answer(peer_id, report)
+        actions = self._report_in_force(now_ms)
+        if message.entries or message.snapshot:
+            confirm = ConfigRequest(after_revision=self._state.revision)
+            actions.append(SendToPeer(peer_id, confirm))
+        return actions
 
     def on_request(
         self, peer_id: str, message: ConfigRequest, now_ms: float
@@ -161,12 +164,11 @@
         """Take a confirmation and send the records that follow it."""
         self._peers.note_revision(peer_id, message.after_revision, now_ms)
         if message.after_revision > self._state.revision:
+            # Without an answer, since this entry is behind the one that asks.
             return self._request(peer_id, now_ms)
         actions = self._report_in_force(now_ms)
-        if message.after_revision + 1 < self._state.oldest_retained:
-            actions.append(SendToPeer(peer_id, _snapshot_message(self._state)))
-        elif message.after_revision < self._state.revision:
-            actions.extend(self._send_records(peer_id, message.after_revision))
+        if message.asked_ms or message.after_revision < self._state.revision:
+            actions.append(SendToPeer(peer_id, self._answer(message, now_ms)))
         return actions
 
     def on_written(self, revision: int, text: str, now_ms: float) -> list[SpreadAction]:
@@ -179,7 +181,7 @@
         self, tail: LogTail, started_ms: float, now_ms: float
     ) -> list[SpreadAction]:
         """Apply what a poll found; `started_ms` is when the read was sent."""
-        self._poll_pending = False
+        self._polls.finish()
         self._lease.store_reachable = True
         before = self._state.revision
         self._state.offer(tail.first_revision, tail.texts)
@@ -194,7 +196,7 @@
 
     def on_poll_failed(self, now_ms: float) -> list[SpreadAction]:
         """Take note that the store did not answer a poll."""
-        self._poll_pending = False
+        self._polls.finish()
         self._lease.store_reachable = False
         return []
 
@@ -206,7 +208,11 @@
             for peer_id, view in self._peers:
                 if view.revision < self._state.revision:
                     actions.extend(self._resend(peer_id, view, now_ms))
-        if self._is_poll_due(now_ms):
+        age_ms = self._lease.head_age_ms(now_ms)
+        question = ConfigRequest(after_revision=self._state.revision, asked_ms=now_ms)
+        for asked_id in self._questions.due(age_ms, now_ms):
+            actions.append(SendToPeer(asked_id, question))
+        if self._polls.is_due(age_ms, now_ms):
             actions.extend(self._poll(now_ms))
         return actions
 
@@ -219,6 +225,27 @@
         if report.head_age_ms is not None and report.revision <= self._state.revision:
             self._lease.note_head(report.asked_ms - report.head_age_ms)
 
+    def _answer(self, request: ConfigRequest, now_ms: float) -> ConfigEntries:
+        """Return what follows a revision, or a snapshot if that is not retained.
+
+        The snapshot serves a new VM while the store is down.
+        """
+        first = request.after_revision + 1
+        snapshot = ''
+        if first < self._state.oldest_retained:
+            first = self._state.revision + 1
+            snapshot = SnapshotCodec.encode(self._state.configuration).decode()
+        texts = self._state.records_after(first - 1, limit=MAX_RECORDS_PER_MESSAGE)
+        is_whole = first + len(texts) == self._state.revision + 1
+        return ConfigEntries(
+            first_revision=first,
+            entries=texts,
+            snapshot=snapshot,
+            asked_ms=request.asked_ms,
+            head_age_ms=self.head_age_ms(now_ms) if is_whole else None,
+            store_reachable=self.store_reachable,
+        )
+
     def _request(self, peer_id: str, now_ms: float) -> list[SpreadAction]:
         if now_ms - self._requested_ms < REQUEST_SPACING_MS:
             return []
@@ -254,19 +281,8 @@
         message = ConfigEntries(first_revision=revision + 1, entries=texts)
         return [SendToPeer(peer_id, message)]
 
-    def _is_poll_due(self, now_ms: float) -> bool:
-        waited_ms = now_ms - self._polled_ms
-        if self._poll_pending and waited_ms < POLL_TIMEOUT_MS:
-            return False
-        if self._peers.own_id in self._peers.reader_ids:
-            return waited_ms >= READER_POLL_MS
-        age_ms = self._lease.head_age_ms(now_ms)
-        is_late = age_ms is None or age_ms > FALLBACK_AGE_MS
-        return is_late and waited_ms >= FALLBACK_POLL_MS
-
     def _poll(self, now_ms: float) -> list[SpreadAction]:
-        self._polled_ms = now_ms
-        self._poll_pending = True
+        self._polls.start(now_ms)
         return [PollStore(self._state.revision)]
 
     def _report_in_force(self, now_ms: float) -> list[SpreadAction]:
@@ -275,11 +291,3 @@
             return []
         self._awaited_revision = 0
         return [RevisionInForce(awaited)]
-
-
-def _snapshot_message(state: ConfigState) -> ConfigEntries:
-    """Return a snapshot, which serves a new VM while the store is down."""
-    snapshot = SnapshotCodec.encode(state.configuration).decode()
-    return ConfigEntries(
-        first_revision=state.revision + 1, entries=[], snapshot=snapshot
-    )
