Choose the evidence of a step by the traffic that is left

A claim is now chosen by the requests that a faultless version would need and loosened only as the remaining traffic runs out; small routes follow the others; predictions need four old results; failures alone have to be ruled out at 2.2 times the guard where the traffic allows it.

--- a/benchmarks/move_model.py
+++ b/benchmarks/move_model.py
@@ -7,13 +7,12 @@
 
 from marjoramfall.model import Move
 from marjoramfall.request.events import FinishReport, WaitingRequest, WorkEstimate
-from marjoramfall.version.actions import MoveAction
+from marjoramfall.version.actions import MoveAction, WithdrawVersion
 from marjoramfall.version.move_router import MoveRouter
 
 TICK_MS = 100
 ROUTES = ('/v1/chat/completions', '/v1/completions')
 ROUTE_WEIGHTS = (0.8, 0.2)
-WORK = WorkEstimate
 GOOD_FAILURE_RATE = 0.003
 
 
@@ -48,7 +47,6 @@
     profile: Profile
     requests_per_s: float = 50
     duration_ms: float = 600_000
-    first_bad_ms: float = 0
     plain: bool = False
     slowdown_at_ms: float = float('inf')
 
@@ -65,10 +63,18 @@
     bad_requests: int = 0
     new_tokens: int = 0
     tokens: int = 0
-    last_new_ms: float = 0
-    first_bad_result_ms: float | None = None
+    requests_while_bad: int = 0
+    first_bad_ms: float | None = None
+    last_bad_ms: float = 0
+    withdrawn: bool = False
+    grants_after_withdrawal: int = 0
     actions: list[MoveAction] = field(default_factory=list)
 
+    @property
+    def bad_to_none_ms(self) -> float:
+        """Return the time from the first to the last bad request."""
+        return self.last_bad_ms - (self.first_bad_ms or self.last_bad_ms)
+
 
 class MoveModel:
     """Drive a `MoveRouter` with Poisson arrivals and seeded results."""
@@ -77,8 +83,9 @@
         self._scenario = scenario
         self._random = random.Random(scenario.seed)
         self._now_ms = float(0)
-        self._running: list[tuple[float, int, FinishReport, bool]] = []
+        self._running: list[tuple[float, int, FinishReport]] = []
         self._outcome = MoveResult()
+        self._requests_before = 0
         move = Move('m', 's', 'old', 'new', int(scenario.duration_ms))
         self.router = MoveRouter(move, now_ms=0, deadline_ms=scenario.duration_ms)
 
@@ -106,6 +113,8 @@
 
     def _note(self, actions: list[MoveAction], now_ms: float) -> None:
         self._outcome.actions += actions
+        kinds = {type(action) for action in actions}
+        self._outcome.withdrawn |= WithdrawVersion in kinds
         if self._outcome.state or self.router.controller.running:
             return
         self._outcome.state = self.router.controller.state
@@ -145,14 +154,24 @@
             behaviour = self._scenario.profile(circumstances)
             self._outcome.new_requests += 1
             self._outcome.new_tokens += waiting.work.total_tokens
-            self._outcome.last_new_ms = self._now_ms
-            self._outcome.bad_requests += behaviour != GOOD
+            self._outcome.grants_after_withdrawal += self._outcome.withdrawn
+        is_bad = behaviour != GOOD
+        if is_bad:
+            self._note_bad()
         report = self._report(waiting, version, behaviour)
         ends_ms = self._now_ms + report.total_ms
-        is_bad = behaviour != GOOD
-        entry = (ends_ms, self._outcome.requests, report, is_bad)
+        entry = (ends_ms, self._outcome.requests, report)
         heapq.heappush(self._running, entry)
 
+    def _note_bad(self) -> None:
+        outcome = self._outcome
+        outcome.bad_requests += 1
+        outcome.last_bad_ms = self._now_ms
+        if outcome.first_bad_ms is None:
+            outcome.first_bad_ms = self._now_ms
+            self._requests_before = outcome.requests - 1
+        outcome.requests_while_bad = outcome.requests - self._requests_before
+
     def _report(
         self, waiting: WaitingRequest, version: str, behaviour: Behaviour
     ) -> FinishReport:
@@ -179,7 +198,5 @@
 
     def _finish_until(self, now_ms: float) -> None:
         while self._running and self._running[0][0] <= now_ms:
-            ends_ms, _, report, is_bad = heapq.heappop(self._running)
-            if is_bad and self._outcome.first_bad_result_ms is None:
-                self._outcome.first_bad_result_ms = ends_ms
+            ends_ms, _, report = heapq.heappop(self._running)
             self.router.on_finished(report, ends_ms)
--- a/marjoramfall/version/evidence.py
+++ b/marjoramfall/version/evidence.py
@@ -1,6 +1,7 @@
 """Collect evidence on a new version against the old one, per route and load."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -16,6 +17,7 @@
 SLOW_QUANTILE = 0.9
 QUANTILE_STEP = 0.05
 LEVEL_SMOOTHING = 0.1
+MIN_BUCKET_RESULTS = 4
 MIN_RATE_TOKENS = 4
 DECODE_COST = 20
 ALL = '*'
@@ -59,13 +61,15 @@
 
     def __init__(self) -> None:
         self._levels_by_bucket: dict[int, float] = {}
+        self._counts: Counter[int] = Counter()
         self._slow_residual = math.log(2)
 
     def slow(self, size: int, duration_ms: float, allowance: float) -> bool | None:
         """Return whether a latency is in the slow tail; None if unknown."""
-        level = self._levels_by_bucket.get(size.bit_length())
-        if level is None:
+        bucket = size.bit_length()
+        if self._counts[bucket] < MIN_BUCKET_RESULTS:
             return None
+        level = self._levels_by_bucket[bucket]
         return _log(duration_ms) - level - allowance > self._slow_residual
 
     def learn(self, size: int, duration_ms: float) -> None:
@@ -76,7 +80,9 @@
         is_slow = latency - level > self._slow_residual
         change = SLOW_QUANTILE if is_slow else SLOW_QUANTILE - 1
         self._slow_residual += QUANTILE_STEP * change
-        self._levels_by_bucket[bucket] += LEVEL_SMOOTHING * (latency - level)
+        self._counts[bucket] += 1
+        weight = max(1 / self._counts[bucket], LEVEL_SMOOTHING)
+        self._levels_by_bucket[bucket] += weight * (latency - level)
 
 
 class EvidenceStream:
--- a/marjoramfall/version/move_router.py
+++ b/marjoramfall/version/move_router.py
@@ -25,6 +25,7 @@
 MAX_PENDING_MS = 600_000
 RISK_PERIOD_SHARE = 0.1
 SMALL_ROUTE_SHARE = 0.1
+MEDIUM_ROUTE_SHARE = 0.3
 
 
 class MoveRouter(VersionRouter):
@@ -105,10 +106,9 @@
             share=record.share,
         )
         clean = self._evidence.observe(seen)
-        self._counts.count(
-            is_new=record.is_new, failed=not report.succeeded, clean=clean
-        )
-        route.on_result(record, clean=clean)
+        failed = not report.succeeded
+        self._counts.count(is_new=record.is_new, failed=failed, clean=clean)
+        route.on_result(record, clean=clean, failed=failed)
         if record.is_new and not clean:
             self._judge(record.route)
 
@@ -179,8 +179,8 @@
     def _judged_routes(self, now_ms: float) -> list[RouteTraffic]:
         """Return the routes that need evidence of their own.
 
-        Small routes with too little traffic for that stay at a low share and
-        follow the others at the end.
+        Routes with too little traffic for that stay at a low share and follow
+        the others at the end, if they are very small or show no fault.
         """
         remaining_ms = self.controller.remaining_ms(now_ms)
         leading = self._leading_level()
@@ -188,7 +188,11 @@
         return [
             route
             for route in self._routes.values()
-            if route.granted > total * SMALL_ROUTE_SHARE
+            if route.granted > total * MEDIUM_ROUTE_SHARE
+            or (
+                route.granted > total * SMALL_ROUTE_SHARE
+                and not route.share.looks_clean()
+            )
             or not route.is_rare(now_ms, remaining_ms, leading)
         ]
 
@@ -254,9 +258,7 @@
         key = self._route_name(name)
         route = self._routes.get(key)
         if route is None:
-            share = ShareController(
-                self._move.guard.max_initial_share, recorded_share=self._move.share
-            )
+            share = ShareController(self._move.guard, recorded_share=self._move.share)
             route = RouteTraffic(share, started_ms=self._started_ms)
             self._routes[key] = route
         return route
--- a/marjoramfall/version/share.py
+++ b/marjoramfall/version/share.py
@@ -2,8 +2,9 @@
 
 from bisect import bisect_right
 from dataclasses import dataclass
-from functools import cache
+from functools import lru_cache
 
+from marjoramfall.model import MoveGuard
 from marjoramfall.version.betting import clean_evidence
 
 # Credit that was not used lapses beyond this many requests, so that a version
@@ -16,26 +17,29 @@
 class Rigour:
     """Set how much evidence a step needs: fault rates ruled out, and odds.
 
-    `stride` is how many steps of the share the evidence is good for.
+    A result is faulty if it failed or was slow. `stride` is how many steps of
+    the share the evidence is good for; `failure_odds` rule out failures alone at
+    `FAILURE_RATIO` times the guard's rate.
     """
 
     fault_rates: tuple[float, ...]
     odds: float
     stride: int = 1
+    failure_odds: float = 0
 
-    def clean_needed(self, level: int) -> int:
+    def clean_needed(self, level: int, faulty: int = 0) -> int:
         """Return how many results without a fault suffice at a level."""
-        return _clean_needed(self.fault_rate(level), self.odds)
+        return _clean_needed(self.fault_rate(level), self.odds, faulty)
 
     def fault_rate(self, level: int) -> float:
         """Return the fault rate to rule out at a level."""
         return self.fault_rates[min(level, len(self.fault_rates) - 1)]
 
 
-@cache
-def _clean_needed(fault_rate: float, odds: float) -> int:
+@lru_cache(maxsize=4096)
+def _clean_needed(fault_rate: float, odds: float, faulty: int) -> int:
     count = 1
-    while clean_evidence(count, 0, fault_rate) < odds:
+    while clean_evidence(count, faulty, fault_rate) < odds:
         count += 1
     return count
 
@@ -43,22 +47,26 @@
 # From much traffic to little: with little traffic a version can only be shown
 # not to be grossly bad before the deadline.
 RIGOURS = (
-    Rigour((0.15, 0.1, 0.08, 0.08, 0.08), 1_000_000),
-    Rigour((0.2, 0.15, 0.1, 0.08, 0.08), 100),
+    Rigour((0.15, 0.1, 0.08, 0.08, 0.08), 1_000_000, failure_odds=20),
+    Rigour((0.2, 0.15, 0.1, 0.08, 0.08), 100, failure_odds=3),
     Rigour((0.25, 0.2, 0.15, 0.12, 0.12), 20),
-    Rigour((0.35,), 6, stride=2),
+    Rigour((0.4,), 4, stride=2),
 )
 # For a route with too little traffic of its own, after others led the way.
-FOLLOWING = Rigour((0.35,), 1.7, stride=2)
-# A stricter claim that is still unsupported after this many times the results
-# it needs is given up for a looser one: a good version has slow results too.
-PATIENCE = 1.5
+FOLLOWING = Rigour((0.5,), 2, stride=2)
+# Expected traffic has to exceed the needed one by this factor, because arrivals
+# vary and results come late.
+TRAFFIC_RESERVE = 2
+MIN_CLEAN = 2
+FAILURE_RATIO = 2.2
 
 
 class ShareController:
     """Hold the share of one route and raise it by evidence only."""
 
-    def __init__(self, initial_share: float, *, recorded_share: float = 0) -> None:
+    def __init__(self, guard: MoveGuard, *, recorded_share: float = 0) -> None:
+        initial_share = guard.max_initial_share
+        self._failure_rate = min(guard.max_error_rate * FAILURE_RATIO, 0.5)
         later = [share for share in LATER_SHARES if share > initial_share]
         self._shares = (initial_share, *later)
         self._level = bisect_right(later, recorded_share)
@@ -68,6 +76,8 @@
         self._largest = 1
         self._clean = 0
         self._faulty = 0
+        self._failed = 0
+        self._results = {True: 0, False: 0}
         self.proven = False
 
     @property
@@ -96,20 +106,21 @@
         self._request_credit = min(self._request_credit, MAX_CREDIT_REQUESTS)
         self._token_credit = min(self._token_credit, most_tokens)
 
-    def on_result(self, level: int, *, clean: bool) -> None:
+    def on_result(self, level: int, *, clean: bool, failed: bool) -> None:
         """Count a result of the new version that was granted at a level.
 
         A fault may depend on the new version's own load, so only results of
         the current level support the next step.
         """
+        self._results[clean] += 1
         if level == self._level:
             self._clean += clean
             self._faulty += not clean
+            self._failed += failed
 
     def step(self, rigour: Rigour) -> bool:
         """Raise the share if the evidence suffices; return whether it changed."""
-        rate = rigour.fault_rate(self._level)
-        if clean_evidence(self._clean, self._faulty, rate) < rigour.odds:
+        if not self._suffices(rigour):
             return False
         if self._level == self._last_level:
             self.proven = True
@@ -117,6 +128,7 @@
         self._level = min(self._level + rigour.stride, self._last_level)
         self._clean = 0
         self._faulty = 0
+        self._failed = 0
         self._request_credit = min(self._request_credit, 1)
         return True
 
@@ -124,11 +136,34 @@
         """Return how many requests of the route a good version still needs."""
         if self.proven:
             return 0
-        have = min(self._clean, rigour.clean_needed(self._level)) / self.share
-        ahead = {*range(self._level, self._last_level, rigour.stride), self._last_level}
-        return sum(rigour.clean_needed(at) / self._shares[at] for at in ahead) - have
-
-    def is_exhausted(self, rigour: Rigour) -> bool:
-        """Return whether a good version would have met the rigour by now."""
-        results = self._clean + self._faulty
-        return results > PATIENCE * rigour.clean_needed(self._level)
+        needed = rigour.clean_needed(self._level, self._faulty) - self._clean
+        return max(needed, 0) / self.share + self._needed_later(rigour)
+
+    def fits(self, rigour: Rigour, expected_requests: float) -> bool:
+        """Return whether a version without faults could meet a rigour in time.
+
+        Results so far do not count, so that faulty ones loosen the claim only
+        when the time runs out.
+        """
+        needed = rigour.clean_needed(self._level) / self.share
+        needed += self._needed_later(rigour)
+        return needed * TRAFFIC_RESERVE <= expected_requests
+
+    def looks_clean(self) -> bool:
+        """Return whether few results without much evidence show no fault."""
+        clean = self._results[True]
+        return clean >= MIN_CLEAN and clean >= MIN_CLEAN * self._results[False]
+
+    def _suffices(self, rigour: Rigour) -> bool:
+        rate = rigour.fault_rate(self._level)
+        if clean_evidence(self._clean, self._faulty, rate) < rigour.odds:
+            return False
+        succeeded = self._clean + self._faulty - self._failed
+        odds = clean_evidence(succeeded, self._failed, self._failure_rate)
+        return odds >= rigour.failure_odds
+
+    def _needed_later(self, rigour: Rigour) -> float:
+        later = set(range(self._level, self._last_level, rigour.stride))
+        later.add(self._last_level)
+        later.discard(self._level)
+        return sum(rigour.clean_needed(at) / self._shares[at] for at in later)
--- a/marjoramfall/version/traffic.py
+++ b/marjoramfall/version/traffic.py
@@ -5,9 +5,6 @@
 from marjoramfall.version.betting import clean_evidence
 from marjoramfall.version.share import FOLLOWING, RIGOURS, Rigour, ShareController
 
-# Expected traffic has to exceed the needed one by this factor, because arrivals
-# vary and results come late.
-TRAFFIC_RESERVE = 1.5
 MIN_RATE_PERIOD_MS = 5000
 LOAD_START_STEP = 0.05
 LOAD_START_REQUESTS = 300
@@ -68,10 +65,10 @@
         self._high_clean = 0
         self._high_faulty = 0
 
-    def on_result(self, record: GrantRecord, *, clean: bool) -> None:
+    def on_result(self, record: GrantRecord, *, clean: bool, failed: bool) -> None:
         """Count a dispatched result."""
         if record.is_new:
-            self.share.on_result(record.level, clean=clean)
+            self.share.on_result(record.level, clean=clean, failed=failed)
             self._high_clean += clean and record.high_load
             self._high_faulty += record.high_load and not clean
         else:
@@ -82,8 +79,7 @@
     ) -> bool:
         """Raise the share if the evidence suffices; return whether it changed."""
         rigour = self._rigour(now_ms, remaining_ms, leading_level)
-        strict = self.share.requests_needed(RIGOURS[0]) * TRAFFIC_RESERVE
-        in_hurry = strict > self.expected_requests(now_ms, remaining_ms)
+        in_hurry = rigour not in RIGOURS[:2]
         if in_hurry or self._high_load_seen():
             return self.share.step(rigour)
         return False
@@ -107,8 +103,7 @@
     def _rigour(self, now_ms: float, remaining_ms: float, leading_level: int) -> Rigour:
         expected = self.expected_requests(now_ms, remaining_ms)
         for rigour in RIGOURS:
-            needed = self.share.requests_needed(rigour) * TRAFFIC_RESERVE
-            if needed <= expected and not self.share.is_exhausted(rigour):
+            if self.share.fits(rigour, expected):
                 return rigour
         return self._least_rigour(leading_level)
 
--- a/tests/test_move_router.py
+++ b/tests/test_move_router.py
@@ -3,6 +3,7 @@
 from marjoramfall.model import Move, MoveState
 from marjoramfall.request.events import FinishReport, WaitingRequest, WorkEstimate
 from marjoramfall.version.actions import MoveAtRisk, MoveEnded, WithdrawVersion
+from marjoramfall.version.betting import BettingTest
 from marjoramfall.version.move_router import MoveRouter
 
 ROUTE = '/v1/completions'
@@ -20,10 +21,12 @@
         self.tokens = {'old': 0, 'new': 0}
         self.actions = []
 
-    def send(self, *, failing=(), first_ms=None, tokens=100, dispatched=True):
+    def send(
+        self, *, failing=(), first_ms=None, tokens=100, dispatched=True, route=ROUTE
+    ):
         """Send one request; return the version that it was granted."""
         self.now_ms += 100
-        waiting = self._waiting(tokens)
+        waiting = self._waiting(tokens, route)
         version = self.router.preferred_versions(waiting, self.now_ms)[0]
         self.router.on_granted(waiting, version, self.now_ms)
         self.sent[version] += 1
@@ -32,7 +35,7 @@
             request_id=waiting.request_id,
             server_id=version,
             version_id=version,
-            route=ROUTE,
+            route=route,
             succeeded=version not in failing,
             dispatched=dispatched,
             first_token_ms=(first_ms or {}).get(version, 50),
@@ -49,7 +52,7 @@
         for _ in range(count):
             self.send(**kwargs)
 
-    def _waiting(self, tokens):
+    def _waiting(self, tokens, route):
         return WaitingRequest(
             request_id=str(self.now_ms),
             entry_id='e',
@@ -59,7 +62,7 @@
             deadline_ms=self.now_ms + 10_000,
             arrived_ms=self.now_ms,
             work=WorkEstimate(tokens, 0),
-            route=ROUTE,
+            route=route,
         )
 
 
@@ -90,6 +93,19 @@
         self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
         self.assertLess(traffic.sent['new'], 40)
 
+    def test_slow_on_small_route(self):
+        """Guards against a fault that disappears among other routes."""
+        traffic = Traffic()
+        for index in range(5900):
+            first_ms = 40 + index % 20
+            is_small = index % 7 == 0
+            traffic.send(
+                route='/small' if is_small else ROUTE,
+                first_ms={'old': first_ms, 'new': first_ms * (4 if is_small else 1)},
+            )
+        self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
+        self.assertIn('/small', traffic.router.controller.reason)
+
     def test_general_failure_is_not_blamed(self):
         """Guards against withdrawal when both versions fail alike."""
         traffic = Traffic()
@@ -128,3 +144,24 @@
         traffic.send_many(100)
         self.assertEqual(traffic.sent['new'], 0)
         self.assertIs(traffic.router.controller.state, MoveState.TAKEN_BACK)
+
+
+class BettingTestTest(unittest.TestCase):
+    """Check the sequential test of a rate."""
+
+    def test_pending_results_count(self):
+        """Guards against blame when failures merely end before successes."""
+        test = BettingTest()
+        for _ in range(3):
+            test.observe(happened=True, probability=0.02)
+        self.assertGreater(test.evidence(), 1000)
+        self.assertLess(test.evidence(pending=300), 1)
+
+    def test_late_fault_is_found(self):
+        """Guards against a long good time that hides a later fault."""
+        test = BettingTest()
+        for _ in range(5000):
+            test.observe(happened=False, probability=0.02)
+        for _ in range(8):
+            test.observe(happened=True, probability=0.02)
+        self.assertGreater(test.evidence(), 100_000)
