--- a/marjoramfall/process/member_table.py
+++ b/marjoramfall/process/member_table.py
@@ -38,6 +38,11 @@
         newest = self._newest_by_address.get(address, '')
         return self._members.get(newest)
 
+    def suspects(self) -> list[Member]:
+        """Return the members that are suspected."""
+        members = self._members.values()
+        return [member for member in members if member.suspected_ms is not None]
+
     def is_outdated(self, incarnation: str, address: str) -> bool:
         """Return whether a newer incarnation was seen at the address."""
         newest = self._newest_by_address.get(address)
--- a/marjoramfall/process/membership.py
+++ b/marjoramfall/process/membership.py
@@ -108,7 +108,7 @@
             self._ask_helpers(late)
         for failed in self._probes.failed(now_ms):
             self._suspect_silent(failed, now_ms)
-        for member in self._members:
+        for member in self._members.suspects():
             self._remove_if_due(member, now_ms)
         if now_ms >= self._next_period_ms:
             self._next_period_ms = now_ms + self._settings.period_ms
@@ -237,8 +237,7 @@
             member.silent_probes += 1
 
     def _remove_if_due(self, member: Member, now_ms: float) -> None:
-        is_due = member.suspected_ms is not None and now_ms >= member.removal_ms
-        if is_due and member.silent_probes:
+        if now_ms >= member.removal_ms and member.silent_probes:
             self._outbox.spread(member.update(MemberState.DEAD), len(self._members))
             self._remove(member, 'left' if member.leaving else 'no answer')
             self._seeds.add(member.address, now_ms)
@@ -254,9 +253,8 @@
         left = self._settings.extra_probes
         suspects = [
             member
-            for member in self._members
-            if member.suspected_ms is not None
-            and not self._probes.is_probing(member.address)
+            for member in self._members.suspects()
+            if not self._probes.is_probing(member.address)
         ]
         suspects.sort(key=lambda suspect: suspect.silent_probes)
         for suspect in suspects[:left]:
