--- a/benchmarks/move_model.py
+++ b/benchmarks/move_model.py
@@ -200,3 +200,8 @@
         while self._running and self._running[0][0] <= now_ms:
             ends_ms, _, report = heapq.heappop(self._running)
             self.router.on_finished(report, ends_ms)
+
+
+def good_profile(circumstances: Circumstances) -> Behaviour:
+    """Return the behaviour of a version that equals the old one."""
+    return GOOD
--- a/marjoramfall/process/member.py
+++ b/marjoramfall/process/member.py
@@ -30,7 +30,7 @@
     helpers: int = 2
     # Probes of suspects, newcomers and silent addresses per period, beside the
     # one of the rotation: bounds the cost when a data centre is lost.
-    extra_probes: int = 4
+    extra_probes: int = 8
     max_updates: int = 6
 
     def suspicion_for_ms(self, members: int) -> float:
--- a/marjoramfall/process/membership.py
+++ b/marjoramfall/process/membership.py
@@ -166,7 +166,7 @@
             number = self._probes.relay(
                 Relay(member.address, message.probe, message.target_incarnation, now_ms)
             )
-            self._outbox.beat(message.target_address, number, [])
+            self._outbox.call(message.target_address, number, [self._self.update()])
 
     def _join(self, sender: str, address: str, now_ms: float) -> Member:
         replaced = self._members.at(address)
@@ -260,16 +260,21 @@
         for suspect in suspects[:left]:
             self._probe(suspect, now_ms)
         left -= min(len(suspects), left)
+        # Only an entry that knows nobody sends no news, and is then welcomed.
+        known = [self._self.update()] if len(self._members) else []
         few_known = len(self._members) < len(self._seeds)
         for address in self._seeds.take(left, now_ms, hurry=few_known):
             if self._members.at(address) is None:
-                self._outbox.beat(address, self._probes.start('', address, now_ms), [])
+                number = self._probes.start('', address, now_ms)
+                self._outbox.call(address, number, known)
 
     def _probe(self, member: Member, now_ms: float) -> None:
         """Probe a member and tell it if it is suspected, so that it can refute."""
         number = self._probes.start(member.incarnation, member.address, now_ms)
-        accusation = [] if member.suspected_ms is None else [member.update()]
-        self._outbox.beat(member.address, number, accusation)
+        if member.suspected_ms is None:
+            self._outbox.beat(member.address, number)
+        else:
+            self._outbox.call(member.address, number, [member.update()])
 
     def _ask_helpers(self, late: Probe) -> None:
         if not late.incarnation:
--- a/marjoramfall/process/outbox.py
+++ b/marjoramfall/process/outbox.py
@@ -37,15 +37,23 @@
         """Put news on the next messages."""
         self._gossip.add(update, members)
 
-    def beat(self, address: str, probe: int, first: list[MemberUpdate]) -> None:
-        """Send a heartbeat that asks for a reply."""
+    def beat(self, address: str, probe: int) -> None:
+        """Send a heartbeat with news that asks for a reply."""
+        self.call(address, probe, self._gossip.take())
+
+    def call(self, address: str, probe: int, updates: list[MemberUpdate]) -> None:
+        """Send a heartbeat with only the given news that asks for a reply.
+
+        Addresses that are probably dead get no other news, as each item of
+        news is told only a limited number of times.
+        """
         heartbeat = Heartbeat(
             address=self._own.address,
             revision=self.status.revision,
             head_age_ms=self.status.head_age_ms,
             store_reachable=self.status.store_reachable,
             probe=probe,
-            updates=self._gossip.take(*first),
+            updates=updates,
         )
         self.send(address, heartbeat)
 
