--- a/marjoramfall/process/membership.py
+++ b/marjoramfall/process/membership.py
@@ -108,7 +108,7 @@
             self._ask_helpers(late)
         for failed in self._probes.failed(now_ms):
             self._suspect_silent(failed, now_ms)
-        for member in self._members:
+        for member in self._members.suspects():
             self._remove_if_due(member, now_ms)
         if now_ms >= self._next_period_ms:
             self._next_period_ms = now_ms + self._settings.period_ms
@@ -166,7 +166,7 @@
             number = self._probes.relay(
                 Relay(member.address, message.probe, message.target_incarnation, now_ms)
             )
-            self._outbox.beat(message.target_address, number, [])
+            self._outbox.call(message.target_address, number, [self._self.update()])
 
     def _join(self, sender: str, address: str, now_ms: float) -> Member:
         replaced = self._members.at(address)
@@ -237,8 +237,7 @@
             member.silent_probes += 1
 
     def _remove_if_due(self, member: Member, now_ms: float) -> None:
-        is_due = member.suspected_ms is not None and now_ms >= member.removal_ms
-        if is_due and member.silent_probes:
+        if now_ms >= member.removal_ms and member.silent_probes:
             self._outbox.spread(member.update(MemberState.DEAD), len(self._members))
             self._remove(member, 'left' if member.leaving else 'no answer')
             self._seeds.add(member.address, now_ms)
@@ -254,24 +253,28 @@
         left = self._settings.extra_probes
         suspects = [
             member
-            for member in self._members
-            if member.suspected_ms is not None
-            and not self._probes.is_probing(member.address)
+            for member in self._members.suspects()
+            if not self._probes.is_probing(member.address)
         ]
         suspects.sort(key=lambda suspect: suspect.silent_probes)
         for suspect in suspects[:left]:
             self._probe(suspect, now_ms)
         left -= min(len(suspects), left)
+        # Only an entry that knows nobody sends no news, and is then welcomed.
+        known = [self._self.update()] if len(self._members) else []
         few_known = len(self._members) < len(self._seeds)
         for address in self._seeds.take(left, now_ms, hurry=few_known):
             if self._members.at(address) is None:
-                self._outbox.beat(address, self._probes.start('', address, now_ms), [])
+                number = self._probes.start('', address, now_ms)
+                self._outbox.call(address, number, known)
 
     def _probe(self, member: Member, now_ms: float) -> None:
         """Probe a member and tell it if it is suspected, so that it can refute."""
         number = self._probes.start(member.incarnation, member.address, now_ms)
-        accusation = [] if member.suspected_ms is None else [member.update()]
-        self._outbox.beat(member.address, number, accusation)
+        if member.suspected_ms is None:
+            self._outbox.beat(member.address, number)
+        else:
+            self._outbox.call(member.address, number, [member.update()])
 
     def _ask_helpers(self, late: Probe) -> None:
         if not late.incarnation:
