Keep forged keys from displacing used ones, and space out resumes

At a full registry every claim, also of a forged or known key, made the oldest record forgotten and its key unusable. Records are now displaced only by a genuine new key, and a key older than all records is refused instead. The clock may step back after records were forgotten for their age; the horizon keeps their keys refused, which a test now shows.

A broken stream was resumed three times at once, so that a server that restarts was never reached; the tries now wait 0, 50 and 250 ms.

--- a/marjoramfall/connection/backend_client.py
+++ b/marjoramfall/connection/backend_client.py
@@ -7,6 +7,7 @@
 
 from gevent.pool import Pool
 
+from marjoramfall.clock import Clock, RuntimeClock
 from marjoramfall.connection.backend_errors import (
     BackendConnectionBrokenError,
     BackendLeavingError,
@@ -25,7 +26,8 @@
 )
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
-MAX_RESUMES = 3
+# The first resume is tried at once; a restarting server needs longer.
+RESUME_DELAYS_MS = (0, 50, 250)
 MAX_PENDING_CANCELS = 256
 
 
@@ -83,7 +85,7 @@
     def __init__(self, request: BackendRequest) -> None:
         self.request = request
         self.answer = AnswerAssembler(request.request_id)
-        self.resumes_left = MAX_RESUMES
+        self.resume_delays_ms = list(RESUME_DELAYS_MS)
         self.may_run = False
 
     @property
@@ -108,8 +110,9 @@
     by itself when a reused connection breaks.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, *, clock: Clock | None = None) -> None:
         self._pool = pool
+        self._clock = clock or RuntimeClock()
         self._cancels = Pool(MAX_PENDING_CANCELS)
 
     def send(self, address: str, request: BackendRequest) -> BackendResponse:
@@ -172,7 +175,7 @@
             except BackendServerError as error:
                 if not _may_resume(error, progress):
                     raise _after_dispatch(error, progress) from error
-                progress.resumes_left -= 1
+                self._clock.sleep_ms(progress.resume_delays_ms.pop(0))
 
     def _events(self, address: str, progress: StreamProgress) -> Iterator[StreamEvent]:
         request = progress.next_request
@@ -231,7 +234,7 @@
 
 
 def _may_resume(error: BackendServerError, progress: StreamProgress) -> bool:
-    if progress.answer.next_index == 0 or progress.resumes_left == 0:
+    if progress.answer.next_index == 0 or not progress.resume_delays_ms:
         return False
     return not progress.answer.is_done and not isinstance(error, BackendStatusError)
 
--- a/marjoramfall/request/idempotency.py
+++ b/marjoramfall/request/idempotency.py
@@ -74,7 +74,7 @@
 
     def claim(self, message: ClaimKey, now_wall_ms: int) -> ClaimReply:
         """Grant the dispatch to one claim id; a repeated message is answered alike."""
-        self._expire(now_wall_ms)
+        self._forget_old(now_wall_ms)
         key = self._genuine(message.key, message.scope)
         if key is None:
             return _reply(message, ClaimVerdict.INVALID)
@@ -83,8 +83,7 @@
         record_id = (key.sequence, message.scope)
         record = self._records.get(record_id)
         if record is None:
-            self._add(record_id, message, key)
-            return _reply(message, ClaimVerdict.GRANTED)
+            return _reply(message, self._add(record_id, message, key))
         return self._claim_again(record_id, record, message)
 
     def release(self, message: ReleaseKey) -> None:
@@ -112,11 +111,18 @@
         age_ms = now_wall_ms - key.issued_wall_ms
         return key.sequence < self._horizon or age_ms > self._retention_ms
 
-    def _add(self, record_id: RecordId, message: ClaimKey, key: IssuedKey) -> None:
+    def _add(
+        self, record_id: RecordId, message: ClaimKey, key: IssuedKey
+    ) -> ClaimVerdict:
+        if len(self._records) >= self._max_records:
+            if record_id < self._oldest[0]:
+                return ClaimVerdict.EXPIRED
+            self._forget_oldest()
         self._records[record_id] = KeyRecord(
             message.claim_id, message.fingerprint, key.issued_wall_ms
         )
         heapq.heappush(self._oldest, record_id)
+        return ClaimVerdict.GRANTED
 
     def _claim_again(
         self, record_id: RecordId, record: KeyRecord, message: ClaimKey
@@ -149,16 +155,18 @@
             reply.content_type = response.content_type
         return reply
 
-    def _expire(self, now_wall_ms: int) -> None:
+    def _forget_old(self, now_wall_ms: int) -> None:
         while self._oldest:
             record = self._records[self._oldest[0]]
-            is_old = now_wall_ms - record.issued_wall_ms > self._retention_ms
-            if not is_old and len(self._records) < self._max_records:
+            if now_wall_ms - record.issued_wall_ms <= self._retention_ms:
                 return
-            record_id = heapq.heappop(self._oldest)
-            self._records.pop(record_id)
-            self._responses.drop(record_id)
-            self._horizon = max(self._horizon, record_id[0] + 1)
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        record_id = heapq.heappop(self._oldest)
+        self._records.pop(record_id)
+        self._responses.drop(record_id)
+        self._horizon = max(self._horizon, record_id[0] + 1)
 
 
 class RecordedResponses:
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -6,7 +6,11 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.connection import http_connection
-from marjoramfall.connection.backend_client import BackendClient, BackendRequest
+from marjoramfall.connection.backend_client import (
+    RESUME_DELAYS_MS,
+    BackendClient,
+    BackendRequest,
+)
 from marjoramfall.connection.backend_errors import (
     BackendConnectionBrokenError,
     BackendLeavingError,
@@ -107,7 +111,7 @@
         self.addCleanup(self.backend.stop)
         self.address = self.backend.address
         pool = ConnectionPool(self.clock, read_timeout_ms=read_timeout_ms)
-        self.client = BackendClient(pool)
+        self.client = BackendClient(pool, clock=self.clock)
 
     def send(self, request=REQUEST):
         return self.client.send(self.address, request)
@@ -258,7 +262,8 @@
         with self.assertRaises(BackendConnectionBrokenError) as caught:
             self.texts()
         self.assertIs(caught.exception.actual_run_state, RunState.UNKNOWN)
-        self.assertEqual(self.backend.count('GET'), 3)
+        self.assertEqual(self.backend.count('GET'), len(RESUME_DELAYS_MS))
+        self.assertEqual(self.clock.monotonic_ms(), sum(RESUME_DELAYS_MS))
 
     def test_refused_resume(self):
         """Guard against `not run` for a stream whose server died half way."""
--- a/tests/test_key_registry.py
+++ b/tests/test_key_registry.py
@@ -191,6 +191,14 @@
         other_team = self.outcome(self.key, scope='other\nbookings')
         self.assertEqual(other_team, ClaimVerdict.INVALID)
 
+    def test_full_registry(self):
+        """Guard against forged or older keys that make used ones forgotten."""
+        registry = KeyRegistry('vm.1.a', max_records=1)
+        older, key = (registry.issue('school', 5) for _ in range(2))
+        claims = (key, 'c1'), ('ek1~vm.1.a~5~9~0', 'c2'), (older, 'c3'), (key, 'c4')
+        outcomes = [registry.claim(claim_message(*c), 5).outcome for c in claims]
+        self.assertEqual(outcomes, ['granted', 'invalid', 'expired', 'in_use'])
+
     def test_repeated_key(self):
         """Guard against a repeated key that loses the recorded response."""
         self.assertEqual(self.outcome(self.key), ClaimVerdict.GRANTED)
@@ -206,9 +214,12 @@
         self.assertEqual(reused, ClaimVerdict.REUSED)
 
     def test_old_key(self):
-        """Guard against a grant for a key whose use may be forgotten."""
+        """Guard against a grant of a forgotten key, also after a clock step."""
         late_ms = 25 * HOUR_MS
+        self.assertEqual(self.outcome(self.key), ClaimVerdict.GRANTED)
         self.assertEqual(self.outcome(self.key, now_ms=late_ms), ClaimVerdict.EXPIRED)
+        self.assertEqual(self.registry.record_count, 0)
+        self.assertEqual(self.outcome(self.key, 'c2'), ClaimVerdict.EXPIRED)
 
     def test_clock_stepped_back(self):
         """Guard against a new key that is refused as old after a clock step."""
