Let a planned stop wait for keyed requests whose callers have left

A posting goes on without its caller so that its response is recorded, but a stopping process could not see it. Keyed work now runs in a pool, and `RequestPath.drain` waits for it; without the pool the test finds no recorded outcome.

--- a/marjoramfall/request/keyed_work.py
+++ b/marjoramfall/request/keyed_work.py
@@ -5,6 +5,7 @@
 from typing import Generic, TypeVar
 
 import gevent
+from gevent.pool import Pool
 
 from marjoramfall.errors import MarjoramfallError, RunState
 from marjoramfall.model import Delivery
@@ -44,6 +45,8 @@
         request: ParsedRequest,
         work: Callable[[Callable[[], bool]], Result],
         end: Callable[['KeyedWork', Result], None],
+        *,
+        workers: Pool,
     ) -> None:
         """Prepare; `work` gets the function to call just before dispatch.
 
@@ -53,13 +56,14 @@
         self._request = request
         self._work = work
         self._end = end
+        self._workers = workers
         self._scope = _scope_of(request)
         self._phase = WorkPhase.CLAIMING
         self._caller_is_gone = False
 
     def run(self) -> Result:
         """Return the result of the work; raises a `MarjoramfallError`."""
-        worker = gevent.spawn(self._guarded)
+        worker = self._workers.spawn(self._guarded)
         try:
             outcome = worker.get()
         except CallerGoneError:
@@ -69,6 +73,10 @@
             raise outcome
         return outcome
 
+    def release_later(self, outcome: ClaimOutcome) -> None:
+        """Record how the work ended without waiting for the key's owner."""
+        self._workers.spawn(self.release, outcome)
+
     def release(self, outcome: ClaimOutcome) -> None:
         """Record how the work ended."""
         self._phase = WorkPhase.ENDING
--- a/marjoramfall/request/request_path.py
+++ b/marjoramfall/request/request_path.py
@@ -6,9 +6,9 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-import gevent
+from gevent.pool import Pool
 
-from marjoramfall.clock import Clock
+from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.connection.backend_client import (
     BackendClient,
     BackendRequest,
@@ -74,6 +74,7 @@
         self._clock = clock
         self._retries = retries
         self._claims = claims
+        self._workers = Pool()
 
     def send(self, request: ParsedRequest) -> BackendResponse:
         """Return the complete response; raises a `MarjoramfallError`."""
@@ -84,6 +85,7 @@
             request,
             partial(self._send_from, request),
             partial(_end_response, request),
+            workers=self._workers,
         ).run()
 
     def stream(self, request: ParsedRequest) -> AnswerStream:
@@ -95,9 +97,20 @@
         if request.is_idempotent:
             return self._stream_from(request, _always_permitted)
         return KeyedWork(
-            self._claims, request, partial(self._stream_from, request), _end_stream
+            self._claims,
+            request,
+            partial(self._stream_from, request),
+            _end_stream,
+            workers=self._workers,
         ).run()
 
+    def drain(self, timeout_ms: float) -> bool:
+        """Wait for keyed requests whose callers have left; a planned stop does.
+
+        Returns whether all ended in time.
+        """
+        return self._workers.join(timeout=timeout_ms / MS_PER_SECOND)
+
     def _send_from(
         self, request: ParsedRequest, on_dispatch: Callable[[], bool]
     ) -> BackendResponse:
@@ -241,9 +254,7 @@
 
 def _release_stream(work: KeyedWork, is_whole: bool) -> None:
     status = HTTPStatus.OK if is_whole else 0
-    outcome = ClaimOutcome(dispatched=True, status=status)
-    # The end of a stream must not wait for the owner of the key.
-    gevent.spawn(work.release, outcome)
+    work.release_later(ClaimOutcome(dispatched=True, status=status))
 
 
 def _backend_request(
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -199,9 +199,7 @@
             parsed_request('deposits'),
             is_reached=lambda: self.backends[0].heads,
         )
-        with Timeout(5):
-            while not self.claims.outcomes:
-                sleep(0.001)
+        self.assertTrue(self.path.drain(5000))
         outcome = self.claims.outcomes[0]
         self.assertEqual((outcome.body, outcome.recorded), (b'late', True))
         self.assertEqual(self.results(), [(True, True)])
