--- a/marjoramfall/process/store_tasks.py
+++ b/marjoramfall/process/store_tasks.py
@@ -142,7 +142,7 @@
         for after_revision in self._queue:
             started_ms = self._clock.monotonic_ms()
             try:
-                tail = self._log.read_tail(after_revision)
+                tail = self._log.poll(after_revision)
             except PlatformError as error:
                 logger.bind(code=error.code).debug('configuration poll failed')
                 self._on_failed()
--- a/tests/entry_cluster.py
+++ b/tests/entry_cluster.py
@@ -237,7 +237,7 @@
     def _poll(self, node, after_revision):
         now_ms = self.clock.monotonic_ms()
         try:
-            tail = node.log.read_tail(after_revision)
+            tail = node.log.poll(after_revision)
         except PlatformError:
             self._perform(node, node.core.on_poll_failed(now_ms))
             return
