--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -13,6 +13,7 @@
 from marjoramfall.connection.connection_pool import ConnectionPool
 from marjoramfall.identifiers import RequestIds, new_incarnation
 from marjoramfall.messages import Message, MessageCodec
+from marjoramfall.model import Configuration
 from marjoramfall.process.actions import ResolveAsk, Send
 from marjoramfall.process.config_log import LogTail, WrittenChange
 from marjoramfall.process.config_spread import PollStore
@@ -31,6 +32,7 @@
 )
 from marjoramfall.process.readiness import Readiness
 from marjoramfall.process.report_task import ReportTask
+from marjoramfall.process.snapshot_task import SnapshotTask
 from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.settings.model import EntrySettings
 
@@ -162,7 +164,15 @@
             make_id=self._request_ids.issue,
             perform=self._perform_exchange,
         )
+        snapshots = SnapshotTask(
+            self._platform.snapshots,
+            self.core.config,
+            self.core.spread,
+            self._clock,
+            on_loaded=self._on_snapshot,
+        )
         return [
+            gevent.spawn(snapshots.run, self.core.incarnation),
             gevent.spawn(self._platform.poller.run),
             gevent.spawn(self._platform.recorder.run),
             gevent.spawn(self._repeat, self._tick, TICK_MS),
@@ -185,6 +195,7 @@
                 )
                 return
             self._clock.sleep_ms(DRAIN_CHECK_MS)
+        self._listeners.drain(CLAIM_DRAIN_MS)
         self._keys.store_claims.drain(CLAIM_DRAIN_MS)
 
     def _send_if_known(self, incarnation: str, message: Message) -> bool:
@@ -205,6 +216,11 @@
         wall_ms = self._clock.wall_ms()
         self._guarded(lambda: self.core.on_polled(tail, started_ms, now_ms, wall_ms))
 
+    def _on_snapshot(self, configuration: Configuration) -> None:
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        self._perform(self.core.on_snapshot(configuration, now_ms, wall_ms))
+
     def _on_poll_failed(self) -> None:
         self._perform(self.core.on_poll_failed(self._clock.monotonic_ms()))
 
--- a/marjoramfall/process/entry_core.py
+++ b/marjoramfall/process/entry_core.py
@@ -16,6 +16,7 @@
     ProbeReply,
     ProbeRequest,
 )
+from marjoramfall.model import Configuration
 from marjoramfall.process.actions import ResolveAsk, Send
 from marjoramfall.process.config_log import LogTail, WrittenChange
 from marjoramfall.process.config_spread import (
@@ -140,6 +141,13 @@
         applied = self._apply_configuration(now_ms, wall_ms)
         return [*self._on_spread(spread), *applied]
 
+    def on_snapshot(
+        self, configuration: Configuration, now_ms: float, wall_ms: int
+    ) -> list[CoreAction]:
+        """Start from a snapshot; an older one than what is applied is ignored."""
+        self.config.restore(configuration)
+        return self._apply_configuration(now_ms, wall_ms)
+
     def on_poll_failed(self, now_ms: float) -> list[CoreAction]:
         """Take note that the store did not answer."""
         return self._on_spread(self.spread.on_poll_failed(now_ms))
--- a/marjoramfall/process/listeners.py
+++ b/marjoramfall/process/listeners.py
@@ -67,6 +67,10 @@
         self._caller_server.start()
         self._operator_server.start()
 
+    def drain(self, timeout_ms: float) -> None:
+        """Wait for sent postings whose callers have left."""
+        self._path.drain(timeout_ms)
+
     def stop(self) -> None:
         """Close both listeners and their connections."""
         self._caller_server.stop()
@@ -74,7 +78,7 @@
 
     def _make_caller_application(self, max_body_bytes: int) -> CallerApplication:
         parts = self._parts
-        path = RequestPath(
+        self._path = RequestPath(
             grants=parts.gateway,
             backend=parts.backend,
             configuration=parts.configuration,
@@ -90,7 +94,7 @@
             issue_key=parts.keys.issue,
         )
         return CallerApplication(
-            path,
+            self._path,
             hooks,
             clock=parts.clock,
             request_ids=parts.request_ids,
--- a/marjoramfall/process/platform_links.py
+++ b/marjoramfall/process/platform_links.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from marjoramfall.borders.platform_http import HttpTableService, HttpVmList
+from marjoramfall.borders.platform_http import (
+    HttpObjectStore,
+    HttpTableService,
+    HttpVmList,
+)
 from marjoramfall.clock import Clock
 from marjoramfall.process.config_log import ConfigLog, LogTail, WrittenChange
+from marjoramfall.process.config_snapshot import SnapshotStore
 from marjoramfall.process.config_state import ConfigState
 from marjoramfall.process.key_owners import KeyOwners
 from marjoramfall.process.metrics import Metrics
@@ -36,6 +41,8 @@
         events: PlatformEvents,
     ) -> None:
         self.tables = HttpTableService(settings.tables, timeout_ms=settings.timeout)
+        objects = HttpObjectStore(settings.objects, timeout_ms=settings.timeout)
+        self.snapshots = SnapshotStore(self.tables, objects)
         self.vm_list = HttpVmList(settings.vms, timeout_ms=settings.timeout)
         self.log = ConfigLog(self.tables, clock)
         self.writer = ConfigWriter(
