Drop the lookahead and halve the bookkeeping of a grant

The queue is now in strict order of slack inside a team. Prefix records use plain dicts in two generations; rooms are corrected, not rebuilt.

--- a/marjoramfall/connection/outlier_ejection.py
+++ b/marjoramfall/connection/outlier_ejection.py
@@ -8,6 +8,7 @@
 # Healthy engines differ by up to 2.8 in speed, so that a server is compared
 # with its own past, and by that measure with its peers.
 SLOW_RATIO = 3.0
+SUSPECT_RATIO = 2.0
 BASELINE_SMOOTHING = 0.005
 # Without a healthy past, only a speed far from all peers is a fault.
 SLOW_FROM_START_RATIO = 8.0
@@ -105,6 +106,9 @@
         health = self._health_by_id[server_id]
         if health.reports < MIN_REPORTS:
             return False
+        # Comparing with all peers takes time; most reports are ordinary.
+        if health.slowdown < SUSPECT_RATIO and health.reports % MIN_REPORTS:
+            return False
         peers = [
             peer
             for peer_id, peer in self._health_by_id.items()
--- a/marjoramfall/request/admission.py
+++ b/marjoramfall/request/admission.py
@@ -56,6 +56,14 @@
             return tokens / left_rate
         return lasting_ms + (tokens - left_rate * lasting_ms) / rate
 
+    def is_too_late(self, rank: int, now_ms: float) -> bool:
+        """Return whether the last request of a tier can't be served in time."""
+        last = self._queue.last_of(rank)
+        if last is None:
+            return False
+        slack_ms = self._queue.latest_start_ms(last) - now_ms
+        return self.predicted_wait_ms(rank, now_ms) > MAX_WAIT_SHARE * slack_ms
+
     def next_shed(self, now_ms: float) -> WaitingRequest | None:
         """Return the request to shed now, from the lowest waiting tier.
 
@@ -65,7 +73,7 @@
         if not ranks:
             return None
         crowded = len(self._queue) > MAX_WAITING
-        if crowded or any(self._is_too_late(rank, now_ms) for rank in ranks):
+        if crowded or any(self.is_too_late(rank, now_ms) for rank in ranks):
             return self._queue.last_of(ranks[-1])
         return None
 
@@ -84,8 +92,3 @@
             if waiting and self._queue.latest_start_ms(waiting) <= now_ms:
                 expired.append(waiting)
         return expired
-
-    def _is_too_late(self, rank: int, now_ms: float) -> bool:
-        last = self._queue.last_of(rank)
-        slack_ms = self._queue.latest_start_ms(last) - now_ms
-        return self.predicted_wait_ms(rank, now_ms) > MAX_WAIT_SHARE * slack_ms
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -67,7 +67,10 @@
         ids = self._waiting_ids_by_entry.setdefault(waiting.entry_id, set())
         ids.add(waiting.request_id)
         if blocked:
-            return self._decide_new(waiting, now_ms)
+            actions = self._decide_new(waiting, now_ms)
+            if self._admission.is_too_late(waiting.tier_rank, now_ms):
+                actions += self._shed(now_ms)
+            return actions
         return self._decide(now_ms)
 
     def withdraw(self, request_id: str, now_ms: float) -> list[Action]:
@@ -157,7 +160,7 @@
             if placement is None:
                 break
             actions.append(self._settle(placement, now_ms))
-            rooms = self._group.rooms(now_ms)
+            self._group.refresh(rooms, placement.server.info.server_id, now_ms)
         saturated = not rooms.common and len(self._queue) > 0
         self._admission.drain_rate.on_saturation(saturated=saturated, now_ms=now_ms)
         return actions
--- a/marjoramfall/request/placement_search.py
+++ b/marjoramfall/request/placement_search.py
@@ -10,10 +10,6 @@
 from marjoramfall.request.server_state import ServerState
 from marjoramfall.version.router import VersionRouter
 
-# Among this many requests of the team whose turn it is, the one with the most
-# cached prefix goes first, unless the first one has little slack left.
-LOOKAHEAD = 8
-URGENT_SLACK_MS = 2000
 # Requests that no free server may serve are passed over up to this count.
 MAX_PASSED_OVER = 256
 
@@ -30,13 +26,12 @@
 
     def next_placement(self, rooms: Rooms, now_ms: float) -> Placement | None:
         """Return the next request with its server, or None."""
-        lead = self._queue.lead(LOOKAHEAD)
-        best = self._place(lead[0], rooms, now_ms)
-        slack_ms = self._queue.latest_start_ms(lead[0]) - now_ms
-        if slack_ms >= URGENT_SLACK_MS:
-            best = self._best_at_home(lead[1:], best, rooms, now_ms)
-        if best is not None or not rooms.common:
-            return best
+        first = self._queue.first()
+        if first is None:
+            return None
+        placement = self._place(first, rooms, now_ms)
+        if placement is not None or not rooms.common:
+            return placement
         for waiting in islice(self._queue, MAX_PASSED_OVER):
             placement = self._place(waiting, rooms, now_ms)
             if placement is not None:
@@ -47,28 +42,10 @@
         self, waiting: WaitingRequest, rooms: Rooms, now_ms: float
     ) -> Placement | None:
         """Return a server for a new request while nothing else has room."""
-        if rooms.by_id and waiting in self._queue.lead(LOOKAHEAD):
+        if rooms.by_id and waiting is self._queue.first():
             return self._place(waiting, rooms, now_ms)
         return None
 
-    def _best_at_home(
-        self,
-        requests: Iterable[WaitingRequest],
-        best: Placement | None,
-        rooms: Rooms,
-        now_ms: float,
-    ) -> Placement | None:
-        for waiting in requests:
-            home = self._group.home_of(waiting, rooms)
-            if home is None:
-                continue
-            placement = self._choose(waiting, (home,), now_ms)
-            if placement is None or not placement.meets_deadline(now_ms):
-                continue
-            if best is None or placement.cached_tokens > best.cached_tokens:
-                best = placement
-        return best
-
     def _place(
         self, waiting: WaitingRequest, rooms: Rooms, now_ms: float
     ) -> Placement | None:
--- a/marjoramfall/request/prefix_index.py
+++ b/marjoramfall/request/prefix_index.py
@@ -1,10 +1,10 @@
 """Remember which prompt prefixes a backend server probably caches."""
 
-from collections import OrderedDict
-
 from marjoramfall.request.events import CacheEvent
+from marjoramfall.request.recent_map import RecentMap
 
 MAX_HASHES = 32_768
+CACHED = 'cached'
 SMOOTHING = 0.1
 LEAST_TRUST = 0.1
 
@@ -17,23 +17,19 @@
     """
 
     def __init__(self) -> None:
-        self._hashes: OrderedDict[int, None] = OrderedDict()
+        self._hashes = RecentMap(MAX_HASHES)
         self._trust = float(1)
 
     def record(self, prefix_hashes: tuple[int, ...]) -> None:
         """Assume that the server caches the prefixes of a placed request."""
-        for prefix_hash in prefix_hashes:
-            self._hashes[prefix_hash] = None
-            self._hashes.move_to_end(prefix_hash)
-        while len(self._hashes) > MAX_HASHES:
-            self._hashes.popitem(last=False)
+        self._hashes.put_all(prefix_hashes, CACHED)
 
     def on_event(self, event: CacheEvent) -> None:
         """Take what the server says of its cache."""
         if event.stored:
             self.record((event.prefix_hash,))
         else:
-            self._hashes.pop(event.prefix_hash, None)
+            self._hashes.forget(event.prefix_hash)
 
     def match(self, prefix_hashes: tuple[int, ...]) -> int:
         """Return how many leading hashes are cached.
--- /dev/null
+++ b/marjoramfall/request/recent_map.py
@@ -0,0 +1,44 @@
+"""Keep recently written entries of a mapping in bounded memory."""
+
+from collections.abc import Iterable
+
+
+class RecentMap:
+    """Map prefix hashes to server ids and forget the oldest half when full.
+
+    Two plain dicts cost a fraction of an ordered one, and a grant writes
+    dozens of hashes.
+    """
+
+    def __init__(self, max_entries: int) -> None:
+        self._half = max_entries // 2
+        self._young: dict[int, str] = {}
+        self._old: dict[int, str] = {}
+
+    def __contains__(self, key: int) -> bool:
+        return key in self._young or key in self._old
+
+    def get(self, key: int) -> str | None:
+        """Return the value of a key, or None."""
+        known = self._young.get(key)
+        return self._old.get(key) if known is None else known
+
+    def put(self, key: int, value: str) -> None:
+        """Set the value of a key."""
+        self._young[key] = value
+        self._age()
+
+    def put_all(self, keys: Iterable[int], value: str) -> None:
+        """Set the same value for all keys."""
+        self._young.update(dict.fromkeys(keys, value))
+        self._age()
+
+    def forget(self, key: int) -> None:
+        """Remove a key if it is known."""
+        self._young.pop(key, None)
+        self._old.pop(key, None)
+
+    def _age(self) -> None:
+        if len(self._young) > self._half:
+            self._old = self._young
+            self._young = {}
--- a/marjoramfall/request/request_queue.py
+++ b/marjoramfall/request/request_queue.py
@@ -1,7 +1,6 @@
 """Order the waiting requests of an engine group."""
 
 from collections.abc import Iterator
-from itertools import islice
 from operator import itemgetter
 
 from sortedcontainers import SortedDict, SortedList
@@ -21,6 +20,7 @@
         self.virtual_time = float(0)
         self.weight = float(1)
         self.tokens = 0
+        self.demand = -1
         self.entries: SortedList = SortedList()
 
 
@@ -67,13 +67,16 @@
         self.teams_by_time[(team.virtual_time, team.team_id)] = team
 
     def _change_demand(self, team: _TeamQueue, tokens: int, weight: float) -> None:
-        self.teams_by_demand.pop((team.tokens / team.weight, team.team_id), None)
         team.weight = weight
         team.tokens += tokens
         self.tokens += tokens
-        if team.entries:
-            demand = team.tokens / team.weight
-            self.teams_by_demand[(demand, team.team_id)] = team
+        # Powers of two are close enough and change seldom.
+        demand = int(team.tokens / weight).bit_length() if team.entries else -1
+        if demand != team.demand:
+            self.teams_by_demand.pop((team.demand, team.team_id), None)
+            team.demand = demand
+            if team.entries:
+                self.teams_by_demand[(demand, team.team_id)] = team
 
 
 class RequestQueue:
@@ -127,13 +130,12 @@
         tier.remove(entry)
         return True
 
-    def lead(self, count: int) -> list[WaitingRequest]:
-        """Return the first requests of the team whose turn it is."""
+    def first(self) -> WaitingRequest | None:
+        """Return the request whose turn it is."""
         for tier in self._tiers_by_rank.values():
             if tier.teams_by_time:
-                team = tier.teams_by_time.peekitem(0)[1]
-                return list(map(_REQUEST_OF, islice(team.entries, count)))
-        return []
+                return tier.teams_by_time.peekitem(0)[1].entries[0][-1]
+        return None
 
     def tokens_until(self, rank: int) -> int:
         """Return the tokens that wait in this and higher tiers."""
@@ -147,7 +149,7 @@
             rank for rank, tier in self._tiers_by_rank.items() if tier.teams_by_time
         ]
 
-    def last_of(self, rank: int) -> WaitingRequest:
+    def last_of(self, rank: int) -> WaitingRequest | None:
         """Return the request with most slack of the most demanding team."""
-        largest = self._tiers_by_rank[rank].teams_by_demand.peekitem(-1)[1]
-        return largest.entries[-1][-1]
+        teams = self._tiers_by_rank[rank].teams_by_demand
+        return teams.peekitem(-1)[1].entries[-1][-1] if teams else None
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -1,6 +1,6 @@
 """Keep the backend servers of an engine group."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from marjoramfall.connection.outlier_ejection import (
@@ -28,8 +28,8 @@
 class Rooms:
     """List servers with any room, and those with room for all sessions."""
 
-    by_id: Mapping[str, ServerState]
-    common: Sequence[ServerState]
+    by_id: dict[str, ServerState]
+    common: list[ServerState]
 
 
 class ServerGroup:
@@ -59,16 +59,18 @@
 
     def rooms(self, now_ms: float) -> Rooms:
         """Return the servers that may get one more request now."""
-        by_id = {
-            server_id: server
-            for server_id, server in self._servers_by_id.items()
-            if server.has_room(now_ms)
-            and self._ejection.allowed(server_id, server.running, now_ms)
-        }
-        common = [
-            server for server in by_id.values() if server.has_room(now_ms, COMMON_SHARE)
-        ]
-        return Rooms(by_id, common)
+        rooms = Rooms({}, [])
+        for server in self._servers_by_id.values():
+            self._add_room(rooms, server, now_ms)
+        return rooms
+
+    def refresh(self, rooms: Rooms, server_id: str, now_ms: float) -> None:
+        """Correct the rooms after one server got a request."""
+        server = rooms.by_id.pop(server_id, None)
+        if server is not None:
+            if server in rooms.common:
+                rooms.common.remove(server)
+            self._add_room(rooms, server, now_ms)
 
     def home_of(self, waiting: WaitingRequest, rooms: Rooms) -> ServerState | None:
         """Return the server with the session's prefix if it has any room."""
@@ -144,3 +146,13 @@
             state.running = known.running
             state.tokens = known.tokens
         return state
+
+    def _add_room(self, rooms: Rooms, server: ServerState, now_ms: float) -> None:
+        used_share = server.used_share(now_ms)
+        if used_share >= 1:
+            return
+        server_id = server.info.server_id
+        if self._ejection.allowed(server_id, server.running, now_ms):
+            rooms.by_id[server_id] = server
+            if used_share < COMMON_SHARE:
+                rooms.common.append(server)
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -25,16 +25,14 @@
         self._prefill_free_ms = float(0)
         self._last_grant_ms = float(0)
 
-    def has_room(self, now_ms: float, share: float = 1) -> bool:
-        """Return whether the server is below a share of its limit."""
+    def used_share(self, now_ms: float) -> float:
+        """Return how much of the limit is used; 1 or more leaves no room."""
+        if self.info.leaving:
+            return 1
         running = self.running
         if now_ms < self._foreign_until_ms:
             running += self._foreign_running
-        return (
-            running < self.info.max_concurrency * share
-            and self.tokens < self.limit.tokens * share
-            and not self.info.leaving
-        )
+        return max(running / self.info.max_concurrency, self.tokens / self.limit.tokens)
 
     def first_token_ms(
         self, prefill_tokens: int, cached_tokens: float, now_ms: float
--- a/marjoramfall/request/session_homes.py
+++ b/marjoramfall/request/session_homes.py
@@ -1,6 +1,6 @@
 """Remember which backend server holds the prompt prefix of a session."""
 
-from collections import OrderedDict
+from marjoramfall.request.recent_map import RecentMap
 
 MAX_HASHES = 131_072
 SHARED = ''
@@ -15,24 +15,23 @@
     """
 
     def __init__(self) -> None:
-        self._servers_by_hash: OrderedDict[int, str] = OrderedDict()
+        self._servers_by_hash = RecentMap(MAX_HASHES)
 
     def record(self, prefix_hashes: tuple[int, ...], server_id: str) -> None:
         """Note that a server is going to compute a prompt."""
         servers = self._servers_by_hash
-        for prefix_hash in prefix_hashes:
-            known = servers.pop(prefix_hash, server_id)
-            servers[prefix_hash] = known if known == server_id else SHARED
-        while len(servers) > MAX_HASHES:
-            servers.popitem(last=False)
+        for prefix_hash in reversed(prefix_hashes):
+            known = servers.get(prefix_hash)
+            if known in {server_id, SHARED}:
+                # Shorter prefixes were noted together with this one.
+                break
+            servers.put(prefix_hash, server_id if known is None else SHARED)
 
     def home_of(self, prefix_hashes: tuple[int, ...]) -> str:
         """Return the server of the longest known prefix, or `SHARED`."""
-        low, high = 0, len(prefix_hashes)
-        while low < high:
-            middle = (low + high) // 2
-            if prefix_hashes[middle] in self._servers_by_hash:
-                low = middle + 1
-            else:
-                high = middle
-        return self._servers_by_hash[prefix_hashes[low - 1]] if low else SHARED
+        # A turn adds little to its session, so that the end is tried first.
+        for prefix_hash in reversed(prefix_hashes):
+            server_id = self._servers_by_hash.get(prefix_hash)
+            if server_id is not None:
+                return server_id
+        return SHARED
