--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,150 @@
+import random
+import unittest
+
+from marjoramfall.request.dispatcher import Dispatcher
+from marjoramfall.request.events import (
+    Expire,
+    FinishReport,
+    Grant,
+    ServerInfo,
+    Shed,
+    WaitingRequest,
+    WorkEstimate,
+)
+from marjoramfall.version.router import SingleVersionRouter
+
+WORK = WorkEstimate(200, 20)
+SERVICE_MS = 400
+
+
+class Overload:
+    """Drive a dispatcher with one server of four slots beyond its capacity."""
+
+    def __init__(self, deadline_ms, shares):
+        self.rng = random.Random(7)
+        self.deadline_ms = deadline_ms
+        self.shares = shares
+        self.dispatcher = Dispatcher('group', SingleVersionRouter('v1'))
+        server = ServerInfo(
+            server_id='s1', version_id='v1', data_centre='dc-1', max_concurrency=4
+        )
+        self.dispatcher.set_servers([server], 0)
+        self.waiting = {}
+        self.running = []
+        self.granted = []
+        self.refused = []
+        self.inversions = 0
+
+    def run(self, until_ms, arrivals_per_tick, *, from_ms=0):
+        """Advance in ticks of 20 ms."""
+        for now_ms in range(from_ms, until_ms, 20):
+            for _ in range(arrivals_per_tick):
+                self.arrive(now_ms)
+            while self.running and self.running[0][0] <= now_ms:
+                self.finish(self.running.pop(0)[1], now_ms)
+            self.apply(self.dispatcher.tick(now_ms), now_ms)
+
+    def arrive(self, now_ms):
+        """Add a request of a random tier."""
+        number = len(self.waiting) + len(self.granted) + len(self.refused)
+        rank = self.rng.choices(range(len(self.shares)), self.shares)[0]
+        request = WaitingRequest(
+            request_id=f'r{number}',
+            entry_id='entry',
+            tier_rank=rank,
+            team_id=f'team-{rank}',
+            team_weight=1,
+            deadline_ms=now_ms + self.deadline_ms,
+            arrived_ms=now_ms,
+            work=WORK,
+        )
+        self.waiting[request.request_id] = request
+        self.apply(self.dispatcher.enqueue(request, now_ms), now_ms)
+
+    def finish(self, grant, now_ms):
+        """Finish a request after the service time."""
+        report = FinishReport(
+            request_id=grant.request_id,
+            server_id='s1',
+            version_id='v1',
+            route='',
+            succeeded=True,
+            dispatched=True,
+            first_token_ms=20,
+            total_ms=SERVICE_MS,
+            work=WORK,
+            decode_tokens=WORK.decode_tokens,
+        )
+        self.apply(self.dispatcher.on_finished(report, now_ms), now_ms)
+
+    def apply(self, actions, now_ms):
+        """Start what is granted and count sheds above a waiting lower tier."""
+        for action in actions:
+            request = self.waiting.pop(action.request_id)
+            if isinstance(action, Grant):
+                self.dispatcher.on_started(action.request_id, now_ms)
+                self.running.append((now_ms + SERVICE_MS, action))
+                self.granted.append(request)
+            else:
+                self.refused.append((request, action))
+            if isinstance(action, Shed):
+                ranks = [other.tier_rank for other in self.waiting.values()]
+                self.inversions += max(ranks, default=0) > request.tier_rank
+
+
+class OverloadTest(unittest.TestCase):
+    """Check what is refused when more arrives than can be served."""
+
+    def test_lowest_tier_first(self):
+        """Guards against shedding a tier while a lower one waits."""
+        overload = Overload(4000, (0.6, 0.2, 0.2))
+        overload.run(60_000, 1)
+        shed_ranks = {
+            request.tier_rank
+            for request, action in overload.refused
+            if isinstance(action, Shed)
+        }
+        self.assertEqual(shed_ranks, {0, 1, 2})
+        self.assertEqual(overload.inversions, 0)
+
+    def test_shed_early(self):
+        """Guards against requests that wait in vain until their deadline."""
+        overload = Overload(20_000, (1,))
+        overload.run(90_000, 1)
+        late = [
+            request
+            for request, action in overload.refused
+            if isinstance(action, Expire) and request.arrived_ms > 30_000
+        ]
+        self.assertGreater(len(overload.refused), 1000)
+        self.assertEqual(late, [])
+
+    def test_work_conserving(self):
+        """Guards against idle servers while requests are refused."""
+        overload = Overload(20_000, (0.2, 0.8))
+        # The limit starts at half and grows in the first seconds.
+        overload.run(20_000, 1)
+        warm_up = len(overload.granted)
+        overload.run(60_000, 1, from_ms=20_000)
+        # The quarter kept for sessions leaves three of four slots.
+        granted = len(overload.granted) - warm_up
+        self.assertGreaterEqual(granted, 40_000 * 3 // SERVICE_MS - 3)
+
+    def test_hopeless_deadline(self):
+        """Guards against prefill for a request that can't be in time."""
+        overload = Overload(4000, (1,))
+        overload.run(2000, 1)
+        request = WaitingRequest(
+            request_id='hopeless',
+            entry_id='entry',
+            tier_rank=0,
+            team_id='team-0',
+            team_weight=1,
+            deadline_ms=2100,
+            arrived_ms=2000,
+            work=WORK,
+        )
+        self.assertEqual(
+            overload.dispatcher.enqueue(request, 2000),
+            [Expire(request_id='hopeless', entry_id='entry')],
+        )
