Keep credits right when servers come and go

A server that left and came back while requests ran on it started with no credits in use and went negative when they finished; credits are now counted anew from the active grants. Half of a group that shrank could be ejected as a whole; the surplus now returns as a trickle. The state machine changes servers and adopts grants; without the recount it fails. An entry that excludes the server of its unstarted grant gets another one instead of the same again. Room kept for sessions is closed to requests that pass others. Unknown servers count as fast, as they were otherwise never tried; the share of the estimated response length that is used is learned.

--- a/marjoramfall/connection/outlier_ejection.py
+++ b/marjoramfall/connection/outlier_ejection.py
@@ -51,6 +51,17 @@
             server_id: self._health_by_id.get(server_id) or _Health()
             for server_id in server_ids
         }
+        # A smaller group may have more than half of its servers ejected.
+        ejected = [
+            health
+            for health in self._health_by_id.values()
+            if health.ejected_until_ms is not None
+        ]
+        ejected.sort(key=lambda health: health.ejected_until_ms or 0)
+        too_many = len(ejected) - int(MAX_EJECTED_SHARE * len(self._health_by_id))
+        for health in ejected[: max(0, too_many)]:
+            health.ejected_until_ms = None
+            health.trickle_left = TRICKLE_SUCCESSES
 
     def allowed(self, server_id: str, running: int, now_ms: float) -> bool:
         """Return whether a server with so many running requests may get one."""
--- a/marjoramfall/connection/speed_estimate.py
+++ b/marjoramfall/connection/speed_estimate.py
@@ -7,7 +7,8 @@
 # so that a server that became slower for good is measured anew.
 MINIMUM_DRIFT = 1.002
 INITIAL_PREFILL_MS = 0.1
-INITIAL_DECODE_MS = 20
+# Unknown servers count as fast; taken as slow, they would never be tried.
+INITIAL_DECODE_MS = 0
 INFLATION_BOUNDS = (0.25, 8)
 
 
@@ -22,6 +23,8 @@
         self.decode_ms = float(INITIAL_DECODE_MS)
         self.unloaded_decode_ms = float(INITIAL_DECODE_MS)
         self.inflation = float(1)
+        # Callers' limits on the response length overstate it; learned as well.
+        self.decode_share = float(1)
         self.finished = 0
         self._decode_samples = 0
 
@@ -40,13 +43,15 @@
         if report.decode_tokens:
             spent_ms = report.total_ms - first_ms
             self._learn_decode(spent_ms / report.decode_tokens)
+            estimated = max(1, report.work.decode_tokens)
+            observed_share = min(1, report.decode_tokens / estimated)
+            self.decode_share += SMOOTHING * (observed_share - self.decode_share)
         self.finished += 1
 
-    def unloaded_ms(self, work: WorkEstimate, cached_tokens: float = 0) -> float:
-        """Return the time of a request on the idle server, without inflation."""
-        uncached = max(1, work.prefill_tokens - cached_tokens)
-        decode_ms = work.decode_tokens * self.unloaded_decode_ms
-        return uncached * self.prefill_ms + decode_ms
+    def unloaded_ms(self, work: WorkEstimate) -> float:
+        """Return the least time of a request, on the idle server, all cached."""
+        decode_tokens = work.decode_tokens * self.decode_share
+        return self.prefill_ms + decode_tokens * self.unloaded_decode_ms
 
     def _learn_prefill(self, sample_ms: float) -> None:
         if not self.finished:
--- a/marjoramfall/request/active_grants.py
+++ b/marjoramfall/request/active_grants.py
@@ -1,6 +1,7 @@
 """Keep the grants that hold credits."""
 
 import heapq
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from marjoramfall.request.events import Grant, WorkEstimate
@@ -29,6 +30,9 @@
     def __len__(self) -> int:
         return len(self._active_by_id)
 
+    def __iter__(self) -> Iterator[ActiveGrant]:
+        return iter(self._active_by_id.values())
+
     def get(self, request_id: str) -> ActiveGrant | None:
         """Return the active grant of a request, or None."""
         return self._active_by_id.get(request_id)
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -54,7 +54,9 @@
     def enqueue(self, waiting: WaitingRequest, now_ms: float) -> list[Action]:
         """Add a request; a repeated one gets its unstarted grant again."""
         active = self._active.get(waiting.request_id)
-        if active is not None:
+        if active is not None and self._is_refused(active, waiting, now_ms):
+            self._release(waiting.request_id)
+        elif active is not None:
             return [] if active.started else [active.grant]
         if waiting.request_id in self._queue:
             return []
@@ -109,7 +111,7 @@
 
     def set_servers(self, servers: Sequence[ServerInfo], now_ms: float) -> list[Action]:
         """Replace the servers of the group; credits of kept ones stay."""
-        self._group.set_servers(servers)
+        self._group.set_servers(servers, self._active)
         return self._decide(now_ms)
 
     def adopt_active(
@@ -152,6 +154,15 @@
             actions.append(_expire(waiting))
         return actions + self._decide(now_ms) + self._shed(now_ms)
 
+    def _is_refused(
+        self, active: ActiveGrant, again: WaitingRequest, now_ms: float
+    ) -> bool:
+        """Return whether a repeated ask shows that the grant is of no use."""
+        if active.started:
+            return False
+        excluded = active.grant.server_id in again.excluded_server_ids
+        return excluded or active.grant.expires_ms <= now_ms
+
     def _decide(self, now_ms: float) -> list[Action]:
         actions: list[Action] = []
         rooms = self._group.rooms(now_ms)
--- a/marjoramfall/request/placement.py
+++ b/marjoramfall/request/placement.py
@@ -40,8 +40,10 @@
     work = waiting.work
     cached = server.prefixes.expected_tokens(waiting.prefix_hashes, work.prefill_tokens)
     first_ms = server.first_token_ms(work.prefill_tokens, cached, now_ms)
-    decode_ms = work.decode_tokens * server.speed.decode_ms * DECODE_MARGIN
-    prefill_ms = (work.prefill_tokens - cached) * server.speed.prefill_ms
+    speed = server.speed
+    decode_tokens = work.decode_tokens * speed.decode_share * DECODE_MARGIN
+    decode_ms = decode_tokens * speed.decode_ms
+    prefill_ms = (work.prefill_tokens - cached) * speed.prefill_ms
     total_ms = first_ms + decode_ms
     return Placement(waiting, server, cached, prefill_ms, first_ms, total_ms)
 
--- a/marjoramfall/request/placement_search.py
+++ b/marjoramfall/request/placement_search.py
@@ -33,7 +33,8 @@
         if placement is not None or not rooms.common:
             return placement
         for waiting in islice(self._queue, MAX_PASSED_OVER):
-            placement = self._place(waiting, rooms, now_ms)
+            # Room kept for sessions stays closed to whoever is behind others.
+            placement = self._choose(waiting, rooms.common, now_ms)
             if placement is not None:
                 return placement
         return None
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -40,17 +40,30 @@
         self._ejection = OutlierEjection()
         self._homes = SessionHomes()
 
-    def set_servers(self, servers: Sequence[ServerInfo]) -> None:
-        """Replace the servers; what is known of kept ones stays."""
+    def set_servers(
+        self, servers: Sequence[ServerInfo], active: Iterable[ActiveGrant]
+    ) -> None:
+        """Replace the servers and count the active grants of each.
+
+        What is known of kept servers stays, unless their version changed.
+        """
         states_by_id: dict[str, ServerState] = {}
         for info in servers:
             state = self._servers_by_id.get(info.server_id)
             if state is None or state.info.version_id != info.version_id:
-                state = self._renewed(info, state)
+                state = ServerState(info)
             state.info = info
             state.limit.max_concurrency = info.max_concurrency
+            state.running = 0
+            state.tokens = 0
             states_by_id[info.server_id] = state
         self._servers_by_id = states_by_id
+        # A server may have been gone while requests were running on it.
+        for grant in active:
+            holder = states_by_id.get(grant.grant.server_id)
+            if holder is not None:
+                holder.running += 1
+                holder.tokens += grant.work.total_tokens
         self._ejection.set_servers(states_by_id)
 
     def get(self, server_id: str) -> ServerState | None:
@@ -84,8 +97,7 @@
     def least_ms(self, work: WorkEstimate) -> float:
         """Return the time of a request on the fastest server when idle."""
         times_ms = [
-            server.speed.unloaded_ms(work, work.prefill_tokens)
-            for server in self._working_servers()
+            server.speed.unloaded_ms(work) for server in self._servers_by_id.values()
         ]
         return min(times_ms, default=0)
 
@@ -136,17 +148,6 @@
         if server is not None:
             server.prefixes.on_event(event)
 
-    def _working_servers(self) -> Iterable[ServerState]:
-        return self._servers_by_id.values()
-
-    def _renewed(self, info: ServerInfo, known: ServerState | None) -> ServerState:
-        # Another version may have other speeds; the credits in use remain.
-        state = ServerState(info)
-        if known is not None:
-            state.running = known.running
-            state.tokens = known.tokens
-        return state
-
     def _add_room(self, rooms: Rooms, server: ServerState, now_ms: float) -> None:
         used_share = server.used_share(now_ms)
         if used_share >= 1:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -60,6 +60,17 @@
         self.dispatcher.on_started('first', 2)
         self.assertEqual(self.dispatcher.enqueue(waiting_request('first'), 3), [])
 
+    def test_excluded_grant(self):
+        """Guards against the same useless grant for an entry that refused it."""
+        self.dispatcher.set_servers([server('s1'), server('s2')], 0)
+        first = self.dispatcher.enqueue(waiting_request('first'), 0)[0]
+        again = waiting_request(
+            'first', excluded_server_ids=frozenset((first.server_id,))
+        )
+        second = self.dispatcher.enqueue(again, 1)[0]
+        self.assertEqual({first.server_id, second.server_id}, {'s1', 's2'})
+        self.assertEqual(self.dispatcher.active_count, 1)
+
     def test_unstarted_grant_returns_credits(self):
         """Guards against credits that leak when an entry never starts."""
         self.dispatcher.enqueue(waiting_request('first'), 0)
--- a/tests/test_dispatcher_machine.py
+++ b/tests/test_dispatcher_machine.py
@@ -33,16 +33,20 @@
         self.started = {}
         self.tokens = {}
         self.dispatcher = Dispatcher('group', SingleVersionRouter('v1'))
-        servers = [
+        self.server_ids = SERVER_IDS
+        self.apply(self.dispatcher.set_servers(self.servers(), 0))
+
+    def servers(self):
+        """Return the servers that are present."""
+        return [
             ServerInfo(
                 server_id=server_id,
                 version_id='v1',
                 data_centre='dc-1',
                 max_concurrency=MAX_CONCURRENCY,
             )
-            for server_id in SERVER_IDS
+            for server_id in self.server_ids
         ]
-        self.apply(self.dispatcher.set_servers(servers, 0))
 
     def apply(self, actions):
         """Follow the actions and check each of them."""
@@ -53,6 +57,8 @@
             if isinstance(action, Grant):
                 assert min(ranks, default=9) >= request.tier_rank, 'grant inversion'
                 assert action.request_id not in self.granted, 'double grant'
+                server = self.dispatcher._group.get(action.server_id)
+                assert server.running <= MAX_CONCURRENCY, 'over the limit'
                 self.granted[action.request_id] = action
             elif isinstance(action, Shed):
                 assert max(ranks, default=0) <= request.tier_rank, 'shed inversion'
@@ -146,6 +152,30 @@
             self.granted.pop(request_id, None)
             self.apply(self.dispatcher.withdraw(request_id, self.now_ms))
 
+    @rule(present=st.sets(st.sampled_from(SERVER_IDS), min_size=1))
+    def change_servers(self, present):
+        """Lose servers and see them again, with requests in flight."""
+        self.server_ids = tuple(sorted(present))
+        self.apply(self.dispatcher.set_servers(self.servers(), self.now_ms))
+
+    @rule(server_id=st.sampled_from(SERVER_IDS), tokens=st.integers(1, 900))
+    def adopt(self, server_id, tokens):
+        """Learn of a request that an earlier dispatcher granted."""
+        self.made += 1
+        grant = Grant(
+            request_id=f'r{self.made}',
+            entry_id='entry-0',
+            server_id=server_id,
+            version_id='v1',
+            expires_ms=self.now_ms,
+        )
+        self.started[grant.request_id] = grant
+        self.tokens[grant.request_id] = tokens
+        work = WorkEstimate(tokens, 0)
+        self.dispatcher.adopt_active(
+            'entry-0', grant.request_id, server_id, 'v1', work, self.now_ms
+        )
+
     @rule(entry=st.integers(0, 1))
     def release_entry(self, entry):
         """Lose an entry with all its requests."""
@@ -171,18 +201,17 @@
         in_flight = [*self.granted.values(), *self.started.values()]
         assert self.dispatcher.waiting_count == len(self.waiting)
         assert self.dispatcher.active_count == len(in_flight)
-        for server_id in SERVER_IDS:
+        for server_id in self.server_ids:
             server = self.dispatcher._group.get(server_id)
             own = [grant for grant in in_flight if grant.server_id == server_id]
             assert server.running == len(own)
-            assert server.running <= MAX_CONCURRENCY
             assert server.tokens == sum(self.tokens[grant.request_id] for grant in own)
 
     @invariant()
     def ejection_floor_holds(self):
         """Check that at least half of the servers stay in use."""
         ejected = self.dispatcher._group._ejection.ejected_ids(self.now_ms)
-        assert len(ejected) <= len(SERVER_IDS) / 2
+        assert len(ejected) <= len(self.server_ids) / 2
 
 
 class DispatcherMachineTest(unittest.TestCase):
