--- a/marjoramfall/connection/outlier_ejection.py
+++ b/marjoramfall/connection/outlier_ejection.py
@@ -8,6 +8,7 @@
 # Healthy engines differ by up to 2.8 in speed, so that a server is compared
 # with its own past, and by that measure with its peers.
 SLOW_RATIO = 3.0
+SUSPECT_RATIO = 2.0
 BASELINE_SMOOTHING = 0.005
 # Without a healthy past, only a speed far from all peers is a fault.
 SLOW_FROM_START_RATIO = 8.0
@@ -50,6 +51,17 @@
             server_id: self._health_by_id.get(server_id) or _Health()
             for server_id in server_ids
         }
+        # A smaller group may have more than half of its servers ejected.
+        ejected = [
+            health
+            for health in self._health_by_id.values()
+            if health.ejected_until_ms is not None
+        ]
+        ejected.sort(key=lambda health: health.ejected_until_ms or 0)
+        too_many = len(ejected) - int(MAX_EJECTED_SHARE * len(self._health_by_id))
+        for health in ejected[: max(0, too_many)]:
+            health.ejected_until_ms = None
+            health.trickle_left = TRICKLE_SUCCESSES
 
     def allowed(self, server_id: str, running: int, now_ms: float) -> bool:
         """Return whether a server with so many running requests may get one."""
@@ -105,6 +117,9 @@
         health = self._health_by_id[server_id]
         if health.reports < MIN_REPORTS:
             return False
+        # Comparing with all peers takes time; most reports are ordinary.
+        if health.slowdown < SUSPECT_RATIO and health.reports % MIN_REPORTS:
+            return False
         peers = [
             peer
             for peer_id, peer in self._health_by_id.items()
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -1,6 +1,6 @@
 """Keep the backend servers of an engine group."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from marjoramfall.connection.outlier_ejection import (
@@ -28,8 +28,8 @@
 class Rooms:
     """List servers with any room, and those with room for all sessions."""
 
-    by_id: Mapping[str, ServerState]
-    common: Sequence[ServerState]
+    by_id: dict[str, ServerState]
+    common: list[ServerState]
 
 
 class ServerGroup:
@@ -40,17 +40,30 @@
         self._ejection = OutlierEjection()
         self._homes = SessionHomes()
 
-    def set_servers(self, servers: Sequence[ServerInfo]) -> None:
-        """Replace the servers; what is known of kept ones stays."""
+    def set_servers(
+        self, servers: Sequence[ServerInfo], active: Iterable[ActiveGrant]
+    ) -> None:
+        """Replace the servers and count the active grants of each.
+
+        What is known of kept servers stays, unless their version changed.
+        """
         states_by_id: dict[str, ServerState] = {}
         for info in servers:
             state = self._servers_by_id.get(info.server_id)
             if state is None or state.info.version_id != info.version_id:
-                state = self._renewed(info, state)
+                state = ServerState(info)
             state.info = info
             state.limit.max_concurrency = info.max_concurrency
+            state.running = 0
+            state.tokens = 0
             states_by_id[info.server_id] = state
         self._servers_by_id = states_by_id
+        # A server may have been gone while requests were running on it.
+        for grant in active:
+            holder = states_by_id.get(grant.grant.server_id)
+            if holder is not None:
+                holder.running += 1
+                holder.tokens += grant.work.total_tokens
         self._ejection.set_servers(states_by_id)
 
     def get(self, server_id: str) -> ServerState | None:
@@ -59,16 +72,18 @@
 
     def rooms(self, now_ms: float) -> Rooms:
         """Return the servers that may get one more request now."""
-        by_id = {
-            server_id: server
-            for server_id, server in self._servers_by_id.items()
-            if server.has_room(now_ms)
-            and self._ejection.allowed(server_id, server.running, now_ms)
-        }
-        common = [
-            server for server in by_id.values() if server.has_room(now_ms, COMMON_SHARE)
-        ]
-        return Rooms(by_id, common)
+        rooms = Rooms({}, [])
+        for server in self._servers_by_id.values():
+            self._add_room(rooms, server, now_ms)
+        return rooms
+
+    def refresh(self, rooms: Rooms, server_id: str, now_ms: float) -> None:
+        """Correct the rooms after one server got a request."""
+        server = rooms.by_id.pop(server_id, None)
+        if server is not None:
+            if server in rooms.common:
+                rooms.common.remove(server)
+            self._add_room(rooms, server, now_ms)
 
     def home_of(self, waiting: WaitingRequest, rooms: Rooms) -> ServerState | None:
         """Return the server with the session's prefix if it has any room."""
@@ -82,8 +97,7 @@
     def least_ms(self, work: WorkEstimate) -> float:
         """Return the time of a request on the fastest server when idle."""
         times_ms = [
-            server.speed.unloaded_ms(work, work.prefill_tokens)
-            for server in self._working_servers()
+            server.speed.unloaded_ms(work) for server in self._servers_by_id.values()
         ]
         return min(times_ms, default=0)
 
@@ -134,13 +148,12 @@
         if server is not None:
             server.prefixes.on_event(event)
 
-    def _working_servers(self) -> Iterable[ServerState]:
-        return self._servers_by_id.values()
-
-    def _renewed(self, info: ServerInfo, known: ServerState | None) -> ServerState:
-        # Another version may have other speeds; the credits in use remain.
-        state = ServerState(info)
-        if known is not None:
-            state.running = known.running
-            state.tokens = known.tokens
-        return state
+    def _add_room(self, rooms: Rooms, server: ServerState, now_ms: float) -> None:
+        used_share = server.used_share(now_ms)
+        if used_share >= 1:
+            return
+        server_id = server.info.server_id
+        if self._ejection.allowed(server_id, server.running, now_ms):
+            rooms.by_id[server_id] = server
+            if used_share < COMMON_SHARE:
+                rooms.common.append(server)
