--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,6 +3,7 @@
 import gc
 import hashlib
 import random
+import resource
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -20,13 +21,14 @@
 from marjoramfall.messages import MessageCodec
 from marjoramfall.model import BackendServer, Configuration, Move, Team
 from marjoramfall.process.member import Member
-from marjoramfall.request.events import WaitingRequest, WorkEstimate
+from marjoramfall.request.events import FinishReport, WaitingRequest, WorkEstimate
 from marjoramfall.version.move_router import MoveRouter
 
 REPEATS = 2000
 OBJECTS = 5000
 TEAMS = 24_000
 HEAD_SEED = 1
+ROUTER_RESULTS = 640
 SETTLE_MS = 40_000
 PARTITION_MS = 120_000
 
@@ -107,6 +109,35 @@
     return gevent.spawn(gevent.sleep, index + 1000)
 
 
+def _make_router(index: int) -> MoveRouter:
+    """Return a router with 32 routes that have seen both versions."""
+    router = MoveRouter(Move('m', 's', 'old', 'new', 0), now_ms=0, deadline_ms=1e9)
+    for number in range(ROUTER_RESULTS):
+        request = replace(
+            make_waiting(number), request_id=str(number), route=f'/route/{number % 32}'
+        )
+        version = 'old' if number % 5 else 'new'
+        router.on_granted(request, version, number)
+        router.on_finished(make_report(request, version), number)
+    return router
+
+
+def make_report(waiting: WaitingRequest, version: str) -> FinishReport:
+    """Return the result of a request that succeeded."""
+    return FinishReport(
+        request_id=waiting.request_id,
+        server_id='engine-1',
+        version_id=version,
+        route=waiting.route,
+        succeeded=True,
+        dispatched=True,
+        first_token_ms=250.5,
+        total_ms=9000.5,
+        work=waiting.work,
+        decode_tokens=300,
+    )
+
+
 def measure_memory() -> None:
     """Print the memory per item of state."""
     table = Table(title='memory')
@@ -122,7 +153,10 @@
     }
     for name, make in makers.items():
         table.add_row(name, f'{bytes_each(make):.0f}')
+    table.add_row('move with 32 routes', f'{bytes_each(_make_router, count=20):.0f}')
     Console().print(table)
+    peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    Console().print(f'peak memory of this process so far {peak_kib / 1024:.0f} MiB')
 
 
 def measure_configuration() -> None:
@@ -152,14 +186,25 @@
     start = time.process_time()
     result = MoveModel(scenario).run()
     elapsed_us = (time.process_time() - start) * 1e6
-    router = MoveRouter(Move('m', 's', 'old', 'new', 0), now_ms=0, deadline_ms=1000)
-    preferred_us = time_us(lambda: router.preferred_versions(make_waiting(1), 0))
+    router = MoveRouter(Move('m', 's', 'old', 'new', 0), now_ms=0, deadline_ms=1e9)
+    request = make_waiting(1)
+    report = make_report(request, 'old')
+
+    alone_us = time_us(partial(_pass_through, router, request, report))
     Console().print(
         f'move: {elapsed_us / result.requests:.0f} us per request with the traffic'
-        f' model, choice of versions {preferred_us:.1f} us'
+        f' model, choice, grant and result alone {alone_us:.1f} us'
     )
 
 
+def _pass_through(
+    router: MoveRouter, request: WaitingRequest, report: FinishReport
+) -> None:
+    router.preferred_versions(request, 0)
+    router.on_granted(request, 'old', 0)
+    router.on_finished(report, 0)
+
+
 def measure_head_age(count: int = 390) -> None:
     """Print how old the newest known head of the log is at any entry.
 
--- a/marjoramfall/version/betting.py
+++ b/marjoramfall/version/betting.py
@@ -5,37 +5,35 @@
 # Fractions of the capital that are bet. The large ones find certain failure
 # after a few results, the small ones find a failure rate a little over the bound.
 BET_FRACTIONS = (0.9, 0.5, 0.1, 0.02)
+KEPT_FRACTIONS = tuple(1 - fraction for fraction in BET_FRACTIONS)
 CAPITAL_LIMIT = 1e15
 MAX_EXPONENT = 100
 MIN_PROBABILITY = 0.01
 SHARE_SMOOTHING = 0.02
 
 
-def restart_weight(count: int) -> float:
-    """Return the capital that starts with the result of this index.
-
-    The weights sum up to one, so the total stays an e-process, and a fault that
-    begins late needs only logarithmically more evidence than an early one.
-    """
-    return 1 / math.log(count + math.e) - 1 / math.log(count + 1 + math.e)
-
-
 class BettingTest:
     """Bet against the claim that an event is at most as likely as stated."""
 
     def __init__(self) -> None:
         self._capitals = [float(0) for _ in BET_FRACTIONS]
         self._count = 0
+        self._unstarted = float(1)
 
     def observe(self, *, happened: bool, probability: float) -> None:
         """Settle the bet on one result; the probability is the claimed bound."""
-        start = restart_weight(self._count) / len(BET_FRACTIONS)
-        gain = 1 / probability if happened else 0
-        self._count += 1
-        for index, fraction in enumerate(BET_FRACTIONS):
-            factor = 1 - fraction + fraction * gain
-            capital = (self._capitals[index] + start) * factor
-            self._capitals[index] = min(capital, CAPITAL_LIMIT)
+        start = self._next_start()
+        if happened:
+            gain = 1 / probability
+            self._capitals = [
+                min((capital + start) * (kept + (1 - kept) * gain), CAPITAL_LIMIT)
+                for capital, kept in zip(self._capitals, KEPT_FRACTIONS, strict=True)
+            ]
+        else:
+            self._capitals = [
+                (capital + start) * kept
+                for capital, kept in zip(self._capitals, KEPT_FRACTIONS, strict=True)
+            ]
 
     def evidence(self, *, pending: int = 0) -> float:
         """Return the e-value, counting pending results as if no event came.
@@ -44,10 +42,22 @@
         would overstate the failure rate just after the traffic grew.
         """
         return sum(
-            capital * (1 - fraction) ** pending
-            for capital, fraction in zip(self._capitals, BET_FRACTIONS, strict=True)
+            capital * kept**pending
+            for capital, kept in zip(self._capitals, KEPT_FRACTIONS, strict=True)
         )
 
+    def _next_start(self) -> float:
+        """Return the capital with which each bet starts anew at this result.
+
+        The starts sum up to one, so the total stays an e-process, and a fault
+        that begins late needs only logarithmically more evidence.
+        """
+        self._count += 1
+        unstarted = 1 / math.log(self._count + math.e)
+        start = self._unstarted - unstarted
+        self._unstarted = unstarted
+        return start / len(BET_FRACTIONS)
+
 
 class RelativeTest:
     """Bet against the claim that an event is no likelier at the new version.
--- a/marjoramfall/version/move_router.py
+++ b/marjoramfall/version/move_router.py
@@ -50,7 +50,7 @@
         self._actions: list[MoveAction] = []
         self._recorded_share = move.share
         self._warned = False
-        self._told_end = False
+        self._told_end = not self.controller.running
 
     def preferred_versions(
         self, waiting: WaitingRequest, now_ms: float
