--- a/marjoramfall/version/evidence.py
+++ b/marjoramfall/version/evidence.py
@@ -16,7 +16,8 @@
 FALSE_RELATIVE_RATE = 0.01
 SLOW_QUANTILE = 0.9
 QUANTILE_STEP = 0.05
-LEVEL_SMOOTHING = 0.1
+LEVEL_SMOOTHING = 0.05
+DRIFT_SMOOTHING = 0.1
 MIN_BUCKET_RESULTS = 4
 MIN_RATE_TOKENS = 4
 DECODE_COST = 20
@@ -56,33 +57,37 @@
     """Predict a latency of the old version from the size of the request.
 
     Sizes differ by a factor of a hundred, so latencies are compared as
-    logarithms of the ratio to the prediction.
+    logarithms of the ratio to the prediction: a level per size and a drift
+    common to all sizes, so that rare sizes follow a general slowdown.
     """
 
     def __init__(self) -> None:
         self._levels_by_bucket: dict[int, float] = {}
         self._counts: Counter[int] = Counter()
         self._slow_residual = math.log(2)
+        self._drift = float(0)
 
     def slow(self, size: int, duration_ms: float, allowance: float) -> bool | None:
         """Return whether a latency is in the slow tail; None if unknown."""
         bucket = size.bit_length()
         if self._counts[bucket] < MIN_BUCKET_RESULTS:
             return None
-        level = self._levels_by_bucket[bucket]
-        return _log(duration_ms) - level - allowance > self._slow_residual
+        predicted = self._levels_by_bucket[bucket] + self._drift
+        return _log(duration_ms) - predicted - allowance > self._slow_residual
 
     def learn(self, size: int, duration_ms: float) -> None:
         """Take a latency of the old version."""
         bucket = size.bit_length()
         latency = _log(duration_ms)
-        level = self._levels_by_bucket.setdefault(bucket, latency)
-        is_slow = latency - level > self._slow_residual
+        level = self._levels_by_bucket.setdefault(bucket, latency - self._drift)
+        residual = latency - level - self._drift
+        is_slow = residual > self._slow_residual
         change = SLOW_QUANTILE if is_slow else SLOW_QUANTILE - 1
         self._slow_residual += QUANTILE_STEP * change
         self._counts[bucket] += 1
         weight = max(1 / self._counts[bucket], LEVEL_SMOOTHING)
-        self._levels_by_bucket[bucket] += weight * (latency - level)
+        self._levels_by_bucket[bucket] += weight * residual
+        self._drift += DRIFT_SMOOTHING * residual
 
 
 class EvidenceStream:
--- a/tests/test_move_router.py
+++ b/tests/test_move_router.py
@@ -113,6 +113,16 @@
         traffic.send_many(500, failing=('old', 'new'))
         self.assertTrue(traffic.router.controller.running)
 
+    def test_general_slowdown_is_not_blamed(self):
+        """Guards against withdrawal when both versions become slow at once."""
+        traffic = Traffic()
+        traffic.send_many(500)
+        for index in range(1000):
+            first_ms = 400 + index % 100
+            traffic.send(first_ms={'old': first_ms, 'new': first_ms})
+        kinds = {type(action) for action in traffic.actions}
+        self.assertNotIn(WithdrawVersion, kinds)
+
     def test_undispatched_failure_is_not_blamed(self):
         """Guards against blaming a version for a server that is down."""
         traffic = Traffic()
