--- a/marjoramfall/request/admission.py
+++ b/marjoramfall/request/admission.py
@@ -13,7 +13,7 @@
 # rest covers the error of the prediction. With 0.5, a burst of 20 s loses a
 # third of a tier that would fit.
 MAX_WAIT_SHARE = 0.9
-LASTING_SHARE = 0.5
+LASTING_SHARE = 0.4
 MAX_RETRY_AFTER_MS = 30_000
 
 
