--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -9,7 +9,10 @@
     LocalQueuesPolicy,
     RoundRobinPolicy,
 )
-from benchmarks.shared_dispatcher import SharedDispatcherPolicy
+from benchmarks.shared_dispatcher import (
+    LocalDispatchersPolicy,
+    SharedDispatcherPolicy,
+)
 from benchmarks.simulation import Policy, Simulation
 from benchmarks.table_writer import TableWriter
 from benchmarks.traces import BLOCK_TOKENS, DEADLINES_MS, Job, Scenario, TraceMaker
@@ -27,6 +30,7 @@
 TIERS = tuple(range(len(DEADLINES_MS)))
 POLICIES: dict[str, Callable[[], Policy]] = {
     SHARED: SharedDispatcherPolicy,
+    'dispatcher per entry': LocalDispatchersPolicy,
     'round robin': RoundRobinPolicy,
     'least outstanding': LeastOutstandingPolicy,
     'queue per entry': LocalQueuesPolicy,
--- a/benchmarks/shared_dispatcher.py
+++ b/benchmarks/shared_dispatcher.py
@@ -8,7 +8,7 @@
     Policy,
     Simulation,
 )
-from benchmarks.traces import SPEEDS, Job
+from benchmarks.traces import ENTRY_COUNT, SPEEDS, Job
 from marjoramfall.request.dispatcher import Dispatcher
 from marjoramfall.request.events import (
     Action,
@@ -31,23 +31,21 @@
 class SharedDispatcherPolicy(Policy):
     """Ask one dispatcher, one hop away from every entry."""
 
+    dispatcher_count = 1
+
     def __init__(self) -> None:
-        self.dispatcher = Dispatcher('group', SingleVersionRouter(VERSION))
+        self.dispatchers = [
+            Dispatcher('group', SingleVersionRouter(VERSION))
+            for _ in range(self.dispatcher_count)
+        ]
 
     def start(self, simulation: Simulation) -> None:
-        """Tell the dispatcher its servers."""
+        """Tell the dispatchers their servers."""
         super().start(simulation)
-        servers = [
-            ServerInfo(
-                server_id=f'engine-{number}',
-                version_id=VERSION,
-                data_centre='dc-1',
-                max_concurrency=MAX_CONCURRENCY,
-            )
-            for number in range(len(SPEEDS))
-        ]
         self._jobs_by_id = {job.request_id: job for job in simulation.jobs}
-        self._apply(self.dispatcher.set_servers(servers, simulation.now_ms))
+        for number, dispatcher in enumerate(self.dispatchers):
+            servers = [self._server(number, engine) for engine in range(len(SPEEDS))]
+            self._apply(dispatcher.set_servers(servers, simulation.now_ms))
         self._tick(simulation.jobs[-1].deadline_ms)
 
     def on_arrival(self, job: Job) -> None:
@@ -69,12 +67,12 @@
             cached_tokens=job.cached_tokens,
             decode_tokens=0 if job.cancelled else job.decode,
         )
-        self.simulation.later(HOP_MS, self._finish, report)
+        self.simulation.later(HOP_MS, self._finish, job, report)
 
     def on_give_up(self, job: Job) -> None:
         """Withdraw the ask."""
         now_ms = self.simulation.now_ms
-        self._apply(self.dispatcher.withdraw(job.request_id, now_ms))
+        self._apply(self._of(job).withdraw(job.request_id, now_ms))
 
     def on_load_report(self, engine: FakeEngine, measured_ms: float) -> None:
         """Pass the report on, late."""
@@ -116,19 +114,22 @@
             route='/v1/completions',
         )
         self.simulation.note_waiting(job)
-        self._apply(self.dispatcher.enqueue(waiting, self.simulation.now_ms))
+        self._apply(self._of(job).enqueue(waiting, self.simulation.now_ms))
 
-    def _finish(self, report: FinishReport) -> None:
-        self._apply(self.dispatcher.on_finished(report, self.simulation.now_ms))
+    def _finish(self, job: Job, report: FinishReport) -> None:
+        self._apply(self._of(job).on_finished(report, self.simulation.now_ms))
 
     def _load(self, report: LoadReport) -> None:
-        self._apply(self.dispatcher.on_load_report(report, self.simulation.now_ms))
+        for dispatcher in self.dispatchers:
+            self._apply(dispatcher.on_load_report(report, self.simulation.now_ms))
 
     def _cache(self, event: CacheEvent) -> None:
-        self._apply(self.dispatcher.on_cache_event(event, self.simulation.now_ms))
+        for dispatcher in self.dispatchers:
+            self._apply(dispatcher.on_cache_event(event, self.simulation.now_ms))
 
     def _tick(self, end_ms: float) -> None:
-        self._apply(self.dispatcher.tick(self.simulation.now_ms))
+        for dispatcher in self.dispatchers:
+            self._apply(dispatcher.tick(self.simulation.now_ms))
         if self.simulation.now_ms < end_ms:
             self.simulation.later(TICK_MS, self._tick, end_ms)
 
@@ -145,4 +146,27 @@
                 self.simulation.refuse(job, 'expired')
 
     def _start(self, job: Job) -> None:
-        self._apply(self.dispatcher.on_started(job.request_id, self.simulation.now_ms))
+        now_ms = self.simulation.now_ms
+        self._apply(self._of(job).on_started(job.request_id, now_ms))
+
+    def _of(self, job: Job) -> Dispatcher:
+        return self.dispatchers[job.entry % self.dispatcher_count]
+
+    def _server(self, dispatcher: int, engine: int) -> ServerInfo:
+        equal, left = divmod(MAX_CONCURRENCY, self.dispatcher_count)
+        extra = (dispatcher + engine) % self.dispatcher_count < left
+        return ServerInfo(
+            server_id=f'engine-{engine}',
+            version_id=VERSION,
+            data_centre='dc-1',
+            max_concurrency=equal + extra,
+        )
+
+
+class LocalDispatchersPolicy(SharedDispatcherPolicy):
+    """Run the same dispatcher at every entry, with equal parts of the limits."""
+
+    dispatcher_count = ENTRY_COUNT
+
+    def on_load_report(self, engine: FakeEngine, measured_ms: float) -> None:
+        """Ignore reports, as they count the work of all entries."""
