Measure the cost of one entry against a pass-through

Nothing showed what an entry adds to a request. The benchmark starts one entry, its stand-ins and a bare WSGI pass-through on loopback ports and takes latency, requests and tokens per core from the same run. A pass-through without TCP_NODELAY was ruled out: it waits about 44 ms for delayed acknowledgements (median 44.8 ms), which hides the entry's cost.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
 # Each module has a function `run(table_writer)`.
 MODULES_BY_NAME = {
     'scheduling': 'benchmarks.scheduling',
+    'entry_path': 'benchmarks.entry_path',
     'decision_cost': 'benchmarks.decision_cost',
 }
 
