--- a/marjoramfall/connection/speed_estimate.py
+++ b/marjoramfall/connection/speed_estimate.py
@@ -9,6 +9,10 @@
 INITIAL_PREFILL_MS = 0.1
 # Unknown servers count as fast; taken as slow, they would never be tried.
 INITIAL_DECODE_MS = 0
+# Calls of plain services differ by route and have no tokens to divide by, so
+# that they are compared with a slow mean, in which one sample counts little.
+USUAL_SMOOTHING = 0.005
+MAX_SAMPLE_RATIO = 4
 INFLATION_BOUNDS = (0.25, 8)
 
 
@@ -23,6 +27,7 @@
         self.decode_ms = float(INITIAL_DECODE_MS)
         self.unloaded_decode_ms = float(INITIAL_DECODE_MS)
         self.inflation = float(1)
+        self.usual_ms = float(0)
         # Callers' limits on the response length overstate it; learned as well.
         self.decode_share = float(1)
         self.finished = 0
@@ -48,6 +53,20 @@
             self.decode_share += SMOOTHING * (observed_share - self.decode_share)
         self.finished += 1
 
+    def on_plain_finish(self, total_ms: float) -> float:
+        """Learn from a plain call and return its time against the usual one."""
+        total_ms = max(total_ms, 0.001)
+        if not self.usual_ms:
+            self.usual_ms = total_ms
+            self.prefill_ms = total_ms
+        ratio = total_ms / self.usual_ms
+        weight = max(USUAL_SMOOTHING, 1 / (self.finished + 1))
+        growth = min(ratio, MAX_SAMPLE_RATIO) - 1
+        self.usual_ms += weight * growth * self.usual_ms
+        self.prefill_ms = min(self.prefill_ms * MINIMUM_DRIFT, total_ms)
+        self.finished += 1
+        return ratio
+
     def unloaded_ms(self, work: WorkEstimate) -> float:
         """Return the least time of a request, on the idle server, all cached."""
         decode_tokens = work.decode_tokens * self.decode_share
--- a/marjoramfall/request/placement.py
+++ b/marjoramfall/request/placement.py
@@ -38,6 +38,9 @@
 def propose(waiting: WaitingRequest, server: ServerState, now_ms: float) -> Placement:
     """Predict the latency of a request at a server."""
     work = waiting.work
+    if not work.decode_tokens:
+        plain_ms = server.plain_ms()
+        return Placement(waiting, server, 0, 0, plain_ms, plain_ms)
     cached = server.prefixes.expected_tokens(waiting.prefix_hashes, work.prefill_tokens)
     first_ms = server.first_token_ms(work.prefill_tokens, cached, now_ms)
     speed = server.speed
--- a/marjoramfall/request/placement_search.py
+++ b/marjoramfall/request/placement_search.py
@@ -50,6 +50,9 @@
     def _place(
         self, waiting: WaitingRequest, rooms: Rooms, now_ms: float
     ) -> Placement | None:
+        if not waiting.work.decode_tokens:
+            # Plain calls have no prefix, so that no room is kept from them.
+            return self._choose(waiting, rooms.by_id.values(), now_ms)
         home = self._group.home_of(waiting, rooms)
         if home is None or home in rooms.common:
             return self._choose(waiting, rooms.common, now_ms)
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -43,16 +43,24 @@
         step_ms = self.speed.decode_ms
         return queued_ms + step_ms + self._prefill_ms(prefill_tokens - cached_tokens)
 
+    def plain_ms(self) -> float:
+        """Return the expected time of a plain call beside those that run."""
+        used = self.running / self.info.max_concurrency
+        return self.speed.usual_ms * (1 + used)
+
     def take(self, active: ActiveGrant, now_ms: float) -> None:
         """Take the credits of a granted request."""
         self.running += 1
         self._running_peak = max(self._running_peak, self.running)
         self.tokens += active.work.total_tokens
         self.limit.on_granted(active.work.total_tokens, self.tokens)
+        self._last_grant_ms = now_ms
+        if not active.work.decode_tokens:
+            # Plain calls run side by side and queue no prefill.
+            return
         uncached = active.work.prefill_tokens - active.expected_cached
         begin_ms = max(now_ms, self._prefill_free_ms)
         self._prefill_free_ms = begin_ms + self._prefill_ms(uncached)
-        self._last_grant_ms = now_ms
 
     def give_back(self, active: ActiveGrant) -> None:
         """Return the credits of a request."""
@@ -63,6 +71,9 @@
         """Learn speed, limit and prefix hits from a finished request."""
         if not report.succeeded:
             return
+        if not active.work.decode_tokens:
+            self.limit.on_finished(self.speed.on_plain_finish(report.total_ms))
+            return
         self.speed.on_finish(report, active.predicted_first_ms)
         self.prefixes.learn(active.expected_cached, report.cached_tokens)
         unloaded_ms = (
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from marjoramfall.request.active_grants import ActiveGrant
 from marjoramfall.request.dispatcher import Dispatcher
 from marjoramfall.request.events import (
     Expire,
@@ -11,6 +12,7 @@
     WaitingRequest,
     WorkEstimate,
 )
+from marjoramfall.request.server_state import ServerState
 from marjoramfall.version.router import SingleVersionRouter
 
 WORK = WorkEstimate(200, 20)
@@ -92,6 +94,41 @@
                 self.inversions += max(ranks, default=0) > request.tier_rank
 
 
+class PlainServiceTest(unittest.TestCase):
+    """Check services whose calls have no tokens."""
+
+    def test_unlike_routes(self):
+        """Guards against a limit that takes slow routes for overload."""
+        server = ServerState(
+            ServerInfo(
+                server_id='s1', version_id='v1', data_centre='dc-1', max_concurrency=8
+            )
+        )
+        work = WorkEstimate(1, 0)
+        grant = Grant(
+            request_id='r', entry_id='e', server_id='s1', version_id='v1', expires_ms=0
+        )
+        for number in range(400):
+            held = [ActiveGrant(grant=grant, work=work) for _ in range(8)]
+            for active in held:
+                server.take(active, number)
+            for place, active in enumerate(held):
+                report = FinishReport(
+                    request_id='r',
+                    server_id='s1',
+                    version_id='v1',
+                    route='',
+                    succeeded=True,
+                    dispatched=True,
+                    first_token_ms=None,
+                    total_ms=(5, 20, 200)[(number + place) % 3],
+                    work=work,
+                )
+                server.give_back(active)
+                server.on_finished(active, report)
+        self.assertGreater(server.limit.requests, 6)
+
+
 class OverloadTest(unittest.TestCase):
     """Check what is refused when more arrives than can be served."""
 
