End the processes of a test whose system does not start

Ruled out: the entries; they end on SIGTERM and SIGKILL. Conclusion: the harness closes itself when its start fails.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -56,22 +56,15 @@
         self.platform = free_address()
         self.engine = free_address()
         self.service = free_address()
-        self._standin('platform', 'platform', self.platform)
-        self._standin('engine', 'engine', self.engine, '--decode-rate', '200')
-        self._standin('payments', 'service', self.service)
-        for address in (self.platform, self.engine, self.service):
-            self.wait(partial(self._answers, address))
-        self._configure()
         self.callers_by_vm = {}
         self.operators_by_vm = {}
         self._settings_by_vm = {}
-        for number in range(1, entries + 1):
-            self._prepare(f'entry-{number}')
-        self._list_vms()
-        for vm in self.callers_by_vm:
-            self.start(vm)
-        for started in self.callers_by_vm:
-            self.wait_ready(started)
+        try:
+            self._start_all(entries)
+        except BaseException:
+            # The caller gets no object to close.
+            self.close()
+            raise
 
     def close(self):
         """End all processes."""
@@ -158,6 +151,21 @@
         )
         return status, (msgspec.json.decode(body) if body else {})
 
+    def _start_all(self, entries):
+        self._standin('platform', 'platform', self.platform)
+        self._standin('engine', 'engine', self.engine, '--decode-rate', '200')
+        self._standin('payments', 'service', self.service)
+        for address in (self.platform, self.engine, self.service):
+            self.wait(partial(self._answers, address))
+        self._configure()
+        for number in range(1, entries + 1):
+            self._prepare(f'entry-{number}')
+        self._list_vms()
+        for vm in self.callers_by_vm:
+            self.start(vm)
+        for started in self.callers_by_vm:
+            self.wait_ready(started)
+
     def _answers(self, address):
         return self.get(address, '/stats')[0] == 200
 
