Run all benchmarks through one registry with stated targets

The moves are checked against the users' 5% share now; that check is stricter and is expected to miss for faults that begin after the share has risen. Ruled out: keeping both checks. Conclusion: make bench runs all and names each missed target.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,11 @@
     'scheduling': 'benchmarks.scheduling',
     'entry_path': 'benchmarks.entry_path',
     'decision_cost': 'benchmarks.decision_cost',
+    'moves': 'benchmarks.moves',
+    'membership': 'benchmarks.membership',
+    'config_spread': 'benchmarks.config_spread',
+    'store_writes': 'benchmarks.store_writes',
+    'capacity': 'benchmarks.capacity',
 }
 
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,6 +18,7 @@
 from benchmarks.member_model import MemberModel
 from benchmarks.move_model import MoveModel, Scenario, good_profile
 from benchmarks.sample_messages import INCARNATION, MESSAGES, REQUEST_ID, TEAM
+from benchmarks.table_writer import TableWriter
 from marjoramfall.messages import MessageCodec
 from marjoramfall.model import BackendServer, Configuration, Move, Team
 from marjoramfall.process.member import Member
@@ -278,7 +279,7 @@
     )
 
 
-def run() -> None:
+def run(table_writer: TableWriter) -> None:
     """Print all slopes."""
     measure_messages()
     measure_memory()
@@ -286,7 +287,3 @@
     measure_move_router()
     measure_head_age()
     measure_losses()
-
-
-if __name__ == '__main__':
-    run()
--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -11,6 +11,7 @@
 from statistics import median
 
 from benchmarks.config_mesh import ConfigMesh, MeshNode
+from benchmarks.table_writer import TableWriter
 from marjoramfall.model import Tier
 from marjoramfall.process.config_changes import PutTier
 from marjoramfall.process.config_log import Submission
@@ -131,8 +132,8 @@
     return mesh.counts['polls'] * 1000 / IDLE_MS
 
 
-def run() -> None:
-    """Print the comparison; raises `RuntimeError` if a target is missed."""
+def run(table_writer: TableWriter) -> None:
+    """Print the comparison and check the targets."""
     missed = []
     for mesh_type in (PollingMesh, ConfigMesh, AntiEntropyMesh):
         for size in SIZES:
@@ -146,8 +147,7 @@
                 print(f'  cut off {cut}: {_summary(figures)}')
                 if mesh_type is ConfigMesh:
                     missed += _missed(size, cut, figures)
-    if missed:
-        raise RuntimeError(f'targets missed: {missed}')
+    table_writer.at_most('missed targets of the configuration', len(missed), 0)
 
 
 def _start(mesh_type: type[ConfigMesh], size: int, seed: int) -> ConfigMesh:
@@ -184,7 +184,3 @@
     if not cut and size == TARGET_SIZE and slowest > TARGET_MS:
         return [f'{size} entries: {slowest} ms > {TARGET_MS} ms']
     return []
-
-
-if __name__ == '__main__':
-    run()
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -7,8 +7,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from benchmarks.bounds import check_at_most
 from benchmarks.member_model import MemberModel, Node
+from benchmarks.table_writer import TableWriter
 
 COUNTS = (9, 30, 90)
 # News of 90 entries that start together takes half a minute to be told.
@@ -95,17 +95,13 @@
     return costs
 
 
-def run() -> None:
+def run(table_writer: TableWriter) -> None:
     """Measure without and with lost messages and check the bounds."""
     costs = run_loss(0) + run_loss(0.01)
     false_removals = sum(cost.false_removals for cost in costs)
-    check_at_most('false removals', false_removals, 0)
-    check_at_most(
+    table_writer.at_most('false removals', false_removals, 0)
+    table_writer.at_most(
         'bytes a second', max(cost.sent_bytes for cost in costs), MAX_BYTES_PER_S
     )
     nine = [ms for cost in costs if cost.count == COUNTS[0] for ms in cost.removal_ms]
-    check_at_most('removal at 9 entries', max(nine), MAX_REMOVAL_MS_OF_NINE)
-
-
-if __name__ == '__main__':
-    run()
+    table_writer.at_most('removal at 9 entries, ms', max(nine), MAX_REMOVAL_MS_OF_NINE)
--- a/benchmarks/move_model.py
+++ b/benchmarks/move_model.py
@@ -55,6 +55,7 @@
 class MoveResult:
     """Hold what one simulated move led to; times are in milliseconds."""
 
+    kind: str = ''
     state: str = ''
     reason: str = ''
     ended_ms: float = 0
@@ -70,6 +71,11 @@
     grants_after_withdrawal: int = 0
     actions: list[MoveAction] = field(default_factory=list)
 
+    @property
+    def bad_share(self) -> float:
+        """Return the share of requests that met the fault, while it lasted."""
+        return self.bad_requests / max(self.requests_while_bad, 1)
+
     @property
     def bad_to_none_ms(self) -> float:
         """Return the time from the first to the last bad request."""
--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -7,7 +7,6 @@
 from rich.console import Console
 from rich.table import Table
 
-from benchmarks.bounds import check_at_most
 from benchmarks.move_model import (
     GOOD,
     ROUTES,
@@ -18,6 +17,7 @@
     Profile,
     Scenario,
 )
+from benchmarks.table_writer import TableWriter
 from marjoramfall.model import MoveState
 
 SEEDS = (1, 2, 3)
@@ -27,9 +27,8 @@
 GOOD_RATES = (0.6, 1, 2, 5, 10, 20)
 GOOD_DURATION_MS = 600_000
 
-# Bounds over all seeds; a version that fails five times in a hundred is the
-# hardest kind, as the guard allows two.
-MAX_EVIDENCE_REQUESTS = 1100
+# The users' bound for a version before the evidence suffices.
+MAX_BAD_SHARE = 0.05
 
 
 def _always(behaviour: Behaviour, circumstances: Circumstances) -> Behaviour:
@@ -123,25 +122,26 @@
         requests_per_s=BAD_REQUESTS_PER_S,
         duration_ms=BAD_DURATION_MS,
     )
-    return MoveModel(scenario).run()
+    result = MoveModel(scenario).run()
+    result.kind = name
+    return result
 
 
 def _bad_row(name: str) -> tuple[list[MoveResult], list[str]]:
     results = [_run_bad(name, seed) for seed in SEEDS]
     taken_back = sum(item.state == MoveState.TAKEN_BACK for item in results)
-    shares = [item.bad_requests / max(item.requests_while_bad, 1) for item in results]
     seconds = [item.bad_to_none_ms / 1000 for item in results]
     return results, [
         name,
         f'{taken_back}/{len(SEEDS)}',
-        f'{max(shares):.1%}',
+        f'{max(item.bad_share for item in results):.1%}',
         str(max(item.bad_requests for item in results)),
         f'{max(seconds):.1f}',
         f'{statistics.mean(seconds):.1f}',
     ]
 
 
-def run_bad() -> None:
+def run_bad(table_writer: TableWriter) -> None:
     """Print what reached each kind of bad version, worst of all seeds."""
     table = Table(title=f'bad versions, {BAD_REQUESTS_PER_S} requests/s, 300 s')
     for title in ('kind', 'taken back', 'share', 'requests', 's to none', 'mean s'):
@@ -153,14 +153,15 @@
         table.add_row(*row)
     Console().print(table)
     missed = sum(item.state != MoveState.TAKEN_BACK for item in worst)
-    check_at_most('bad versions not taken back', missed, 0)
+    table_writer.at_most('bad versions not taken back', missed, 0)
     late = sum(item.grants_after_withdrawal for item in worst)
-    check_at_most('grants after withdrawal', late, 0)
-    most = max(item.bad_requests for item in worst)
-    check_at_most('requests at a bad version', most, MAX_EVIDENCE_REQUESTS)
+    table_writer.at_most('grants after withdrawal', late, 0)
+    for kind in BAD_PROFILES:
+        share = max(item.bad_share for item in worst if item.kind == kind)
+        table_writer.at_most(f'share of a version that {kind}', share, MAX_BAD_SHARE)
 
 
-def run_good() -> None:
+def run_good(table_writer: TableWriter) -> None:
     """Print how many good versions were moved in time."""
     results = [MoveModel(good_scenario(index)).run() for index in range(GOOD_COUNT)]
     table = Table(title=f'{GOOD_COUNT} good versions, 600 s')
@@ -178,14 +179,10 @@
         )
     Console().print(table)
     late = sum(item.state != MoveState.COMPLETED for item in results)
-    check_at_most('good versions not moved', late, 0)
+    table_writer.at_most('good versions not moved', late, 0)
 
 
-def run() -> None:
-    """Measure bad and good versions and check the bounds."""
-    run_bad()
-    run_good()
-
-
-if __name__ == '__main__':
-    run()
+def run(table_writer: TableWriter) -> None:
+    """Measure bad and good versions against the targets."""
+    run_bad(table_writer)
+    run_good(table_writer)
--- a/benchmarks/store_writes.py
+++ b/benchmarks/store_writes.py
@@ -8,9 +8,8 @@
 
 import gevent
 from gevent.pool import Pool
-from rich.console import Console
-from rich.table import Table
 
+from benchmarks.table_writer import TableWriter
 from marjoramfall.borders.platform import Row, TableService
 from marjoramfall.clock import RuntimeClock
 from marjoramfall.request.key_claim import (
@@ -85,7 +84,7 @@
             self._claims.release(scope, claim_id, DISPATCHED)
 
 
-def run(load: Load) -> tuple[float, float, int]:
+def measure(load: Load) -> tuple[float, float, int]:
     """Return transactions and reads per request, and refused requests."""
     generator = random.Random(SEED)
     clock = RuntimeClock()
@@ -105,24 +104,13 @@
     return transactions, table.reads / REQUESTS, caller.unavailable
 
 
-def main() -> None:
+def run(table_writer: TableWriter) -> None:
     """Print a table of loads and their store calls."""
-    report = Table('requests/s', 'repeated', 'batch', 'writes', 'reads', 'unavailable')
+    columns = ('requests/s', 'repeated', 'batch', 'writes', 'reads', 'unavailable')
+    rows: list[tuple[object, ...]] = []
     for per_second in (20, 100, 300, 1000):
         for repeated in (0, 0.05):
-            for rows in (1, MAX_BATCH_ROWS):
-                load = Load(per_second, repeated, rows)
-                writes, reads, unavailable = run(load)
-                report.add_row(
-                    str(per_second),
-                    f'{repeated:.0%}',
-                    str(rows),
-                    f'{writes:.2f}',
-                    f'{reads:.2f}',
-                    str(unavailable),
-                )
-    Console().print(report)
-
-
-if __name__ == '__main__':
-    main()
+            for batch in (1, MAX_BATCH_ROWS):
+                measured = measure(Load(per_second, repeated, batch))
+                rows.append((per_second, f'{repeated:.0%}', batch, *measured))
+    table_writer.write('store calls per keyed request', columns, rows)
--- a/benchmarks/table_writer.py
+++ b/benchmarks/table_writer.py
@@ -35,5 +35,9 @@
         if not met:
             self.missed.append(name)
 
+    def at_most(self, name: str, measured: float, bound: float) -> None:
+        """Check a target that a value must not exceed."""
+        self.target(name, measured, bound, met=measured <= bound)
+
     def _format(self, cell: object) -> str:
         return f'{cell:.3f}' if isinstance(cell, float) else str(cell)
