--- a/marjoramfall/borders/caller_errors.py
+++ b/marjoramfall/borders/caller_errors.py
@@ -50,6 +50,8 @@
     What follows on the connection could not be told from a next request.
     """
 
+    code = 'unread_body'
+
 
 class BodyTooLargeError(UnreadBodyError):
     """Report a body above the limit in bytes."""
--- a/marjoramfall/errors.py
+++ b/marjoramfall/errors.py
@@ -50,7 +50,7 @@
 class BackendServerError(MarjoramfallError):
     """Report a failure of a backend server after dispatch."""
 
-    code = 'backend_server_failed'
+    code = 'backend_server_error'
     http_status = 502
 
 
