Count requests by service and tier, and decisions by group and tier

The request counter told only outcomes, the latency histogram and the counter of withdrawals were never fed, and sheds could not be told apart by tier.

A record follows each caller's request and takes tier and service only once they are known to be configured.

Decisions are counted where the host of a group turns them into messages. Keeping the ranks of waiting requests in the host was ruled out: it would repeat the dispatcher's bookkeeping. Grants and expiries carry the rank instead, as sheds did.

--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -34,6 +34,7 @@
 )
 from marjoramfall.borders.caller_server import CALLER_SOCKET
 from marjoramfall.borders.caller_watch import CallerWatch
+from marjoramfall.borders.request_record import RequestRecord
 from marjoramfall.clock import Clock
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.identifiers import RequestIds
@@ -56,14 +57,14 @@
     """Connect the callers' interface to the entry process.
 
     `check_accepting` raises a `RefusedError` while no request may be taken;
-    `count` gets `ok` or an error code for each request; `issue_key` returns
-    a new idempotency key for a team.
+    `count` gets each request when it has ended; `issue_key` returns a new
+    idempotency key for a team.
     """
 
     configuration: Callable[[], Configuration]
     is_ready: Callable[[], bool]
     check_accepting: Callable[[], None]
-    count: Callable[[str], None]
+    count: Callable[[RequestRecord], None]
     issue_key: Callable[[str], str]
 
 
@@ -80,6 +81,7 @@
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     ) -> None:
         self._path = path
+        self._clock = clock
         self._hooks = hooks
         self._request_ids = request_ids
         self._max_body_bytes = max_body_bytes
@@ -91,11 +93,14 @@
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one request."""
-        request_id = self._request_ids.issue()
+        record = RequestRecord(
+            request_id=self._request_ids.issue(),
+            started_ms=self._clock.monotonic_ms(),
+        )
         self.active_requests += 1
-        response = self._answer(environ, request_id)
-        response.on_end(self._on_end)
-        headers = response.header_list(request_id)
+        response = self._answer(environ, record)
+        response.on_end(lambda code: self._on_end(record, code))
+        headers = response.header_list(record.request_id)
         if not self._hooks.is_ready():
             # Callers must not send a next request while the entry stops.
             headers.append(CLOSE)
@@ -106,29 +111,32 @@
     def _configuration(self) -> Configuration:
         return self._hooks.configuration()
 
-    def _on_end(self, code: str) -> None:
+    def _on_end(self, record: RequestRecord, code: str) -> None:
         self.active_requests -= 1
-        self._hooks.count(code)
+        record.outcome = code
+        record.ended_ms = self._clock.monotonic_ms()
+        self._hooks.count(record)
 
-    def _answer(self, environ: Environ, request_id: str) -> CallerResponse:
+    def _answer(self, environ: Environ, record: RequestRecord) -> CallerResponse:
+        request_id = record.request_id
         try:
-            return self._route(environ, request_id)
+            return self._route(environ, record)
         except MarjoramfallError as error:
             return failure_response(error, request_id)
         except Exception as error:
             logger.exception('request {} failed', request_id)
             return error_response(MarjoramfallError(repr(error)), request_id)
 
-    def _route(self, environ: Environ, request_id: str) -> CallerResponse:
+    def _route(self, environ: Environ, record: RequestRecord) -> CallerResponse:
         path = raw_path(environ)
         if path in PROBE_PATHS:
             return self._probe(path)
         if path in MODEL_BODIES_BY_PATH:
-            return self._model(self._read(environ, request_id, path))
+            return self._model(self._read(environ, record, path))
         if path == KEYS_PATH:
             return self._issue_key(environ)
         if path.startswith(SERVICES_PREFIX):
-            return self._plain(self._read(environ, request_id, path))
+            return self._plain(self._read(environ, record, path))
         raise UnknownPathError(f'there is no endpoint {path!r}')
 
     def _probe(self, path: str) -> CallerResponse:
@@ -136,12 +144,15 @@
             return json_response(HTTPStatus.OK, {'status': 'ok'})
         raise NotReadyError('the entry is not ready')
 
-    def _read(self, environ: Environ, request_id: str, path: str) -> CallerRequest:
+    def _read(
+        self, environ: Environ, record: RequestRecord, path: str
+    ) -> CallerRequest:
         check_headers(environ)
         identity = self._teams.identify(environ, self._configuration)
+        record.tier_id = identity.tier.tier_id
         self._hooks.check_accepting()
         return CallerRequest(
-            request_id=request_id,
+            record=record,
             identity=identity,
             environ=environ,
             body=read_body(environ, self._max_body_bytes),
@@ -182,7 +193,7 @@
         except BaseException:
             watch.close()
             raise
-        return EventRelay(events, watch, caller.request_id)
+        return EventRelay(events, watch, caller.record.request_id)
 
 
 def _require_post(environ: Environ) -> None:
--- a/marjoramfall/borders/caller_requests.py
+++ b/marjoramfall/borders/caller_requests.py
@@ -5,6 +5,7 @@
 from marjoramfall.borders.caller_bodies import ModelBody, decode_body
 from marjoramfall.borders.caller_errors import UnknownServiceError
 from marjoramfall.borders.caller_parsing import Environ, Identity, forwarded_headers
+from marjoramfall.borders.request_record import RequestRecord
 from marjoramfall.clock import Clock
 from marjoramfall.errors import InvalidRequestError
 from marjoramfall.model import Configuration, Service, ServiceKind
@@ -18,7 +19,7 @@
 class CallerRequest:
     """Hold a request whose body was read but not yet interpreted."""
 
-    request_id: str
+    record: RequestRecord
     identity: Identity
     environ: Environ
     body: bytes
@@ -69,8 +70,9 @@
         self, caller: CallerRequest, service: Service, **details: object
     ) -> ParsedRequest:
         identity = caller.identity
+        caller.record.service_id = service.service_id
         return ParsedRequest(
-            request_id=caller.request_id,
+            request_id=caller.record.request_id,
             service=service,
             team_id=identity.team.team_id,
             team_weight=identity.team.weight,
--- /dev/null
+++ b/marjoramfall/borders/request_record.py
@@ -0,0 +1,26 @@
+"""Define what the metrics need of a caller's request."""
+
+from dataclasses import dataclass
+
+from marjoramfall.clock import MS_PER_SECOND
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestRecord:
+    """Follow one request; times are monotonic milliseconds.
+
+    Tier and service are empty until they are known to be configured, so that
+    callers cannot make up label values. `outcome` is `ok` or an error code.
+    """
+
+    request_id: str
+    started_ms: float
+    ended_ms: float = 0
+    outcome: str = ''
+    tier_id: str = ''
+    service_id: str = ''
+
+    @property
+    def seconds(self) -> float:
+        """Return how long the request took."""
+        return (self.ended_ms - self.started_ms) / MS_PER_SECOND
--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -16,6 +16,7 @@
 from marjoramfall.process.actions import ResolveAsk, Send
 from marjoramfall.process.config_log import LogTail, WrittenChange
 from marjoramfall.process.config_spread import PollStore
+from marjoramfall.process.decision_counter import DecisionCounter
 from marjoramfall.process.entry_core import CoreAction, EntryCore
 from marjoramfall.process.grant_gateway import GrantGateway
 from marjoramfall.process.group_exchange import ExchangeAction
@@ -33,6 +34,7 @@
 from marjoramfall.process.report_task import ReportTask
 from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.settings.model import EntrySettings
+from marjoramfall.version.actions import MoveAction, WithdrawVersion
 
 TICK_MS = 20
 VM_LIST_POLL_MS = 1000
@@ -127,6 +129,8 @@
 
     def _watch_metrics(self) -> None:
         core = self.core
+        decisions = DecisionCounter(self.metrics, lambda: core.state.configuration)
+        core.state.exchange.host.on_decided = decisions.count
         watch = self.metrics.watch
         watch(
             'marjoramfall_config_revision',
@@ -255,4 +259,9 @@
             elif isinstance(action, PollStore):
                 self._platform.poller.put(action.after_revision)
             else:
-                self._platform.recorder.put(action.action)
+                self._record(action.action)
+
+    def _record(self, action: MoveAction) -> None:
+        if isinstance(action, WithdrawVersion):
+            self.metrics.withdrawals.inc({'version': action.version_id})
+        self._platform.recorder.put(action)
--- a/marjoramfall/process/group_exchange.py
+++ b/marjoramfall/process/group_exchange.py
@@ -18,7 +18,8 @@
 from marjoramfall.process.actions import ResolveAsk, Send
 from marjoramfall.process.directory import MemberDirectory
 from marjoramfall.process.group_client import GroupClient, UsableServers
-from marjoramfall.process.group_host import GroupDispatcher, GroupHost
+from marjoramfall.process.group_dispatcher import GroupDispatcher
+from marjoramfall.process.group_host import GroupHost
 from marjoramfall.request.events import ServerInfo
 
 ExchangeAction = Send | ResolveAsk
--- a/marjoramfall/process/group_host.py
+++ b/marjoramfall/process/group_host.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from marjoramfall.messages import (
     ActiveGrant,
@@ -14,6 +13,7 @@
 )
 from marjoramfall.process.actions import Send
 from marjoramfall.process.directory import MemberDirectory
+from marjoramfall.process.group_dispatcher import GroupDispatcher
 from marjoramfall.process.group_messages import (
     acknowledge,
     concerns,
@@ -24,7 +24,6 @@
 from marjoramfall.request.events import (
     Action,
     CacheEvent,
-    FinishReport,
     LoadReport,
     ServerInfo,
     WaitingRequest,
@@ -35,48 +34,6 @@
 IDLE_TAKEOVER_KEEP_MS = 5000
 
 
-class GroupDispatcher(Protocol):
-    """Decide which waiting request of a group goes to which server."""
-
-    def enqueue(self, waiting: WaitingRequest, now_ms: float) -> list[Action]:
-        """Add a waiting request."""
-
-    def withdraw(self, request_id: str, now_ms: float) -> list[Action]:
-        """Remove a waiting request."""
-
-    def on_started(self, request_id: str, now_ms: float) -> list[Action]:
-        """Note that a grant is in use."""
-
-    def on_finished(self, report: FinishReport, now_ms: float) -> list[Action]:
-        """Take back a grant with its result."""
-
-    def on_load_report(self, report: LoadReport, now_ms: float) -> list[Action]:
-        """Take a server's own load report."""
-
-    def on_cache_event(self, event: CacheEvent, now_ms: float) -> list[Action]:
-        """Take a server's cache event."""
-
-    def set_servers(self, servers: Sequence[ServerInfo], now_ms: float) -> list[Action]:
-        """Replace the servers of the group."""
-
-    def adopt_active(
-        self,
-        entry_id: str,
-        request_id: str,
-        server_id: str,
-        version_id: str,
-        work: WorkEstimate,
-        now_ms: float,
-    ) -> list[Action]:
-        """Count a grant that an earlier dispatcher made."""
-
-    def release_entry(self, entry_id: str, now_ms: float) -> list[Action]:
-        """Forget the requests and grants of a dead entry."""
-
-    def tick(self, now_ms: float) -> list[Action]:
-        """Expire grants and requests."""
-
-
 @dataclass(slots=True)
 class HostedGroup:
     """Hold a dispatcher and what it waits for before it grants."""
@@ -93,7 +50,10 @@
 
 
 class GroupHost:
-    """Feed messages to the hosted dispatchers and send their decisions."""
+    """Feed messages to the hosted dispatchers and send their decisions.
+
+    `on_decided` is told each decision and its group id.
+    """
 
     def __init__(
         self,
@@ -104,6 +64,7 @@
         self._make_dispatcher = make_dispatcher
         self._groups_by_id: dict[str, HostedGroup] = {}
         self._servers_by_group: Mapping[str, Sequence[ServerInfo]] = {}
+        self.on_decided: Callable[[str, Action], None] | None = None
 
     @property
     def hosted_group_ids(self) -> list[str]:
@@ -284,6 +245,9 @@
     def _replies(
         self, group_id: str, decided: Sequence[Action], now_ms: float
     ) -> list[Send]:
+        if self.on_decided is not None:
+            for decision in decided:
+                self.on_decided(group_id, decision)
         return [reply_to(group_id, action, now_ms) for action in decided]
 
     def _adopt(
--- a/marjoramfall/process/listeners.py
+++ b/marjoramfall/process/listeners.py
@@ -86,7 +86,7 @@
             configuration=parts.configuration,
             is_ready=parts.readiness.is_ready,
             check_accepting=parts.readiness.check_accepting,
-            count=self._count,
+            count=parts.metrics.count_request,
             issue_key=parts.keys.issue,
         )
         return CallerApplication(
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -189,6 +189,7 @@
             server_id=info.server_id,
             version_id=info.version_id,
             expires_ms=min(now_ms + GRANT_VALID_MS, waiting.deadline_ms),
+            tier_rank=waiting.tier_rank,
         )
         active = ActiveGrant(
             grant=grant,
@@ -244,4 +245,8 @@
 
 
 def _expire(waiting: WaitingRequest) -> Expire:
-    return Expire(request_id=waiting.request_id, entry_id=waiting.entry_id)
+    return Expire(
+        request_id=waiting.request_id,
+        entry_id=waiting.entry_id,
+        tier_rank=waiting.tier_rank,
+    )
--- a/marjoramfall/request/events.py
+++ b/marjoramfall/request/events.py
@@ -85,13 +85,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Grant:
-    """Allow a request to be sent to a server until a monotonic time."""
+    """Allow a request to be sent to a server until a monotonic time.
+
+    The rank is None for a grant of an earlier dispatcher.
+    """
 
     request_id: str
     entry_id: str
     server_id: str
     version_id: str
     expires_ms: float
+    tier_rank: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +115,7 @@
 
     request_id: str
     entry_id: str
+    tier_rank: int
 
 
 Action = Grant | Shed | Expire
--- a/tests/caller_case.py
+++ b/tests/caller_case.py
@@ -86,6 +86,7 @@
         self.backend = ScriptedBackend(*scripts)
         self.addCleanup(self.backend.stop)
         self.counts = []
+        self.records = []
         self.is_ready = False
         self.grants = FakeGrants(self.backend.address)
         self.claims = FakeClaims()
@@ -103,7 +104,7 @@
             configuration=lambda: CONFIGURATION,
             is_ready=lambda: self.is_ready,
             check_accepting=lambda: None,
-            count=self.counts.append,
+            count=self._count,
             issue_key=lambda team_id: f'key-of-{team_id}',
         )
         self.application = CallerApplication(
@@ -146,3 +147,7 @@
         status, content = self.ask(path, body, **options)
         described = json.loads(content)['error']
         return status, described['code'], described['run_state']
+
+    def _count(self, record):
+        self.records.append(record)
+        self.counts.append(record.outcome)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -73,7 +73,7 @@
         self.assertEqual(self.dispatcher.enqueue(waiting_request('first'), 0), [])
         self.assertEqual(
             self.dispatcher.tick(10000),
-            [Expire(request_id='first', entry_id='entry-1')],
+            [Expire(request_id='first', entry_id='entry-1', tier_rank=1)],
         )
 
     def test_dead_entry(self):
--- a/tests/test_group_exchange.py
+++ b/tests/test_group_exchange.py
@@ -1,5 +1,6 @@
 import unittest
 from collections import deque
+from unittest.mock import Mock
 
 from marjoramfall.process.actions import ResolveAsk, Send
 from marjoramfall.process.group_exchange import GroupExchange
@@ -134,6 +135,19 @@
         self.assertTrue(self.granted('high'))
         self.assertFalse(any(self.granted(f'low-{number}') for number in range(3)))
 
+    def test_decisions_are_told(self):
+        """Guards against decisions that are not counted, or counted twice."""
+        on_decided = Mock()
+        for exchange in self.cluster.by_name.values():
+            exchange.host.on_decided = on_decided
+        for number, rank in enumerate((2, 1, 0)):
+            self.cluster.ask('a', f'r-{number}', rank, deadline_ms=2000)
+            self.cluster.confirm('a', f'r-{number}')
+        self.cluster.advance(2500)
+        actions = [call.args[1] for call in on_decided.call_args_list]
+        decided = [(type(action).__name__, action.tier_rank) for action in actions]
+        self.assertEqual(sorted(decided), [('Expire', 0), ('Expire', 1), ('Grant', 2)])
+
     def test_dispatcher_death(self):
         """Guards against waiting requests and credits lost with a dispatcher."""
         first, second = self.cluster.others()
