Test that an entry counts withdrawals and decisions

The counter of withdrawals had no test, so it had stayed at zero unnoticed. The version label is bounded like services and tiers, since every move brings a new version.

--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -263,5 +263,5 @@
 
     def _record(self, action: MoveAction) -> None:
         if isinstance(action, WithdrawVersion):
-            self.metrics.withdrawals.inc({'version': action.version_id})
+            self.metrics.count_withdrawal(action.version_id)
         self._platform.recorder.put(action)
--- a/marjoramfall/process/metrics.py
+++ b/marjoramfall/process/metrics.py
@@ -37,6 +37,7 @@
         self._labels = {'vm': vm, 'data_centre': data_centre}
         self._services = LabelValues()
         self._tiers = LabelValues()
+        self._versions = LabelValues()
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
         self.requests = self._counter(
             'marjoramfall_requests_total', 'Requests by outcome, service and tier.'
@@ -82,6 +83,10 @@
         }
         self.decisions.inc({'decision': decision, **labels})
 
+    def count_withdrawal(self, version_id: str) -> None:
+        """Count a version that a move withdrew."""
+        self.withdrawals.inc({'version': self._versions.admit(version_id)})
+
     def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Show the value of a callable whenever metrics are read."""
         gauge = Gauge(name, text, const_labels=self._labels, registry=self._registry)
--- a/tests/test_request_metrics.py
+++ b/tests/test_request_metrics.py
@@ -3,11 +3,16 @@
 import unittest
 
 from marjoramfall.borders.request_record import RequestRecord
+from marjoramfall.clock import PausedClock
 from marjoramfall.process.decision_counter import DecisionCounter
+from marjoramfall.process.entry import EntryProcess
+from marjoramfall.process.entry_core import RecordMove
 from marjoramfall.process.metrics import MAX_LABEL_VALUES, Metrics
 from marjoramfall.request.events import Expire, Grant, Shed
+from marjoramfall.version.actions import MoveFigures, WithdrawVersion
 from tests.caller_case import STREAM, CallerCase, stream_whole
 from tests.request_fakes import CONFIGURATION
+from tests.test_operations_page import load_example
 
 
 class RequestRecordTest(CallerCase):
@@ -78,3 +83,21 @@
         for decision, tier in (('granted', 'gold'), ('shed', 'bulk'), ('expired', '')):
             labels = {'decision': decision, 'group': 'reviews', 'tier': tier}
             self.assertEqual(self.metrics.decisions.get(labels), 1)
+
+    def test_entry_counts(self):
+        """Guards against a host or a move whose decisions nobody counts."""
+        process = EntryProcess(load_example(), PausedClock())
+        withdrawal = WithdrawVersion(
+            move_id='m',
+            service_id='reviews',
+            version_id='v2',
+            reason='failures',
+            figures=MoveFigures(),
+        )
+        process._perform([RecordMove(withdrawal)])
+        process.core.state.exchange.host.on_decided(
+            'reviews', Expire(request_id='r', entry_id='e', tier_rank=0)
+        )
+        labels = {'decision': 'expired', 'group': 'reviews', 'tier': ''}
+        self.assertEqual(process.metrics.withdrawals.get({'version': 'v2'}), 1)
+        self.assertEqual(process.metrics.decisions.get(labels), 1)
