--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -203,6 +203,7 @@
             server_id=info.server_id,
             version_id=info.version_id,
             expires_ms=min(now_ms + GRANT_VALID_MS, waiting.deadline_ms),
+            tier_rank=waiting.tier_rank,
         )
         active = ActiveGrant(
             grant=grant,
@@ -258,4 +259,8 @@
 
 
 def _expire(waiting: WaitingRequest) -> Expire:
-    return Expire(request_id=waiting.request_id, entry_id=waiting.entry_id)
+    return Expire(
+        request_id=waiting.request_id,
+        entry_id=waiting.entry_id,
+        tier_rank=waiting.tier_rank,
+    )
