--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config_spread.py
@@ -63,7 +63,7 @@
     """
 
     def __init__(self, own_id: str, state: ConfigState) -> None:
-        self._state = state
+        self.state = state
         self._peers = PeerViews(own_id)
         self._lease = FreshnessLease(self._peers)
         self._questions = HeadQuestions(self._peers)
@@ -88,13 +88,13 @@
 
     def is_fresh(self, now_ms: float) -> bool:
         """Return whether this entry may serve with what it has applied."""
-        self._lease.review(self._state.revision, now_ms)
+        self._lease.review(self.state.revision, now_ms)
         return self._lease.is_fresh(now_ms)
 
     def confirmation(self, revision: int, now_ms: float) -> Confirmation:
         """Return who may still serve an earlier revision."""
         unconfirmed = self._peers.unconfirmed(revision, now_ms)
-        if self._state.revision < revision:
+        if self.state.revision < revision:
             unconfirmed = (self._peers.own_id, *unconfirmed)
         return Confirmation(revision, not unconfirmed, unconfirmed)
 
@@ -133,10 +133,10 @@
         self._peers.note_revision(peer_id, report.revision, now_ms)
         self._note_answer(peer_id, report)
         view = self._peers.get(peer_id)
-        if report.revision > self._state.revision:
+        if report.revision > self.state.revision:
             return self._request(peer_id, now_ms)
         actions = self._report_in_force(now_ms)
-        if view is not None and report.revision < self._state.revision:
+        if view is not None and report.revision < self.state.revision:
             actions.extend(self._resend(peer_id, view, now_ms))
         return actions
 
@@ -147,14 +147,14 @@
         last = message.first_revision + len(message.entries) - 1
         self._peers.note_revision(peer_id, last, now_ms)
         if message.snapshot:
-            self._state.restore(SnapshotCodec.decode(message.snapshot))
-        self._state.offer(message.first_revision, message.entries)
+            self.state.restore(SnapshotCodec.decode(message.snapshot))
+        self.state.offer(message.first_revision, message.entries)
         report = self._questions.report_of(message, now_ms)
         if report is not None:
             self._note_answer(peer_id, report)
         actions = self._report_in_force(now_ms)
         if message.entries or message.snapshot:
-            confirm = ConfigRequest(after_revision=self._state.revision)
+            confirm = ConfigRequest(after_revision=self.state.revision)
             actions.append(SendToPeer(peer_id, confirm))
         return actions
 
@@ -163,17 +163,17 @@
     ) -> list[SpreadAction]:
         """Take a confirmation and send the records that follow it."""
         self._peers.note_revision(peer_id, message.after_revision, now_ms)
-        if message.after_revision > self._state.revision:
+        if message.after_revision > self.state.revision:
             # Without an answer, since this entry is behind the one that asks.
             return self._request(peer_id, now_ms)
         actions = self._report_in_force(now_ms)
-        if message.asked_ms or message.after_revision < self._state.revision:
+        if message.asked_ms or message.after_revision < self.state.revision:
             actions.append(SendToPeer(peer_id, self._answer(message, now_ms)))
         return actions
 
     def on_written(self, revision: int, text: str, now_ms: float) -> list[SpreadAction]:
         """Apply a change that this entry wrote and push it to all."""
-        self._state.offer(revision, [text])
+        self.state.offer(revision, [text])
         self._awaited_revision = max(self._awaited_revision, revision)
         return [*self._push(now_ms), *self._report_in_force(now_ms)]
 
@@ -183,14 +183,14 @@
         """Apply what a poll found; `started_ms` is when the read was sent."""
         self._polls.finish()
         self._lease.store_reachable = True
-        before = self._state.revision
-        self._state.offer(tail.first_revision, tail.texts)
-        if tail.verified and tail.head == self._state.revision:
+        before = self.state.revision
+        self.state.offer(tail.first_revision, tail.texts)
+        if tail.verified and tail.head == self.state.revision:
             self._lease.note_head(started_ms)
         actions: list[SpreadAction] = []
-        if self._state.revision > before:
+        if self.state.revision > before:
             actions.extend(self._push(now_ms))
-        if tail.texts and tail.head > self._state.revision:
+        if tail.texts and tail.head > self.state.revision:
             actions.extend(self._poll(now_ms))
         return actions
 
@@ -202,14 +202,14 @@
 
     def tick(self, now_ms: float) -> list[SpreadAction]:
         """Poll, repeat unconfirmed pushes and review the lease."""
-        self._lease.review(self._state.revision, now_ms)
+        self._lease.review(self.state.revision, now_ms)
         actions = self._report_in_force(now_ms)
         if now_ms < self._push_until_ms:
             for peer_id, view in self._peers:
-                if view.revision < self._state.revision:
+                if view.revision < self.state.revision:
                     actions.extend(self._resend(peer_id, view, now_ms))
         age_ms = self._lease.head_age_ms(now_ms)
-        question = ConfigRequest(after_revision=self._state.revision, asked_ms=now_ms)
+        question = ConfigRequest(after_revision=self.state.revision, asked_ms=now_ms)
         for asked_id in self._questions.due(age_ms, now_ms):
             actions.append(SendToPeer(asked_id, question))
         if self._polls.is_due(age_ms, now_ms):
@@ -222,7 +222,7 @@
             return
         view.reached_ms = report.asked_ms
         view.store_reachable = report.store_reachable
-        if report.head_age_ms is not None and report.revision <= self._state.revision:
+        if report.head_age_ms is not None and report.revision <= self.state.revision:
             self._lease.note_head(report.asked_ms - report.head_age_ms)
 
     def _answer(self, request: ConfigRequest, now_ms: float) -> ConfigEntries:
@@ -232,11 +232,11 @@
         """
         first = request.after_revision + 1
         snapshot = ''
-        if first < self._state.oldest_retained:
-            first = self._state.revision + 1
-            snapshot = SnapshotCodec.encode(self._state.configuration).decode()
-        texts = self._state.records_after(first - 1, limit=MAX_RECORDS_PER_MESSAGE)
-        is_whole = first + len(texts) == self._state.revision + 1
+        if first < self.state.oldest_retained:
+            first = self.state.revision + 1
+            snapshot = SnapshotCodec.encode(self.state.configuration).decode()
+        texts = self.state.records_after(first - 1, limit=MAX_RECORDS_PER_MESSAGE)
+        is_whole = first + len(texts) == self.state.revision + 1
         return ConfigEntries(
             first_revision=first,
             entries=texts,
@@ -250,14 +250,14 @@
         if now_ms - self._requested_ms < REQUEST_SPACING_MS:
             return []
         self._requested_ms = now_ms
-        request = ConfigRequest(after_revision=self._state.revision)
+        request = ConfigRequest(after_revision=self.state.revision)
         return [SendToPeer(peer_id, request)]
 
     def _push(self, now_ms: float) -> list[SpreadAction]:
         self._push_until_ms = now_ms + PUSH_WINDOW_MS
         actions: list[SpreadAction] = []
         for peer_id, view in self._peers:
-            if view.revision < self._state.revision:
+            if view.revision < self.state.revision:
                 view.resend_after_ms = 0
                 actions.extend(self._resend(peer_id, view, now_ms))
         return actions
@@ -272,10 +272,10 @@
             max(2 * view.resend_after_ms, RESEND_MS), MAX_RESEND_MS
         )
         # Nothing is known of a new peer; it asks for what it misses.
-        return self._send_records(peer_id, view.revision or self._state.revision - 1)
+        return self._send_records(peer_id, view.revision or self.state.revision - 1)
 
     def _send_records(self, peer_id: str, revision: int) -> list[SpreadAction]:
-        texts = self._state.records_after(revision, limit=MAX_RECORDS_PER_MESSAGE)
+        texts = self.state.records_after(revision, limit=MAX_RECORDS_PER_MESSAGE)
         if not texts:
             return []
         message = ConfigEntries(first_revision=revision + 1, entries=texts)
@@ -283,7 +283,7 @@
 
     def _poll(self, now_ms: float) -> list[SpreadAction]:
         self._polls.start(now_ms)
-        return [PollStore(self._state.revision)]
+        return [PollStore(self.state.revision)]
 
     def _report_in_force(self, now_ms: float) -> list[SpreadAction]:
         awaited = self._awaited_revision
--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -33,7 +33,6 @@
 )
 from marjoramfall.process.readiness import Readiness
 from marjoramfall.process.report_task import ReportTask
-from marjoramfall.process.snapshot_task import SnapshotTask
 from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.settings.model import EntrySettings
 from marjoramfall.version.actions import MoveAction, WithdrawVersion
@@ -95,11 +94,12 @@
             on_written=self._on_written,
             on_polled=self._on_polled,
             on_poll_failed=self._on_poll_failed,
+            on_snapshot=self._on_snapshot,
         )
         return PlatformLinks(
             self._settings.platform,
             self._clock,
-            self.core.config,
+            self.core.spread,
             self.metrics,
             events,
         )
@@ -168,15 +168,8 @@
             make_id=self._request_ids.issue,
             perform=self._perform_exchange,
         )
-        snapshots = SnapshotTask(
-            self._platform.snapshots,
-            self.core.config,
-            self.core.spread,
-            self._clock,
-            on_loaded=self._on_snapshot,
-        )
         return [
-            gevent.spawn(snapshots.run, self.core.incarnation),
+            gevent.spawn(self._platform.snapshots.run, self.core.incarnation),
             gevent.spawn(self._platform.poller.run),
             gevent.spawn(self._platform.recorder.run),
             gevent.spawn(self._repeat, self._tick, TICK_MS),
--- a/marjoramfall/process/platform_links.py
+++ b/marjoramfall/process/platform_links.py
@@ -9,11 +9,13 @@
     HttpVmList,
 )
 from marjoramfall.clock import Clock
+from marjoramfall.model import Configuration
 from marjoramfall.process.config_log import ConfigLog, LogTail, WrittenChange
 from marjoramfall.process.config_snapshot import SnapshotStore
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config_spread import ConfigSpread
 from marjoramfall.process.key_owners import KeyOwners
 from marjoramfall.process.metrics import Metrics
+from marjoramfall.process.snapshot_task import SnapshotTask
 from marjoramfall.process.store_tasks import ConfigWriter, MoveRecorder, StorePoller
 from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.request.key_claims import IssuedClaims, RoutedClaims, StoreClaims
@@ -27,6 +29,7 @@
     on_written: Callable[[WrittenChange], None]
     on_polled: Callable[[LogTail, float], None]
     on_poll_failed: Callable[[], None]
+    on_snapshot: Callable[[Configuration], None]
 
 
 class PlatformLinks:
@@ -36,17 +39,22 @@
         self,
         settings: PlatformSettings,
         clock: Clock,
-        config: ConfigState,
+        spread: ConfigSpread,
         metrics: Metrics,
         events: PlatformEvents,
     ) -> None:
         self.tables = HttpTableService(settings.tables, timeout_ms=settings.timeout)
         objects = HttpObjectStore(settings.objects, timeout_ms=settings.timeout)
-        self.snapshots = SnapshotStore(self.tables, objects)
+        self.snapshots = SnapshotTask(
+            SnapshotStore(self.tables, objects),
+            spread,
+            clock,
+            on_loaded=events.on_snapshot,
+        )
         self.vm_list = HttpVmList(settings.vms, timeout_ms=settings.timeout)
         self.log = ConfigLog(self.tables, clock)
         self.writer = ConfigWriter(
-            self.log, config, metrics, on_written=events.on_written
+            self.log, spread.state, metrics, on_written=events.on_written
         )
         self.recorder = MoveRecorder(self.writer, clock)
         self.poller = StorePoller(
--- a/marjoramfall/process/snapshot_task.py
+++ b/marjoramfall/process/snapshot_task.py
@@ -9,7 +9,6 @@
 from marjoramfall.model import Configuration
 from marjoramfall.process.config_snapshot import SnapshotStore
 from marjoramfall.process.config_spread import ConfigSpread
-from marjoramfall.process.config_state import ConfigState
 
 CHECK_PERIOD_MS = 10_000
 LOAD_RETRY_MS = 500
@@ -21,14 +20,12 @@
     def __init__(
         self,
         store: SnapshotStore,
-        state: ConfigState,
         spread: ConfigSpread,
         clock: Clock,
         *,
         on_loaded: Callable[[Configuration], None],
     ) -> None:
         self._store = store
-        self._state = state
         self._spread = spread
         self._clock = clock
         self._on_loaded = on_loaded
@@ -43,7 +40,7 @@
 
     def _load(self) -> None:
         # Peers or the log may bring the configuration before the store does.
-        while not self._state.revision:
+        while not self._spread.state.revision:
             try:
                 loaded = self._store.load()
             except PlatformError as error:
@@ -56,7 +53,7 @@
             return
 
     def _save_if_due(self) -> None:
-        configuration = self._state.configuration
+        configuration = self._spread.state.configuration
         try:
             if self._store.is_due(configuration) and self._store.save(configuration):
                 logger.bind(revision=configuration.revision).info('snapshot saved')
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -183,5 +183,5 @@
         )
         self.assertEqual(
             overload.dispatcher.enqueue(request, 2000),
-            [Expire(request_id='hopeless', entry_id='entry')],
+            [Expire(request_id='hopeless', entry_id='entry', tier_rank=0)],
         )
--- a/tests/test_snapshot_task.py
+++ b/tests/test_snapshot_task.py
@@ -42,9 +42,7 @@
     def run_task(self, sleeps):
         clock = CountedClock(self.tables.faults, sleeps)
         spread = ConfigSpread('own', self.state)
-        task = SnapshotTask(
-            self.store, self.state, spread, clock, on_loaded=self.state.restore
-        )
+        task = SnapshotTask(self.store, spread, clock, on_loaded=self.state.restore)
         with self.assertRaises(EndOfTestError):
             task.run('own')
 
