--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench proofs proto clean
+.PHONY: install test lint format demo serve bench proofs proto clean
 
 install: $(STAMP)
 
@@ -31,6 +31,10 @@
 proofs: install
 	$(BIN)/python scripts/check_proofs.py
 
+# Entries on 127.0.0.1: callers 8080, 8090, 8100; operators 8081, 8091, 8101.
+serve: install
+	$(BIN)/python scripts/demo.py --serve 8080
+
 bench: install
 	$(BIN)/python -m benchmarks
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -83,6 +83,20 @@
         moves_held = self._show_moves()
         return code == 0 and moves_held
 
+    def serve(self) -> bool:
+        """Serve until interrupted; return whether all processes lived on."""
+        for entry in self._plan.entries:
+            console.print(
+                f'{entry.vm}: callers {entry.callers}, operators {entry.operators}'
+            )
+        console.print('serving; Ctrl-C ends all processes')
+        try:
+            while True:
+                self._children.check()
+                time.sleep(POLL_S)
+        except KeyboardInterrupt:
+            return True
+
     def stop_entries(self) -> bool:
         """Stop the entries as planned; return whether each ended with 0."""
         names = {entry.vm for entry in self._plan.entries}
@@ -224,22 +238,27 @@
 
 @click.command()
 @click.option('--logs', type=click.Path(path_type=Path), help='Keep logs there.')
-def main(logs: Path | None) -> None:
-    """Run the demo; exit 0 only if everything held."""
+@click.option('--serve', 'first_port', type=int, default=0, help='Serve from there.')
+def main(logs: Path | None, first_port: int) -> None:
+    """Run the demo; exit 0 only if everything held.
+
+    With --serve PORT the entries listen from that port on until Ctrl-C, and no
+    trace is replayed.
+    """
     signal.signal(signal.SIGTERM, _interrupt)
     started_s = time.monotonic()
     with tempfile.TemporaryDirectory(prefix='marjoramfall-demo-') as name:
-        held = _run_guarded(Path(name))
+        held = _run_guarded(Path(name), first_port)
         if logs:
             shutil.copytree(name, logs, dirs_exist_ok=True)
     console.print(f'{time.monotonic() - started_s:.0f} s, all held: {held}')
     sys.exit(0 if held else 1)
 
 
-def _run_guarded(directory: Path) -> bool:
+def _run_guarded(directory: Path, first_port: int) -> bool:
     children = Children(directory)
     try:
-        return _run(children, directory)
+        return _run(children, directory, first_port)
     except (DemoError, subprocess.TimeoutExpired) as error:
         console.print(f'demo failed: {error}', style='red', markup=False)
     except KeyboardInterrupt:
@@ -256,12 +275,12 @@
     children.stop()
 
 
-def _run(children: Children, directory: Path) -> bool:
-    plan = DemoPlan(CONFIGURATION, STANDINS)
+def _run(children: Children, directory: Path, first_port: int) -> bool:
+    plan = DemoPlan(CONFIGURATION, STANDINS, first_port=first_port)
     plan.check_trace(load_trace(TRACE))
     demo = Demo(plan, children, directory)
     demo.start()
-    held = demo.run()
+    held = demo.serve() if first_port else demo.run()
     return demo.stop_entries() and held
 
 
--- a/scripts/demo_plan.py
+++ b/scripts/demo_plan.py
@@ -3,7 +3,7 @@
 import hashlib
 import socket
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import yaml
@@ -13,6 +13,7 @@
 
 HOST = '127.0.0.1'
 ENTRY_COUNT = 3
+PORTS_PER_ENTRY = 10
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 OPERATOR = 'demo'
 TOKEN = 'demo-operator-token'
@@ -61,10 +62,17 @@
         }
 
 
+def _at_ports(entry: EntryPlan, port: int) -> EntryPlan:
+    callers, operators, peers = (f'{HOST}:{port + offset}' for offset in range(3))
+    return replace(entry, callers=callers, operators=operators, peers=peers)
+
+
 class DemoPlan:
     """Hold what is to be started and how it is to be set up."""
 
-    def __init__(self, configuration: Path, standins: Path) -> None:
+    def __init__(
+        self, configuration: Path, standins: Path, *, first_port: int = 0
+    ) -> None:
         self.configuration = yaml.safe_load(configuration.read_text('utf-8'))
         described = yaml.safe_load(standins.read_text('utf-8'))
         self.moves = described['moves']
@@ -82,6 +90,11 @@
             )
             for index in range(ENTRY_COUNT)
         ]
+        if first_port:
+            self.entries = [
+                _at_ports(entry, first_port + PORTS_PER_ENTRY * index)
+                for index, entry in enumerate(self.entries)
+            ]
         self.team_keys = {
             team['team_id']: team['key'] for team in self.configuration['teams']
         }
