--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -32,6 +32,8 @@
 TARGET_MS = 500
 TARGET_SIZE = 9
 HEALING_TARGET_MS = 3000
+# A push and its confirmation, and a few that cross with heartbeats.
+MAX_MESSAGES_PER_ENTRY = 3
 
 
 class PollingMesh(ConfigMesh):
@@ -183,6 +185,9 @@
         return [f'{size} entries, healing: {slowest} ms > {HEALING_TARGET_MS} ms']
     if not cut and size == TARGET_SIZE and slowest > TARGET_MS:
         return [f'{size} entries: {slowest} ms > {TARGET_MS} ms']
+    messages = max(figure.messages for figure in figures)
+    if not cut and messages > MAX_MESSAGES_PER_ENTRY * size:
+        return [f'{size} entries: {messages} messages']
     return []
 
 
--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config_spread.py
@@ -88,6 +88,8 @@
 
     def is_fresh(self, now_ms: float) -> bool:
         """Return whether this entry may serve with what it has applied."""
+        if self._lease.has_head(now_ms):
+            return True
         self._lease.review(self._state.revision, now_ms)
         return self._lease.is_fresh(now_ms)
 
@@ -201,7 +203,7 @@
         return []
 
     def tick(self, now_ms: float) -> list[SpreadAction]:
-        """Poll, repeat unconfirmed pushes and review the lease."""
+        """Poll, ask, push again and review the lease; due every 50 to 100 ms."""
         self._lease.review(self._state.revision, now_ms)
         actions = self._report_in_force(now_ms)
         if now_ms < self._push_until_ms:
--- a/tests/test_config_snapshot.py
+++ b/tests/test_config_snapshot.py
@@ -40,10 +40,12 @@
         """Guards against a torn or missing snapshot that is used or fatal."""
         name = 'config/snapshot-2'
         whole = self.objects.blobs_by_name[name]
-        for blob, error in (
+        cases = (
             (whole[:-9], SnapshotTornError),
+            (whole.replace(b'gold', b'cold'), SnapshotTornError),
             (None, SnapshotMissingError),
-        ):
+        )
+        for blob, error in cases:
             with self.subTest(error=error):
                 loaded = self.load_broken(name, blob)
                 self.assertEqual(loaded.configuration, configuration(1))
