Show the help of operator commands without an entry

It is now checked when a call is made, so that help works and a command without an address still exits with 2. Long cells of tables are folded instead of cut, since an audit record is of no use without its end.

--- a/marjoramfall/borders/admin_client.py
+++ b/marjoramfall/borders/admin_client.py
@@ -3,7 +3,6 @@
 import click
 
 from marjoramfall.borders.admin_apply import apply_file
-from marjoramfall.borders.admin_calls import AdminClient
 from marjoramfall.borders.admin_console import AdminConsole, ErrorReportingGroup
 from marjoramfall.borders.admin_entity_commands import (
     backend_servers_group,
@@ -26,20 +25,18 @@
 @click.group('admin', cls=ErrorReportingGroup)
 @click.option(
     '--address',
-    required=True,
     envvar='MARJORAMFALL_ADMIN_ADDRESS',
     help="Operators' listener of an entry, IP:port.",
 )
 @click.option(
     '--token',
-    required=True,
     envvar='MARJORAMFALL_ADMIN_TOKEN',
     help='Bearer token of the operator.',
 )
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 @click.pass_context
 def admin_group(
-    context: click.Context, address: str, token: str, as_json: bool
+    context: click.Context, address: str | None, token: str | None, as_json: bool
 ) -> None:
     """Change and inspect the configuration of all entries.
 
@@ -48,10 +45,7 @@
     valid token, 6 if nothing was done because a service is unavailable, and
     7 if it is unknown whether the change was made.
     """
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise click.BadParameter('expected IP:port', param_hint='--address')
-    context.obj = AdminConsole(AdminClient(address, token), as_json)
+    context.obj = AdminConsole(address, token, as_json=as_json)
 
 
 admin_group.add_command(tiers_group)
--- a/marjoramfall/borders/admin_console.py
+++ b/marjoramfall/borders/admin_console.py
@@ -1,8 +1,8 @@
 """Print responses of the operator interface and name exit statuses."""
 
 import sys
-from dataclasses import dataclass
 from enum import IntEnum
+from functools import cached_property
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -75,12 +75,25 @@
             sys.exit(exit_status_of(error))
 
 
-@dataclass(frozen=True, slots=True)
 class AdminConsole:
     """Hold the client and the output format of one invocation."""
 
-    client: AdminClient
-    as_json: bool
+    def __init__(
+        self, address: str | None, token: str | None, *, as_json: bool = False
+    ) -> None:
+        self.as_json = as_json
+        self._address = address
+        self._token = token
+
+    @cached_property
+    def client(self) -> AdminClient:
+        """Return the client; the help of commands needs neither option."""
+        host, _, port = (self._address or '').rpartition(':')
+        if not host or not port.isdecimal():
+            raise click.BadParameter('expected IP:port', param_hint='--address')
+        if not self._token:
+            raise click.BadParameter('a token is required', param_hint='--token')
+        return AdminClient(f'{host}:{port}', self._token)
 
     def change(self, method: str, request: Message) -> admin_pb2.ChangeResponse:
         """Make a change and print its result."""
@@ -123,10 +136,13 @@
     def print_table(self, message: Message, field: str) -> None:
         """Print a repeated field as a table, also beside other fields."""
         columns = message.DESCRIPTOR.fields_by_name[field].message_type.fields
-        table = Table(*(column.name for column in columns), title=field)
+        names = [column.name for column in columns]
+        table = Table(title=field)
+        for name in names:
+            table.add_column(name, overflow='fold')
         for element in getattr(message, field):
             row = _row(element)
-            table.add_row(*(row.get(column.name, '') for column in columns))
+            table.add_row(*map(row.__getitem__, names))
         _rich().print(table)
 
     def _show_json(self, message: Message) -> None:
--- a/tests/test_admin_client.py
+++ b/tests/test_admin_client.py
@@ -85,3 +85,10 @@
         self.assertEqual(self.run_command(*put).exit_code, 7)
         self.server.stop(0)
         self.assertEqual(self.run_command('status').exit_code, 6)
+
+    def test_help(self):
+        """Guards against help that needs an entry."""
+        runner = CliRunner()
+        shown = runner.invoke(admin_group, ['move', 'start', '--help'])
+        self.assertIn('--within', shown.output)
+        self.assertEqual(runner.invoke(admin_group, ['status']).exit_code, 2)
