--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/python scripts/demo.py
 
 proofs: install
-	$(BIN)/python scripts/check_proofs.py
+	$(BIN)/python -m benchmarks.check_proofs
 
 # Entries on 127.0.0.1: callers 8080, 8090, 8100; operators 8081, 8091, 8101.
 serve: install
