Put the share back when faults come close together

Cause: a version that turns bad after its share has risen kept that share until the evidence for a withdrawal sufficed, up to 51% of requests for 20 s. Ruled out: withdrawing on three faults, which would take back good versions; a lower last step, which delays good versions.

--- a/marjoramfall/version/share.py
+++ b/marjoramfall/version/share.py
@@ -10,6 +10,10 @@
 # Credit that was not used lapses beyond this many requests, so that a version
 # whose servers were full gets no burst later.
 MAX_CREDIT_REQUESTS = 2
+# Faults that come close together put the share back to the initial one until
+# the version looks clean again; the evidence for a withdrawal takes longer.
+RESTRAINING_FAULTS = 3
+CLEAN_PER_FAULT = 5
 LATER_SHARES = (0.1, 0.25, 0.5, 0.9)
 
 
@@ -78,17 +82,19 @@
         self._faulty = 0
         self._failed = 0
         self._results = {True: 0, False: 0}
+        self._suspicion = float(0)
+        self._restrained = False
         self.proven = False
 
     @property
     def share(self) -> float:
         """Return the share that the new version may have now."""
-        return self._shares[self._level]
+        return self._shares[self.level]
 
     @property
     def level(self) -> int:
-        """Return the index of the current step."""
-        return self._level
+        """Return the index of the step whose share is in use."""
+        return 0 if self._restrained else self._level
 
     def allows(self, tokens: int) -> bool:
         """Return whether the next grant may go to the new version."""
@@ -113,6 +119,7 @@
         the current level support the next step.
         """
         self._results[clean] += 1
+        self._follow_suspicion(clean=clean)
         if level == self._level:
             self._clean += clean
             self._faulty += not clean
@@ -154,6 +161,15 @@
         clean = self._results[True]
         return clean >= MIN_CLEAN and clean >= MIN_CLEAN * self._results[False]
 
+    def _follow_suspicion(self, *, clean: bool) -> None:
+        change = -1 / CLEAN_PER_FAULT if clean else 1
+        self._suspicion = min(max(self._suspicion + change, 0), RESTRAINING_FAULTS)
+        if self._suspicion >= RESTRAINING_FAULTS:
+            self._restrained = True
+            self._request_credit = min(self._request_credit, 1)
+        elif self._suspicion < 1:
+            self._restrained = False
+
     def _suffices(self, rigour: Rigour) -> bool:
         rate = rigour.fault_rate(self._level)
         if clean_evidence(self._clean, self._faulty, rate) < rigour.odds:
--- a/tests/test_move_machine.py
+++ b/tests/test_move_machine.py
@@ -140,6 +140,16 @@
             share.on_result(0, clean=True, failed=False)
         self.assertFalse(share.step(RIGOURS[0]))
 
+    def test_close_faults_restrain(self):
+        """Guards against a large share for a version that turns bad later."""
+        share = ShareController(MoveGuard(), recorded_share=0.5)
+        for _ in range(3):
+            share.on_result(share.level, clean=False, failed=True)
+        self.assertEqual(share.share, 0.05)
+        for _ in range(20):
+            share.on_result(share.level, clean=True, failed=False)
+        self.assertEqual(share.share, 0.5)
+
     def test_unused_credit_lapses(self):
         """Guards against a burst after the new version had no free server."""
         share = ShareController(MoveGuard())
