--- a/marjoramfall/identifiers.py
+++ b/marjoramfall/identifiers.py
@@ -13,6 +13,11 @@
     return f'{vm}.{wall_ms:012x}.{secrets.token_hex(INCARNATION_RANDOM_BYTES)}'
 
 
+def vm_of(incarnation: str) -> str:
+    """Return the VM named in an incarnation id; VM names have no dots."""
+    return incarnation.partition('.')[0]
+
+
 def rank_members(group_id: str, members: Iterable[str]) -> list[str]:
     """Return the members of a group, the preferred one first."""
     return sorted(
--- a/marjoramfall/process/config_freshness.py
+++ b/marjoramfall/process/config_freshness.py
@@ -2,19 +2,14 @@
 
 from collections.abc import Iterable
 
+from marjoramfall.identifiers import vm_of
 from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
 
-INCARNATION_PARTS = 2
 # Above this size a member cannot probe a majority directly within a lease;
 # membership's own failure detection counts instead.
 MAX_DIRECT_MEMBERS = 32
 
 
-def vm_of(incarnation: str) -> str:
-    """Return the VM of an incarnation id."""
-    return incarnation.rsplit('.', INCARNATION_PARTS)[0]
-
-
 class FreshnessLease:
     """Hold the latest time at which no later revision than the applied existed.
 
--- a/marjoramfall/process/entry_core.py
+++ b/marjoramfall/process/entry_core.py
@@ -66,7 +66,7 @@
         self.config = ConfigState()
         self.spread = ConfigSpread(incarnation, self.config)
         self.membership = Membership(incarnation, address, seed=seed)
-        self._roster = MemberRoster(incarnation)
+        self._roster = MemberRoster()
         self._address_by_incarnation: dict[str, str] = {}
         self._probe_sent_ms: OrderedDict[int, float] = OrderedDict()
         self._stopping = False
--- a/marjoramfall/process/member.py
+++ b/marjoramfall/process/member.py
@@ -81,11 +81,6 @@
     return incarnation.partition('.')[2]
 
 
-def vm_of(incarnation: str) -> str:
-    """Return the VM named in an incarnation id."""
-    return incarnation.partition('.')[0]
-
-
 @dataclass(frozen=True, slots=True)
 class SendMessage:
     """Send a message to the peer listener at an address."""
--- a/marjoramfall/process/member_roster.py
+++ b/marjoramfall/process/member_roster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from marjoramfall.process.member import vm_of
+from marjoramfall.identifiers import vm_of
 
 
 class MemberRoster:
@@ -14,8 +14,7 @@
     incarnation.
     """
 
-    def __init__(self, own_incarnation: str) -> None:
-        self._own_vm = vm_of(own_incarnation)
+    def __init__(self) -> None:
         self._incarnation_by_vm: dict[str, str] = {}
         self._left: set[str] = set()
 
--- a/marjoramfall/process/membership.py
+++ b/marjoramfall/process/membership.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from marjoramfall.borders.platform import VmRecord, VmRole, VmState
+from marjoramfall.identifiers import vm_of
 from marjoramfall.messages import (
     Heartbeat,
     Leaving,
@@ -21,7 +22,6 @@
     MembershipSettings,
     MemberState,
     MemberSuspected,
-    vm_of,
 )
 from marjoramfall.process.member_table import MemberTable
 from marjoramfall.process.outbox import Outbox
--- a/marjoramfall/process/report_task.py
+++ b/marjoramfall/process/report_task.py
@@ -10,6 +10,7 @@
 from marjoramfall.process.entry_core import EntryCore
 from marjoramfall.process.group_exchange import ExchangeAction
 from marjoramfall.process.report_poller import ReportPoller
+from marjoramfall.request.events import LoadReport
 
 MAX_PARALLEL_POLLS = 64
 
@@ -59,7 +60,7 @@
             host = self._core.state.exchange.host
             self._perform(host.on_cache_event(group_id, event, now_ms))
 
-    def _on_load(self, group_id: str, report, *, leaving: bool) -> None:
+    def _on_load(self, group_id: str, report: LoadReport, *, leaving: bool) -> None:
         now_ms = self._clock.monotonic_ms()
         state = self._core.state
         self._perform(state.on_server_signal(report.server_id, now_ms, leaving=leaving))
--- a/marjoramfall/request/dispatcher.py
+++ b/marjoramfall/request/dispatcher.py
@@ -91,8 +91,14 @@
         return []
 
     def on_finished(self, report: FinishReport, now_ms: float) -> list[Action]:
-        """Return the credits of a request and learn from its result."""
-        active = self._release(report.request_id)
+        """Return the credits of a request and learn from its result.
+
+        A result from another server is that of an earlier dispatcher's grant.
+        """
+        active = self._active.get(report.request_id)
+        if active is not None and active.grant.server_id != report.server_id:
+            return []
+        self._release(report.request_id)
         if active is not None and report.dispatched:
             self._admission.drain_rate.on_finished(active.work.total_tokens, now_ms)
             self._group.on_finished(active, report, now_ms)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 from marjoramfall.request.dispatcher import Dispatcher
 from marjoramfall.request.events import (
     Expire,
+    FinishReport,
     Grant,
     ServerInfo,
     WaitingRequest,
@@ -78,6 +79,23 @@
         self.assertEqual(self.granted(self.dispatcher.tick(400)), [])
         self.assertEqual(self.granted(self.dispatcher.tick(500)), ['second'])
 
+    def test_result_of_another_grant(self):
+        """Guards against credits freed by the end of an earlier dispatcher's grant."""
+        self.dispatcher.enqueue(waiting_request('first'), 0)
+        self.dispatcher.enqueue(waiting_request('second'), 0)
+        earlier = FinishReport(
+            request_id='first',
+            server_id='s2',
+            version_id='v1',
+            route='',
+            succeeded=False,
+            dispatched=False,
+            first_token_ms=None,
+            total_ms=0,
+            work=WorkEstimate(1, 1),
+        )
+        self.assertEqual(self.dispatcher.on_finished(earlier, 1), [])
+
     def test_leaving_server(self):
         """Guards against new work for a server that leaves."""
         self.dispatcher.set_servers([server('s1', leaving=True)], 0)
