Report an address in use and a closed log reader without tracebacks

Cause: an entry whose address was taken ended with a traceback; a closed standard output printed the log library's own traceback for each record. Ruled out: ending the process when the reader of the log goes, since serving matters more. Conclusion: an entry prints JSON lines in these cases too.

--- a/marjoramfall/process/daemon.py
+++ b/marjoramfall/process/daemon.py
@@ -1,5 +1,6 @@
 """Start an entry process from a settings file."""
 
+import zmq
 from loguru import logger
 
 from marjoramfall.clock import RuntimeClock
@@ -9,6 +10,7 @@
 from marjoramfall.settings.loader import load_settings
 
 EXIT_OK = 0
+EXIT_CANNOT_LISTEN = 1
 EXIT_INVALID_SETTINGS = 2
 
 
@@ -22,5 +24,9 @@
             logger.bind(code=error.code).error(str(fault))
         return EXIT_INVALID_SETTINGS
     configure_logging(vm=settings.vm)
-    EntryProcess(settings, RuntimeClock()).run()
+    try:
+        EntryProcess(settings, RuntimeClock()).run()
+    except (OSError, zmq.ZMQError) as error:
+        logger.bind(details=str(error)).error('entry cannot listen')
+        return EXIT_CANNOT_LISTEN
     return EXIT_OK
--- a/marjoramfall/process/structured_log.py
+++ b/marjoramfall/process/structured_log.py
@@ -2,6 +2,7 @@
 
 import sys
 import traceback
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,8 +25,10 @@
             traceback.format_exception(record['exception'].value)
         )
     encoded = msgspec.json.encode(line, enc_hook=str)
-    sys.stdout.buffer.write(encoded + b'\n')
-    sys.stdout.buffer.flush()
+    # Serving goes on when whoever reads the log has gone.
+    with suppress(BrokenPipeError):
+        sys.stdout.buffer.write(encoded + b'\n')
+        sys.stdout.buffer.flush()
 
 
 def configure_logging(*, vm: str, level: str = 'INFO') -> None:
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -72,6 +72,18 @@
         settings = str(self._settings_by_vm[vm])
         self._spawn(vm, 'marjoramfall', 'entry', '--config', settings)
 
+    def start_again(self, vm):
+        """Start an entry a second time; return its status, output and errors."""
+        settings = str(self._settings_by_vm[vm])
+        ended = subprocess.run(
+            [sys.executable, '-m', 'marjoramfall', 'entry', '--config', settings],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=WAIT_LIMIT_S,
+            check=False,
+        )
+        return ended.returncode, ended.stdout, ended.stderr
+
     def signal(self, vm, number):
         """Send a signal to the entry of a VM."""
         self._children[vm].send_signal(number)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -130,3 +130,10 @@
             self.assertEqual(status, 200, body)
             self.system.start(vm)
             self.system.wait_ready(vm)
+
+    def test_address_in_use(self):
+        """Guards against a traceback in place of a JSON line."""
+        status, output, errors = self.system.start_again('entry-1')
+        self.assertEqual((status, errors), (1, b''))
+        for line in output.splitlines():
+            self.assertIn('event', msgspec.json.decode(line))
