Make the proof of the planned stop fail without its wait

Cause: a last check of docs/proofs.md took out the wait for requests in flight, and test_request_in_flight still passed: the request took 1 s and the WSGI server itself waits 1 s when it stops. Ruled out: a shorter grace of the server, which would hide nothing but change the product. The request takes about 3 s now.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,6 +6,9 @@
 
 from tests.process_harness import AUTHORIZATION, System
 
+# About 3 s at the engine's speed: the WSGI server itself waits 1 s when it stops.
+LONG_TOKENS = 600
+
 
 class ProcessTest(unittest.TestCase):
     """Start the system once per test."""
@@ -109,7 +112,7 @@
     def check_stop(self, vm):
         responses = []
         asking = threading.Thread(
-            target=lambda: responses.append(self.complete(vm, tokens=200))
+            target=lambda: responses.append(self.complete(vm, tokens=LONG_TOKENS))
         )
         asking.start()
         self.system.wait(
@@ -120,7 +123,7 @@
         status, body = responses[0]
         self.assertEqual(status, 200, body)
         usage = msgspec.json.decode(body)['usage']
-        self.assertEqual(usage['completion_tokens'], 200)
+        self.assertEqual(usage['completion_tokens'], LONG_TOKENS)
 
     def test_killed_entries(self):
         """Guards against requests that fail after any entry has died."""
