--- /dev/null
+++ b/marjoramfall/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: routes, limits, placement and forwarding."""
--- /dev/null
+++ b/marjoramfall/gateway/backend_connection.py
@@ -0,0 +1,237 @@
+"""Exchange HTTP/1.1 messages over one connection to a server."""
+
+import select
+import time
+from dataclasses import dataclass
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
+
+from gevent import Greenlet, getcurrent, socket, spawn
+
+from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.http_messages import (
+    BadMessageError,
+    Response,
+    ResponseParser,
+    find_header,
+)
+
+RECEIVE_BYTES = 65536
+# Larger requests are sent beside the reading of the response, because a server
+# may answer before it has read the whole body.
+CONCURRENT_SEND_BYTES = 8192
+FIRST_FAILURE_STATUS = 400
+# A silent peer is noticed after idle + count * interval seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+UNACKNOWLEDGED_MS = 2000
+# Closes an idle connection this long before the server's own timeout.
+IDLE_MARGIN_MS = 800
+DEFAULT_IDLE_MS = 4000
+
+
+class NotReachedError(Exception):
+    """Report that no byte of a request reached the server."""
+
+
+class BrokenExchangeError(Exception):
+    """Report that a request was sent and has no whole response."""
+
+
+class SilentServerError(BrokenExchangeError):
+    """Report that nothing arrived within the time."""
+
+
+def configure_socket(connection: socket.socket) -> None:
+    """Send small segments at once and notice a silent peer."""
+    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of `host:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedHeader:
+    """Tell the response to a request from those to earlier ones."""
+
+    name: bytes
+    value: bytes
+
+    def matches(self, response: Response) -> bool:
+        """Return whether the response echoes the value.
+
+        Rejections may come without it, a success never does.
+        """
+        echoed = find_header(response.headers, self.name)
+        if echoed is None:
+            return response.status >= FIRST_FAILURE_STATUS
+        return echoed == self.value
+
+
+class BackendConnection:
+    """Own one socket; carry one request and its response at a time."""
+
+    def __init__(self, address: str, *, connect_timeout_ms: float) -> None:
+        """Connect to `host:port`; raises `NotReachedError`."""
+        self.address = address
+        self.idle_since_ms = float(0)
+        self.idle_limit_ms = float(DEFAULT_IDLE_MS)
+        self._parser = ResponseParser()
+        self._must_close = False
+        self._sender: Greenlet | None = None
+        try:
+            self._socket = socket.create_connection(
+                split_address(address), timeout=connect_timeout_ms / MS_PER_SECOND
+            )
+            configure_socket(self._socket)
+        except OSError as error:
+            raise NotReachedError(f'{address}: {error}') from error
+
+    def is_quiet(self) -> bool:
+        """Return whether the idle connection got neither bytes nor an end."""
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def send(self, message: bytes) -> None:
+        """Send a whole request.
+
+        Raises `NotReachedError` if not even its first byte was sent, else
+        `BrokenExchangeError`.
+        """
+        self._socket.settimeout(UNACKNOWLEDGED_MS / MS_PER_SECOND)
+        try:
+            sent = self._socket.send(message)
+        except OSError as error:
+            raise NotReachedError(f'{self.address}: {error}') from error
+        rest = message[sent:]
+        if len(rest) > CONCURRENT_SEND_BYTES:
+            self._sender = spawn(self._send_rest, rest)
+        elif rest:
+            self._send_rest(rest)
+
+    def read_response(
+        self, timeout_ms: float, expected: ExpectedHeader | None = None
+    ) -> Response:
+        """Return the response once its head is whole.
+
+        A response that lacks the expected header belongs to an earlier request:
+        it is dropped, and the connection is not used again. Raises
+        `BrokenExchangeError`.
+        """
+        deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
+        while True:
+            response = self._next_response(expected)
+            if response is not None:
+                return response
+            self._receive(deadline_s - time.monotonic())
+
+    def read_more(self, response: Response, timeout_ms: float) -> bytes:
+        """Return the next part of the body; empty once it is whole."""
+        while not response.body and not response.is_complete:
+            self._receive(timeout_ms / MS_PER_SECOND)
+        return response.take_body()
+
+    def read_all(self, response: Response, timeout_ms: float) -> bytes:
+        """Return the whole body; raises `BrokenExchangeError`."""
+        deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
+        while not response.is_complete:
+            self._receive(deadline_s - time.monotonic())
+        return response.take_body()
+
+    def finish(self, response: Response, now_ms: float) -> bool:
+        """Return whether the connection may carry another request."""
+        self.idle_since_ms = now_ms
+        if self._sender is not None and not self._sender.ready():
+            return False
+        self._sender = None
+        only = (
+            len(self._parser.responses) == 1 and self._parser.responses[0] is response
+        )
+        self._parser.responses.clear()
+        reusable = response.is_complete and response.keep_alive and only
+        if not reusable or self._must_close:
+            return False
+        self._note_idle_limit(response)
+        return self.idle_limit_ms > 0
+
+    def close(self) -> None:
+        """Close the socket and stop sending; a second call does nothing."""
+        if self._sender is not None:
+            self._sender.kill(block=False)
+            self._sender = None
+        self._socket.close()
+
+    def _next_response(self, expected: ExpectedHeader | None) -> Response | None:
+        responses = self._parser.responses
+        while responses:
+            response = responses[0]
+            if expected is None or expected.matches(response):
+                return response
+            self._must_close = True
+            if not response.is_complete:
+                return None
+            responses.popleft()
+        return None
+
+    def _send_rest(self, rest: bytes) -> None:
+        try:
+            self._socket.sendall(rest)
+        except OSError as error:
+            if getcurrent() is self._sender:
+                return
+            raise BrokenExchangeError(str(error)) from error
+
+    def _receive(self, timeout_s: float) -> None:
+        if timeout_s <= 0:
+            raise SilentServerError(f'{self.address} sent nothing in time')
+        self._socket.settimeout(timeout_s)
+        try:
+            received = self._socket.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise SilentServerError(f'{self.address} sent nothing in time') from error
+        except OSError as error:
+            raise BrokenExchangeError(str(error)) from error
+        if received:
+            self._parse(received)
+        elif not self._parser.end():
+            raise BrokenExchangeError('the connection ended early')
+
+    def _parse(self, received: bytes) -> None:
+        complete = (
+            bool(self._parser.responses) and self._parser.responses[0].is_complete
+        )
+        try:
+            self._parser.feed(received)
+        except BadMessageError as error:
+            self._must_close = True
+            whole = complete or any(
+                response.is_complete for response in self._parser.responses
+            )
+            if not whole:
+                raise BrokenExchangeError(str(error)) from error
+
+    def _note_idle_limit(self, response: Response) -> None:
+        keep_alive = find_header(response.headers, b'keep-alive') or b''
+        for part in keep_alive.split(b','):
+            name, _, value = part.strip().partition(b'=')
+            if name == b'timeout' and value.isdigit():
+                limit_ms = int(value) * MS_PER_SECOND
+                self.idle_limit_ms = max(0, limit_ms - IDLE_MARGIN_MS)
--- /dev/null
+++ b/marjoramfall/gateway/call.py
@@ -0,0 +1,68 @@
+"""Hold a caller's request and what the gateway decided about it."""
+
+from dataclasses import dataclass, field
+
+from marjoramfall.gateway.http_messages import Header, RequestHead
+from marjoramfall.gateway.model import RepeatRule, Route, Team
+
+
+@dataclass(frozen=True, slots=True)
+class CallFields:
+    """Hold what a dialect read from the headers of a request."""
+
+    attempt_id: str
+    host: str
+    path: str
+    api_key: str | None
+    patience_ms: float | None
+    is_generation: bool
+    prompt_tokens: int
+    output_tokens: int
+    likely_output_tokens: int
+    last_event_id: bytes | None
+    headers: tuple[Header, ...]
+
+
+@dataclass(slots=True)
+class Call:
+    """Carry one request through admission, placement and forwarding."""
+
+    head: RequestHead
+    body: bytes
+    fields: CallFields
+    received_ms: float
+    route: Route
+    team: Team | None
+    service_id: str
+    config_version: int
+    deadline_ms: float
+    excluded_ids: set[str] = field(default_factory=set)
+    runs: int = 0
+    sends: int = 0
+    last_event_id: bytes | None = None
+    first_byte_ms: float | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.route.repeat_rule is not RepeatRule.AT_MOST_ONCE
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; 0 is the highest."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    @property
+    def quota_tokens(self) -> int:
+        """Return what the request counts against the limit of its team."""
+        if self.team is None or not self.team.counts_tokens:
+            return 1
+        if not self.fields.is_generation:
+            return self.team.plain_tokens
+        return self.fields.prompt_tokens + self.fields.output_tokens
+
+    def left_ms(self, now_ms: float) -> float:
+        """Return how long the caller and the route still wait."""
+        return self.deadline_ms - now_ms
--- /dev/null
+++ b/marjoramfall/gateway/caller_connection.py
@@ -0,0 +1,288 @@
+"""Serve one connection of a caller."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from gevent import Greenlet, GreenletExit, socket, spawn
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.backend_connection import configure_socket
+from marjoramfall.gateway.http_messages import (
+    BadMessageError,
+    Header,
+    RequestHead,
+    RequestParser,
+    encode_head,
+    end_to_end,
+)
+from marjoramfall.gateway.model import CallerLimits
+
+RECEIVE_BYTES = 65536
+# How often an open connection is checked for having been idle too long.
+CHECK_INTERVAL_S = 1.0
+# Bytes of later requests that are held while one is served.
+MAX_PIPELINED_BYTES = 262144
+REASONS = {
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+LAST_CHUNK = b'0\r\n\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class CallerGoneError(GreenletExit):
+    """End the work on a request whose caller has left."""
+
+
+class Reply:
+    """Write the response to one request."""
+
+    def __init__(
+        self, connection: socket.socket, head: RequestHead, *, keep_alive: bool
+    ) -> None:
+        self._socket = connection
+        self._is_http10 = head.is_http10
+        self._is_chunked = False
+        self._keep_alive = keep_alive and not head.is_http10
+        self.has_begun = False
+        self.is_complete = False
+        self.status = 0
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Return whether another request may follow on the connection."""
+        return self._keep_alive and self.is_complete
+
+    def close_after(self) -> None:
+        """Announce the end of the connection with the response."""
+        if not self.has_begun:
+            self._keep_alive = False
+
+    def send_whole(
+        self, status: int, headers: list[Header], body: bytes, reason: bytes = b''
+    ) -> None:
+        """Send a response with its whole body."""
+        kept = [
+            header for header in end_to_end(headers) if header[0] != b'content-length'
+        ]
+        kept.append((b'content-length', str(len(body)).encode()))
+        head = self._encode_head(status, reason, kept)
+        self.has_begun = True
+        self._send(head + body)
+        self.is_complete = True
+
+    def begin(
+        self, status: int, headers: list[Header], reason: bytes, first: bytes
+    ) -> None:
+        """Send the head and the first part of a body of unknown length."""
+        kept = [
+            header for header in end_to_end(headers) if header[0] != b'content-length'
+        ]
+        self._is_chunked = not self._is_http10
+        if self._is_chunked:
+            kept.append((b'transfer-encoding', b'chunked'))
+        head = self._encode_head(status, reason, kept)
+        self.has_begun = True
+        self._send(head + self._frame(first))
+
+    def send_part(self, part: bytes) -> None:
+        """Send a part of the body."""
+        if part:
+            self._send(self._frame(part))
+
+    def finish(self) -> None:
+        """Mark the body as whole."""
+        if self._is_chunked:
+            self._send(LAST_CHUNK)
+        self.is_complete = True
+
+    def _frame(self, part: bytes) -> bytes:
+        if not self._is_chunked or not part:
+            return part
+        return b'%x\r\n%b\r\n' % (len(part), part)
+
+    def _encode_head(self, status: int, reason: bytes, headers: list[Header]) -> bytes:
+        self.status = status
+        if not self._keep_alive:
+            headers.append((b'connection', b'close'))
+        reason = reason or REASONS.get(status, b'')
+        return encode_head(b'HTTP/1.1 %d %b' % (status, reason), headers)
+
+    def _send(self, message: bytes) -> None:
+        try:
+            self._socket.sendall(message)
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
+
+class RequestHandler(ABC):
+    """Answer the requests of callers."""
+
+    @abstractmethod
+    def handle(self, head: RequestHead, body: bytes, reply: Reply) -> None:
+        """Answer one request; the reply may be left incomplete."""
+
+    @abstractmethod
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    @abstractmethod
+    def is_stopping(self) -> bool:
+        """Return whether connections should end after their next response."""
+
+
+class CallerConnection:
+    """Read requests from a socket and have them answered one by one."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        handler: RequestHandler,
+        clock: Clock,
+        *,
+        on_end: Callable[['CallerConnection'], None],
+    ) -> None:
+        self._socket = connection
+        self._handler = handler
+        self._clock = clock
+        self._on_end = on_end
+        self._worker: Greenlet | None = None
+        self._pipelined = bytearray()
+        self._last_activity_ms = clock.monotonic_ms()
+        self._begun_ms = self._last_activity_ms
+        self._is_closed = False
+        self._parser = self._new_parser()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return self._worker is None and not self._parser.has_begun
+
+    def run(self) -> None:
+        """Read until the caller leaves or the connection has to end."""
+        try:
+            configure_socket(self._socket)
+            keeps_open = True
+            while keeps_open and not self._is_closed:
+                keeps_open = self._read_once()
+        except OSError:
+            # A reset is an ordinary way for callers to leave.
+            self._is_closed = True
+        finally:
+            self._leave()
+
+    def close(self) -> None:
+        """Close the socket; a second call does nothing."""
+        self._is_closed = True
+        self._socket.close()
+
+    def _leave(self) -> None:
+        if self._worker is not None:
+            self._worker.kill(CallerGoneError, block=False)
+        self.close()
+        self._on_end(self)
+
+    def _read_once(self) -> bool:
+        # A timeout of the socket would also apply to the worker's writes.
+        try:
+            socket.wait_read(self._socket.fileno(), timeout=CHECK_INTERVAL_S)
+        except TimeoutError:
+            return self._check_times()
+        received = self._socket.recv(RECEIVE_BYTES)
+        if not received:
+            return False
+        self._last_activity_ms = self._clock.monotonic_ms()
+        if self._worker is not None:
+            self._pipelined += received
+            return len(self._pipelined) <= MAX_PIPELINED_BYTES
+        return self._take(received)
+
+    def _take(self, received: bytes) -> bool:
+        if not self._parser.has_begun:
+            self._begun_ms = self._clock.monotonic_ms()
+        had_head = self._parser.has_head
+        try:
+            self._parser.feed(received)
+        except BadMessageError as error:
+            self._refuse(error.status, str(error))
+            return False
+        if self._parser.is_complete:
+            self._begin_work()
+        elif (
+            self._parser.has_head
+            and not had_head
+            and self._parser.head.expects_continue
+        ):
+            self._socket.sendall(CONTINUE)
+        return True
+
+    def _begin_work(self) -> None:
+        parser = self._parser
+        keep_alive = parser.head.keep_alive and not parser.has_surplus
+        reply = Reply(
+            self._socket,
+            parser.head,
+            keep_alive=keep_alive and not self._handler.is_stopping(),
+        )
+        self._worker = spawn(self._work, parser, reply)
+
+    def _work(self, parser: RequestParser, reply: Reply) -> None:
+        try:
+            self._handler.handle(parser.head, bytes(parser.body), reply)
+        except CallerGoneError:
+            self.close()
+            return
+        finally:
+            self._worker = None
+        if not reply.keeps_connection:
+            self._end_orderly()
+            return
+        self._last_activity_ms = self._clock.monotonic_ms()
+        self._parser = self._new_parser()
+        if self._pipelined:
+            waiting = bytes(self._pipelined)
+            self._pipelined.clear()
+            if not self._take(waiting):
+                self._end_orderly()
+
+    def _end_orderly(self) -> None:
+        # The reader, which waits in another greenlet, ends with the socket.
+        self._is_closed = True
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            self._socket.close()
+
+    def _check_times(self) -> bool:
+        if self._worker is not None:
+            return True
+        now_ms = self._clock.monotonic_ms()
+        limits = self._handler.limits()
+        if self._parser.has_begun and not self._parser.has_head:
+            if now_ms - self._begun_ms > limits.header_timeout_ms:
+                self._refuse(408, 'the header took too long')
+                return False
+            return True
+        return now_ms - self._last_activity_ms <= limits.idle_timeout_ms
+
+    def _refuse(self, status: int, reason: str) -> None:
+        reply = Reply(self._socket, RequestHead(), keep_alive=False)
+        try:
+            reply.send_whole(status, [], reason.encode())
+        except CallerGoneError:
+            self._is_closed = True
+
+    def _new_parser(self) -> RequestParser:
+        limits = self._handler.limits()
+        return RequestParser(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+        )
--- /dev/null
+++ b/marjoramfall/gateway/dialect.py
@@ -0,0 +1,40 @@
+"""Define what the gateway needs to know of a wire dialect."""
+
+from abc import ABC, abstractmethod
+
+from marjoramfall.gateway.backend_connection import ExpectedHeader
+from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.http_messages import Header, RequestHead, Response
+from marjoramfall.gateway.model import BackendServer
+
+
+class Dialect(ABC):
+    """Read and write the headers that callers and backend servers use."""
+
+    @abstractmethod
+    def read_fields(self, head: RequestHead) -> CallFields:
+        """Return the fields of a request; raises `BadMessageError`."""
+
+    @abstractmethod
+    def encode_request(
+        self, call: Call, server: BackendServer, left_ms: float
+    ) -> bytes:
+        """Return the message for a backend server."""
+
+    @abstractmethod
+    def expected_response(self, call: Call) -> ExpectedHeader:
+        """Return the header by which the response to a request is known."""
+
+    @abstractmethod
+    def was_rejected(self, response: Response) -> bool:
+        """Return whether the backend server says that it did not run the request."""
+
+    @abstractmethod
+    def is_other_server(self, response: Response) -> bool:
+        """Return whether another server has taken over the address."""
+
+    @abstractmethod
+    def rejection_headers(
+        self, attempt_id: str, retry_after_ms: float | None
+    ) -> list[Header]:
+        """Return the headers of the gateway's own failures."""
--- /dev/null
+++ b/marjoramfall/gateway/event_splitter.py
@@ -0,0 +1,74 @@
+"""Split a stream into whole server-sent events."""
+
+EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
+ID_FIELD = b'id:'
+
+
+class EventSplitter:
+    """Pass on whole events and remember the id of the last one.
+
+    An event that was cut in the middle stays behind, so that a resumed stream
+    goes on after the last whole event. An event that was passed on before is
+    dropped.
+    """
+
+    def __init__(self) -> None:
+        self._buffered = b''
+        self.last_id: bytes | None = None
+        self.count = 0
+
+    def feed(self, part: bytes) -> bytes:
+        """Return the events that are whole now."""
+        self._buffered += part
+        passed = []
+        while True:
+            event = self._cut_event()
+            if event is None:
+                return b''.join(passed)
+            if self._is_next(event):
+                passed.append(event)
+                self.count += 1
+
+    def take_rest(self) -> bytes:
+        """Return what follows the last whole event once the stream has ended."""
+        rest = self._buffered
+        self._buffered = b''
+        return rest
+
+    def restart(self) -> None:
+        """Drop an event that was cut before the stream is resumed."""
+        self._buffered = b''
+
+    def _cut_event(self) -> bytes | None:
+        ends = [
+            found + len(end)
+            for end in EVENT_ENDS
+            if (found := self._buffered.find(end)) >= 0
+        ]
+        if not ends:
+            return None
+        event = self._buffered[: min(ends)]
+        self._buffered = self._buffered[min(ends) :]
+        return event
+
+    def _is_next(self, event: bytes) -> bool:
+        event_id = _read_id(event)
+        if event_id is None:
+            return True
+        if self.last_id is not None and _is_repeated(event_id, self.last_id):
+            return False
+        self.last_id = event_id
+        return True
+
+
+def _read_id(event: bytes) -> bytes | None:
+    for line in event.split(b'\n'):
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip()
+    return None
+
+
+def _is_repeated(event_id: bytes, last_id: bytes) -> bool:
+    if event_id.isdigit() and last_id.isdigit():
+        return int(event_id) <= int(last_id)
+    return event_id == last_id
--- /dev/null
+++ b/marjoramfall/gateway/fleet.py
@@ -0,0 +1,206 @@
+"""Know all backend servers, their load here and at the peers, and the limits."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from loguru import logger
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.connection_pool import ConnectionPool
+from marjoramfall.gateway.model import BackendServer, Configuration, Service
+from marjoramfall.gateway.peer_state import ServerSpeed, ServerUse, WaitingCall
+from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.retry_allowance import RetryAllowance
+from marjoramfall.gateway.server_load import ServerLoad, Speed
+from marjoramfall.gateway.service_queue import ForeignWaiter, Place, ServiceQueue
+
+# Bounds the datagram; later requests wait behind these anyway.
+MAX_WAITING_SHARED = 60
+
+
+class Fleet:
+    """Hold a queue for each service and the load of each server."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers: PeerTable,
+        pool: ConnectionPool,
+        *,
+        new_allowance: Callable[[], RetryAllowance],
+        notify: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        self._pool = pool
+        self._service_by_id: dict[str, Service] = {}
+        self._queue_by_service: dict[str, ServiceQueue] = {}
+        self._load_by_id: dict[str, ServerLoad] = {}
+        self._allowance_by_service: dict[str, RetryAllowance] = defaultdict(
+            new_allowance
+        )
+        self.notify = notify
+
+    def set_config(self, config: Configuration) -> None:
+        """Take over the services of a configuration."""
+        self._service_by_id = config.service_by_id
+
+    def set_servers(self, servers: list[BackendServer]) -> None:
+        """Take over the registered servers; known ones keep what was learnt."""
+        by_id = {server.server_id: server for server in servers}
+        for server_id in tuple(self._load_by_id):
+            if server_id not in by_id:
+                self._remove(server_id)
+        for server in servers:
+            self._add(server)
+        self.assign()
+
+    def queue(self, service_id: str) -> ServiceQueue:
+        """Return the queue of a service."""
+        queue = self._queue_by_service.get(service_id)
+        if queue is None:
+            queue = ServiceQueue(self._clock, is_model=self._is_model(service_id))
+            self._queue_by_service[service_id] = queue
+        return queue
+
+    def on_request(self, call: Call) -> None:
+        """Count a request for the allowance of repeats."""
+        allowance = self._allowance_by_service[call.service_id]
+        allowance.on_request(self._clock.monotonic_ms())
+
+    def try_repeat(self, call: Call) -> bool:
+        """Count and allow sending a request once more."""
+        allowance = self._allowance_by_service[call.service_id]
+        allowed = allowance.try_repeat(
+            self._clock.monotonic_ms(), self._peers.member_count()
+        )
+        if not allowed:
+            logger.bind(
+                request=call.fields.attempt_id, service=call.service_id
+            ).warning('repeat not allowed by the shared budget')
+        return allowed
+
+    @contextmanager
+    def held(self, place: Place) -> Iterator[None]:
+        """Free a place at the end of the block."""
+        try:
+            yield
+        finally:
+            self.finish(place)
+
+    def finish(self, place: Place) -> None:
+        """Free a place."""
+        self.queue(place.load.server.service_id).finish(place)
+        self.notify()
+
+    def assign(self) -> None:
+        """Let waiting requests have the places that are free now."""
+        for queue in self._queue_by_service.values():
+            queue.assign()
+
+    def use_peers(self) -> None:
+        """Count the load and the waiting requests of all peers anew."""
+        for load in self._load_by_id.values():
+            load.peer_running = 0
+            load.peer_pending_tokens = 0
+            load.peer_speeds = []
+        for queue in self._queue_by_service.values():
+            queue.foreign_waiters = []
+        for peer in self._peers.fresh():
+            self._use_loads(peer.state.uses, peer.state.speeds)
+            self._use_waiting(peer.state.waiting, peer.heard_ms)
+        self.assign()
+
+    def uses(self) -> list[ServerUse]:
+        """Return this entry's load for the peers."""
+        return [
+            ServerUse(
+                server_id,
+                len(load.own),
+                sum(run.demand.prompt_tokens for run in load.own if run.is_reading),
+            )
+            for server_id, load in self._load_by_id.items()
+            if load.own
+        ]
+
+    def speeds(self) -> list[ServerSpeed]:
+        """Return the speeds that this entry measured."""
+        return [
+            ServerSpeed(
+                server_id,
+                round(load.speed.event_ms, 1),
+                round(load.speed.token_us, 1),
+                load.speed.samples,
+            )
+            for server_id, load in self._load_by_id.items()
+            if load.speed.samples
+        ]
+
+    def waiting(self) -> list[WaitingCall]:
+        """Return this entry's waiting requests for the peers."""
+        now_ms = self._clock.monotonic_ms()
+        calls = [
+            WaitingCall(
+                service_id,
+                waiter.demand.rank(now_ms),
+                now_ms - waiter.demand.arrived_ms,
+            )
+            for service_id, queue in self._queue_by_service.items()
+            for waiter in queue.waiters
+        ]
+        return calls[:MAX_WAITING_SHARED]
+
+    def _use_loads(self, uses: list[ServerUse], speeds: list[ServerSpeed]) -> None:
+        for use in uses:
+            load = self._load_by_id.get(use.server_id)
+            if load is not None:
+                load.peer_running += use.running
+                load.peer_pending_tokens += use.pending_tokens
+        for speed in speeds:
+            load = self._load_by_id.get(speed.server_id)
+            if load is not None:
+                load.peer_speeds.append(
+                    Speed(speed.event_ms, speed.token_us, speed.samples)
+                )
+
+    def _use_waiting(self, waiting: list[WaitingCall], heard_ms: float) -> None:
+        for call in waiting:
+            queue = self.queue(call.service_id)
+            arrived_ms = heard_ms - call.waited_ms
+            queue.foreign_waiters.append(ForeignWaiter(call.rank, arrived_ms))
+
+    def _add(self, server: BackendServer) -> None:
+        known = self._load_by_id.get(server.server_id)
+        if known is not None and known.server.born_ms == server.born_ms:
+            if known.server.address != server.address:
+                self._pool.drop(server.server_id)
+            known.server = server
+            return
+        if known is not None:
+            self._remove(server.server_id)
+        service = self._service_by_id.get(server.service_id)
+        tokens_per_event = service.tokens_per_event if service else 1
+        load = ServerLoad(
+            server,
+            is_model=self._is_model(server.service_id),
+            events_per_token=1 / tokens_per_event,
+        )
+        self._load_by_id[server.server_id] = load
+        self.queue(server.service_id).load_by_id[server.server_id] = load
+
+    def _remove(self, server_id: str) -> None:
+        load = self._load_by_id.pop(server_id)
+        self.queue(load.server.service_id).load_by_id.pop(server_id, None)
+        self._pool.drop(server_id)
+
+    def _is_model(self, service_id: str) -> bool:
+        service = self._service_by_id.get(service_id)
+        return service is not None and service.is_model
+
+
+def pick_weighted(weights: list[float]) -> int:
+    """Return the index of a random choice by weight."""
+    return random.choices(range(len(weights)), weights)[0]
--- /dev/null
+++ b/marjoramfall/gateway/forwarder.py
@@ -0,0 +1,161 @@
+"""Serve one admitted request: place it, forward it, repeat it if allowed."""
+
+from gevent import Timeout
+from gevent.event import AsyncResult
+from loguru import logger
+
+from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.caller_connection import Reply
+from marjoramfall.gateway.connection_pool import ConnectionPool
+from marjoramfall.gateway.demand import Demand
+from marjoramfall.gateway.dialect import Dialect
+from marjoramfall.gateway.event_splitter import EventSplitter
+from marjoramfall.gateway.exchange import Exchange
+from marjoramfall.gateway.fleet import Fleet
+from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
+from marjoramfall.gateway.service_queue import OverloadError, Place, Waiter
+
+# Sends beyond the allowed runs, for servers that say they did not run it.
+MAX_REJECTED_SENDS = 3
+# Callers leave a stream after such a silence, whichever bound is longest.
+MIN_STREAM_PATIENCE_MS = 2000.0
+TARGET_PATIENCE = 4.0
+GAP_PATIENCE = 8.0
+# A retry after a rejection by a full server finds a place sooner or later.
+FULL_RETRY_AFTER_MS = 150.0
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+TIMED_OUT = 504
+
+
+class Forwarder:
+    """Carry calls to backend servers."""
+
+    def __init__(
+        self, fleet: Fleet, pool: ConnectionPool, dialect: Dialect, clock: Clock
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._dialect = dialect
+        self._clock = clock
+
+    def forward(self, call: Call, reply: Reply) -> str:
+        """Deliver a response and return how the call ended.
+
+        Raises `GatewayFailureError` while nothing was delivered.
+        """
+        splitter = EventSplitter() if call.route.is_stream else None
+        self._fleet.on_request(call)
+        while True:
+            place = self._acquire(call)
+            outcome = self._exchange(call, place, reply, splitter)
+            if outcome.ending is Ending.DELIVERED:
+                return outcome.ending
+            self._log_failure(call, place, outcome)
+            if splitter is not None:
+                splitter.restart()
+            if not self._may_go_on(call, outcome):
+                return self._give_up(call, reply, outcome)
+            call.excluded_ids.add(place.load.server.server_id)
+
+    def _exchange(
+        self, call: Call, place: Place, reply: Reply, splitter: EventSplitter | None
+    ) -> Outcome:
+        exchange = Exchange(call, place, self._pool, self._dialect, self._clock)
+        with self._fleet.held(place):
+            return exchange.run(reply, splitter, may_move=self._may_move(call))
+
+    def _acquire(self, call: Call) -> Place:
+        demand = self._demand(call)
+        placed: AsyncResult = AsyncResult()
+        waiter = Waiter(demand, placed.set, placed.set_exception)
+        queue = self._fleet.queue(call.service_id)
+        place: Place | None = None
+        try:
+            queue.submit(waiter)
+            self._fleet.notify()
+            wait_ms = max(0, demand.give_up_ms - self._clock.monotonic_ms())
+            place = placed.get(timeout=wait_ms / MS_PER_SECOND)
+        except Timeout as error:
+            raise self._refusal(
+                call, 'no place in time', FULL_RETRY_AFTER_MS
+            ) from error
+        except OverloadError as error:
+            raise self._refusal(call, str(error), error.retry_after_ms) from error
+        finally:
+            queue.withdraw(waiter)
+            if place is None and placed.successful():
+                # The caller left just as its request got a place.
+                self._fleet.finish(placed.value)
+        return place
+
+    def _refusal(
+        self, call: Call, reason: str, retry_after_ms: float
+    ) -> GatewayFailureError:
+        if call.runs or call.first_byte_ms is not None:
+            return GatewayFailureError(BAD_GATEWAY, reason)
+        return GatewayFailureError(UNAVAILABLE, reason, retry_after_ms=retry_after_ms)
+
+    def _demand(self, call: Call) -> Demand:
+        route = call.route
+        patience_ms = call.deadline_ms - call.received_ms
+        if route.is_stream:
+            longest_ms = max(
+                MIN_STREAM_PATIENCE_MS,
+                TARGET_PATIENCE * route.target_ms,
+                GAP_PATIENCE * route.max_gap_ms,
+            )
+            patience_ms = min(patience_ms, longest_ms)
+        return Demand(
+            service_id=call.service_id,
+            priority=call.priority,
+            arrived_ms=call.received_ms,
+            target_ms=call.received_ms + route.target_ms,
+            give_up_ms=call.received_ms + patience_ms,
+            prompt_tokens=call.fields.prompt_tokens,
+            output_tokens=call.fields.likely_output_tokens,
+            excluded_ids=call.excluded_ids,
+        )
+
+    def _may_move(self, call: Call) -> bool:
+        return call.may_repeat and call.runs + 1 < call.route.max_attempts
+
+    def _may_go_on(self, call: Call, outcome: Outcome) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if call.left_ms(now_ms) <= 0:
+            return False
+        if outcome.ending is Ending.NOT_RUN:
+            allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
+        else:
+            if outcome.ending is Ending.UNKNOWN:
+                call.runs = max(call.runs, 1)
+            allowed = call.may_repeat and call.runs < call.route.max_attempts
+        return allowed and self._fleet.try_repeat(call)
+
+    def _give_up(self, call: Call, reply: Reply, outcome: Outcome) -> str:
+        if reply.has_begun:
+            return 'broken'
+        if outcome.response is not None:
+            headers = outcome.response.headers
+            reply.send_whole(
+                outcome.response.status, headers, outcome.body, outcome.response.reason
+            )
+            return 'failure_passed_on'
+        if outcome.ending is Ending.NOT_RUN and not call.runs:
+            raise GatewayFailureError(
+                UNAVAILABLE, outcome.reason, retry_after_ms=FULL_RETRY_AFTER_MS
+            )
+        if call.left_ms(self._clock.monotonic_ms()) <= 0:
+            raise GatewayFailureError(TIMED_OUT, 'no response in time')
+        raise GatewayFailureError(BAD_GATEWAY, outcome.reason)
+
+    def _log_failure(self, call: Call, place: Place, outcome: Outcome) -> None:
+        logger.bind(
+            request=call.fields.attempt_id,
+            server=place.load.server.server_id,
+            ending=outcome.ending.value,
+            reason=outcome.reason,
+            runs=call.runs,
+            sends=call.sends,
+        ).warning('exchange failed')
--- /dev/null
+++ b/marjoramfall/gateway/gateway.py
@@ -0,0 +1,214 @@
+"""Admit the requests of callers and answer each of them."""
+
+import msgspec
+from loguru import logger
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.caller_connection import (
+    CallerGoneError,
+    Reply,
+    RequestHandler,
+)
+from marjoramfall.gateway.dialect import Dialect
+from marjoramfall.gateway.fleet import pick_weighted
+from marjoramfall.gateway.forwarder import Forwarder
+from marjoramfall.gateway.http_messages import BadMessageError, RequestHead
+from marjoramfall.gateway.metrics import GatewayMetrics
+from marjoramfall.gateway.model import CallerLimits, Configuration, Route, Team
+from marjoramfall.gateway.outcome import GatewayFailureError
+from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.registry import Registry
+from marjoramfall.gateway.shared_limit import SharedLimits
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+TOO_MANY = 429
+INTERNAL = 502
+UNAVAILABLE = 503
+NOT_CONFIGURED_RETRY_MS = 300.0
+MAX_RETRY_AFTER_SHARE = 1 / 3
+
+
+class Gateway(RequestHandler):
+    """Check each request against the configuration and have it forwarded."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        limits: SharedLimits,
+        peers: PeerTable,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        metrics: GatewayMetrics,
+        clock: Clock,
+    ) -> None:
+        self._registry = registry
+        self._limits = limits
+        self._peers = peers
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._metrics = metrics
+        self._clock = clock
+        self.stopping = False
+        self.in_flight = 0
+
+    def is_stopping(self) -> bool:
+        """Return whether the process is about to stop."""
+        return self.stopping
+
+    def limits(self) -> CallerLimits:
+        """Return the limits of the configuration in force."""
+        config = self._registry.config
+        return CallerLimits() if config is None else config.limits
+
+    def handle(self, head: RequestHead, body: bytes, reply: Reply) -> None:
+        """Answer one request."""
+        received_ms = self._clock.monotonic_ms()
+        self.in_flight += 1
+        try:
+            self._handle(head, body, reply, received_ms)
+        except CallerGoneError:
+            raise
+        except Exception:
+            logger.exception('request failed by a fault of the gateway')
+            self._fail(reply, '', GatewayFailureError(INTERNAL, 'internal fault'))
+        finally:
+            self.in_flight -= 1
+
+    def _handle(
+        self, head: RequestHead, body: bytes, reply: Reply, received_ms: float
+    ) -> None:
+        try:
+            fields = self._dialect.read_fields(head)
+        except BadMessageError as error:
+            reply.close_after()
+            self._fail(reply, '', GatewayFailureError(BAD_REQUEST, str(error)))
+            return
+        call: Call | None = None
+        ending = 'left'
+        try:
+            call = self._admit(head, body, fields, received_ms)
+            ending = self._serve(call, reply)
+        except GatewayFailureError as failure:
+            ending = failure.code
+            self._fail(reply, fields.attempt_id, self._bounded(failure, call))
+        finally:
+            self._record(fields, call, reply, ending, received_ms)
+
+    def _serve(self, call: Call, reply: Reply) -> str:
+        limit = self._limits.find(call.team)
+        if limit is None:
+            return self._forwarder.forward(call, reply)
+        reserved = self._peers.silent_count() / self._peers.member_count()
+        limit.refill(self._clock.monotonic_ms(), reserved)
+        if not limit.try_use(call.quota_tokens):
+            raise GatewayFailureError(
+                TOO_MANY, 'limit of the team reached', retry_after_ms=limit.wait_ms()
+            )
+        try:
+            return self._forwarder.forward(call, reply)
+        except GatewayFailureError as failure:
+            if failure.status == UNAVAILABLE:
+                limit.give_back(call.quota_tokens)
+            raise
+
+    def _admit(
+        self, head: RequestHead, body: bytes, fields: CallFields, received_ms: float
+    ) -> Call:
+        config = self._registry.config
+        if config is None:
+            raise GatewayFailureError(
+                UNAVAILABLE,
+                'not configured yet',
+                retry_after_ms=NOT_CONFIGURED_RETRY_MS,
+            )
+        route = config.find_route(fields.host, fields.path)
+        if route is None:
+            raise GatewayFailureError(NOT_FOUND, 'no route')
+        team = _find_team(config, route, fields)
+        waits_ms = route.timeout_ms
+        if fields.patience_ms is not None:
+            waits_ms = min(waits_ms, fields.patience_ms)
+        return Call(
+            head=head,
+            body=body,
+            fields=fields,
+            received_ms=received_ms,
+            route=route,
+            team=team,
+            service_id=_choose_service(route),
+            config_version=config.version,
+            deadline_ms=received_ms + waits_ms,
+            last_event_id=fields.last_event_id,
+        )
+
+    def _bounded(
+        self, failure: GatewayFailureError, call: Call | None
+    ) -> GatewayFailureError:
+        """Bound the time to come back by what the caller honours."""
+        if call is not None and failure.retry_after_ms is not None:
+            left_ms = call.left_ms(self._clock.monotonic_ms())
+            longest_ms = max(0, left_ms) * MAX_RETRY_AFTER_SHARE
+            failure.retry_after_ms = min(failure.retry_after_ms, longest_ms)
+        return failure
+
+    def _fail(
+        self, reply: Reply, attempt_id: str, failure: GatewayFailureError
+    ) -> None:
+        if reply.has_begun:
+            return
+        headers = self._dialect.rejection_headers(attempt_id, failure.retry_after_ms)
+        headers.append((b'content-type', b'application/json'))
+        body = msgspec.json.encode({'error': failure.code})
+        reply.send_whole(failure.status, headers, body)
+
+    def _record(
+        self,
+        fields: CallFields,
+        call: Call | None,
+        reply: Reply,
+        ending: str,
+        received_ms: float,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        total_ms = now_ms - received_ms
+        first_ms = None
+        if call is not None and call.first_byte_ms is not None:
+            first_ms = round(call.first_byte_ms - received_ms, 1)
+        route = call.route.name if call else ''
+        logger.bind(
+            request=fields.attempt_id,
+            route=route,
+            service=call.service_id if call else '',
+            team=call.team.name if call and call.team else '',
+            config_version=call.config_version if call else 0,
+            status=reply.status,
+            ending=str(ending),
+            sends=call.sends if call else 0,
+            runs=call.runs if call else 0,
+            first_ms=first_ms,
+            total_ms=round(total_ms, 1),
+            tokens=[fields.prompt_tokens, fields.likely_output_tokens],
+        ).info('request ended')
+        self._metrics.count_request(
+            route=route,
+            status=reply.status,
+            ending=str(ending),
+            seconds=total_ms / 1000,
+        )
+
+
+def _find_team(config: Configuration, route: Route, fields: CallFields) -> Team | None:
+    team = config.team_by_key.get(fields.api_key or '')
+    if team is None and config.team_by_name and not route.is_public:
+        raise GatewayFailureError(UNAUTHORIZED, 'unknown key')
+    return team
+
+
+def _choose_service(route: Route) -> str:
+    if len(route.services) == 1:
+        return route.services[0].service_id
+    index = pick_weighted([service.weight for service in route.services])
+    return route.services[index].service_id
--- /dev/null
+++ b/marjoramfall/gateway/http_messages.py
@@ -0,0 +1,289 @@
+"""Parse HTTP/1.1 messages with httptools, one message at a time."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+import httptools
+
+FIRST_FINAL_STATUS = 200
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+CHUNKED = b'chunked'
+
+Header = tuple[bytes, bytes]
+
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def find_header(headers: list[Header], name: bytes) -> bytes | None:
+    """Return the value of the first header with the lowercase name."""
+    for header_name, value in headers:
+        if header_name == name:
+            return value
+    return None
+
+
+def end_to_end(headers: list[Header]) -> list[Header]:
+    """Return the headers that do not concern a single connection."""
+    listed = find_header(headers, b'connection') or b''
+    dropped = {token.strip().lower() for token in listed.split(b',')} | HOP_BY_HOP
+    return [header for header in headers if header[0] not in dropped]
+
+
+class BadMessageError(Exception):
+    """Report bytes that are not an HTTP message, or too many of them."""
+
+    def __init__(self, reason: str, *, status: int = 400) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """Hold the request line and headers; header names are lowercase."""
+
+    method: bytes = b''
+    target: bytes = b''
+    headers: list[Header] = field(default_factory=list)
+    keep_alive: bool = True
+    expects_continue: bool = False
+    is_http10: bool = False
+
+
+class _Progress(Enum):
+    IDLE = auto()
+    HEAD = auto()
+    BODY = auto()
+    COMPLETE = auto()
+
+
+class RequestParser:
+    """Parse one request of a caller and refuse ambiguous framing.
+
+    Bytes after the request stay with the caller of `feed`, who must not feed
+    more until it has taken the request.
+    """
+
+    def __init__(self, *, max_header_bytes: int, max_body_bytes: int) -> None:
+        self._max_header_bytes = max_header_bytes
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._progress = _Progress.IDLE
+        self._header_bytes = 0
+        self._failure: BadMessageError | None = None
+        self.head = RequestHead()
+        self.body = bytearray()
+        self.has_surplus = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether head and body are whole."""
+        return self._progress is _Progress.COMPLETE
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether any byte of the request was seen."""
+        return self._progress is not _Progress.IDLE
+
+    @property
+    def has_head(self) -> bool:
+        """Return whether the head is whole."""
+        return self._progress in {_Progress.BODY, _Progress.COMPLETE}
+
+    def feed(self, received: bytes) -> None:
+        """Parse bytes; raises `BadMessageError`."""
+        if self._progress is _Progress.IDLE and received.strip(b'\r\n'):
+            self._progress = _Progress.HEAD
+        if not self.has_head:
+            self._header_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as error:
+            raise BadMessageError('upgrade is not supported') from error
+        except httptools.HttpParserError as error:
+            if self._failure:
+                raise self._failure from error
+            if not self.is_complete:
+                raise BadMessageError(str(error)) from error
+            # Whatever follows a whole request is judged as the next one.
+            self.has_surplus = True
+        self._check_sizes()
+
+    # Callbacks of httptools.
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        if not self.is_complete:
+            self.head.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        if not self.is_complete:
+            self.head.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the framing once the head is whole."""
+        if self.is_complete:
+            return
+        self.head.method = self._parser.get_method()
+        self.head.keep_alive = self._parser.should_keep_alive()
+        self.head.is_http10 = self._parser.get_http_version() == '1.0'
+        self._progress = _Progress.BODY
+        self._check_framing()
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        if self.is_complete:
+            return
+        self.body += body
+
+    def on_message_begin(self) -> None:
+        """Notice a request that follows a whole one."""
+        if self.is_complete:
+            self.has_surplus = True
+
+    def on_message_complete(self) -> None:
+        """Mark the request as whole."""
+        if self._progress is _Progress.BODY:
+            self._progress = _Progress.COMPLETE
+
+    def _check_framing(self) -> None:
+        lengths = [
+            value for name, value in self.head.headers if name == b'content-length'
+        ]
+        encodings = [
+            value.strip().lower()
+            for name, value in self.head.headers
+            if name == b'transfer-encoding'
+        ]
+        hosts = [value for name, value in self.head.headers if name == b'host']
+        if len(hosts) != 1:
+            self._fail('exactly one Host header is required')
+        if encodings and (lengths or encodings != [CHUNKED]):
+            self._fail('the length of the body is ambiguous')
+        if len(set(lengths)) > 1 or any(not value.isdigit() for value in lengths):
+            self._fail('the length of the body is ambiguous')
+        if lengths and int(lengths[0]) > self._max_body_bytes:
+            self._failure = BadMessageError('body too large', status=413)
+            raise self._failure
+        expected = find_header(self.head.headers, b'expect') or b''
+        self.head.expects_continue = expected.lower() == b'100-continue'
+
+    def _fail(self, reason: str) -> None:
+        self._failure = BadMessageError(reason)
+        raise self._failure
+
+    def _check_sizes(self) -> None:
+        if not self.has_head and self._header_bytes > self._max_header_bytes:
+            raise BadMessageError('header too large', status=431)
+        if len(self.body) > self._max_body_bytes:
+            raise BadMessageError('body too large', status=413)
+
+
+@dataclass(slots=True)
+class Response:
+    """Collect one response of a backend server; header names are lowercase."""
+
+    status: int = 0
+    reason: bytes = b''
+    headers: list[Header] = field(default_factory=list)
+    has_head: bool = False
+    is_complete: bool = False
+    keep_alive: bool = False
+    ends_with_connection: bool = False
+    body: bytearray = field(default_factory=bytearray)
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether this is not an interim response."""
+        return self.status >= FIRST_FINAL_STATUS
+
+    def take_body(self) -> bytes:
+        """Return and forget the body received so far."""
+        taken = bytes(self.body)
+        self.body.clear()
+        return taken
+
+
+class ResponseParser:
+    """Split the bytes of a connection into responses, in order of arrival."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._current = Response()
+        self.responses: deque[Response] = deque()
+
+    def feed(self, received: bytes) -> None:
+        """Parse bytes; raises `BadMessageError`."""
+        try:
+            self._parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise BadMessageError(str(error)) from error
+
+    def end(self) -> bool:
+        """Note an orderly end; return whether it completes a response."""
+        response = self._current
+        if response.ends_with_connection and not response.is_complete:
+            response.is_complete = True
+            response.keep_alive = False
+            return True
+        return False
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Begin a response."""
+        self._current = Response()
+
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase."""
+        self._current.reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self._current.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Publish the response once its head is whole."""
+        response = self._current
+        response.status = self._parser.get_status_code()
+        response.has_head = True
+        response.keep_alive = self._parser.should_keep_alive()
+        has_length = find_header(response.headers, b'content-length') is not None
+        encoding = find_header(response.headers, b'transfer-encoding')
+        has_body = response.is_final and response.status not in {
+            NO_CONTENT,
+            NOT_MODIFIED,
+        }
+        response.ends_with_connection = has_body and not has_length and encoding is None
+        if response.is_final:
+            self.responses.append(response)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._current.body += body
+
+    def on_message_complete(self) -> None:
+        """Mark the response as whole."""
+        self._current.is_complete = True
+
+
+def encode_head(first_line: bytes, headers: list[Header]) -> bytes:
+    """Return the bytes of a message head."""
+    lines = [first_line]
+    lines.extend(name + b': ' + value for name, value in headers)
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines)
--- /dev/null
+++ b/marjoramfall/gateway/log_output.py
@@ -0,0 +1,112 @@
+"""Write log records as JSON lines without ever waiting for the reader."""
+
+import errno
+import os
+import sys
+import traceback
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from loguru import logger
+
+from marjoramfall.clock import MS_PER_SECOND, Clock
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+# Lines of one event name a second; requests at full load stay below this.
+MAX_LINES_PER_EVENT = 200
+MAX_WAITING_LINES = 5000
+FLUSH_INTERVAL_MS = 100
+WINDOW_MS = 1000
+REPORT_NAME = 'log lines dropped'
+
+
+class LogOutput:
+    """Queue lines and write them in the background.
+
+    Lines beyond the bound of their event, or while the reader does not read,
+    are counted and reported instead.
+    """
+
+    def __init__(self, clock: Clock, *, descriptor: int = 1) -> None:
+        self._clock = clock
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._unwritten = b''
+        self._count_by_event: Counter[str] = Counter()
+        self._dropped_by_event: Counter[str] = Counter()
+        self._window_start_ms = clock.monotonic_ms()
+
+    def start(self) -> None:
+        """Take over all records of loguru and write them in the background."""
+        os.set_blocking(self._descriptor, False)
+        gevent.spawn(self._flush_loop)
+
+    def write(self, message: 'Message') -> None:
+        """Queue one record; a sink of loguru."""
+        record = message.record
+        event = record['message']
+        if not self._admit(event):
+            self._dropped_by_event[event] += 1
+            return
+        line = {
+            'time': record['time'].isoformat(),
+            'level': record['level'].name.lower(),
+            'event': event,
+            **record['extra'],
+        }
+        if record['exception'] is not None:
+            line['exception'] = ''.join(
+                traceback.format_exception(record['exception'].value)
+            )
+        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b'\n')
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._lines or self._unwritten:
+            if not self._unwritten:
+                self._unwritten = b''.join(self._lines)
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, self._unwritten)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._unwritten = b''
+                if error.errno != errno.EPIPE:
+                    sys.stderr.write(f'log not written: {error}\n')
+                return
+            self._unwritten = self._unwritten[written:]
+
+    def _admit(self, event: str) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._window_start_ms >= WINDOW_MS:
+            self._window_start_ms = now_ms
+            self._count_by_event.clear()
+            self._report_dropped()
+        self._count_by_event[event] += 1
+        if len(self._lines) >= MAX_WAITING_LINES:
+            return False
+        return self._count_by_event[event] <= MAX_LINES_PER_EVENT
+
+    def _report_dropped(self) -> None:
+        if not self._dropped_by_event:
+            return
+        line = {'event': REPORT_NAME, 'count_by_event': dict(self._dropped_by_event)}
+        self._dropped_by_event.clear()
+        self._lines.append(msgspec.json.encode(line) + b'\n')
+
+    def _flush_loop(self) -> None:
+        while True:
+            gevent.sleep(FLUSH_INTERVAL_MS / MS_PER_SECOND)
+            self.flush()
+
+
+def install_log_output(output: LogOutput, *, vm: str, level: str = 'INFO') -> None:
+    """Send all records to the output."""
+    logger.remove()
+    logger.configure(extra={'vm': vm})
+    logger.add(output.write, level=level, format='{message}', catch=True)
--- /dev/null
+++ b/marjoramfall/gateway/metrics.py
@@ -0,0 +1,49 @@
+"""Define the metrics of a gateway process."""
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.06, 0.125, 0.25, 0.5, 0.8, 1.2, 2, 4, 8, 16)
+
+
+class GatewayMetrics:
+    """Hold counters, histograms and gauges of one process."""
+
+    def __init__(self, *, vm: str) -> None:
+        self._registry = Registry()
+        self._labels = {'vm': vm}
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._requests = Counter(
+            'marjoramfall_gateway_requests_total',
+            'Requests by route, status and ending.',
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            'marjoramfall_gateway_request_seconds',
+            'Seconds until the end of the response, by route.',
+            const_labels=self._labels,
+            registry=self._registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
+
+    def count_request(
+        self, *, route: str, status: int, ending: str, seconds: float
+    ) -> None:
+        """Count an ended request."""
+        self._requests.inc({'route': route, 'status': str(status), 'ending': ending})
+        self._seconds.observe({'route': route}, seconds)
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show the value of a callable whenever metrics are read."""
+        gauge = Gauge(name, text, const_labels=self._labels, registry=self._registry)
+        self._gauges.append((gauge, read))
+
+    def render(self) -> bytes:
+        """Return the text of a scrape."""
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        body, _ = render(self._registry, ['text/plain'])
+        return body
--- /dev/null
+++ b/marjoramfall/gateway/model.py
@@ -0,0 +1,128 @@
+"""Define what the gateway serves: routes, services, teams and backend servers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RepeatRule(StrEnum):
+    """Say how often a request may run."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at_most_once'
+    RESUMABLE = 'resumable'
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """Give a service a share of a route's requests."""
+
+    service_id: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Select requests by host and path prefix and bound how they are served."""
+
+    name: str
+    host: str
+    prefix: str
+    services: tuple[WeightedService, ...]
+    repeat_rule: RepeatRule
+    is_stream: bool
+    timeout_ms: float
+    target_ms: float
+    max_gap_ms: float
+    priority: int
+    max_attempts: int
+    is_public: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describe a group of interchangeable backend servers."""
+
+    service_id: str
+    max_connections: int
+    is_model: bool
+    tokens_per_event: float
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """Own API keys and a limit that all entries share.
+
+    `rate_per_s` and `burst` count tokens if `counts_tokens`, else requests;
+    a rate of 0 means no limit.
+    """
+
+    name: str
+    priority: int | None
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    plain_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound what a caller may send and how long it may take."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+def group_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes by host, the longest prefix first."""
+    longest_first = sorted(routes, key=lambda route: -len(route.prefix))
+    by_host: dict[str, list[Route]] = {}
+    for route in longest_first:
+        by_host.setdefault(route.host, []).append(route)
+    return {host: tuple(found) for host, found in by_host.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Hold one version of everything that operators decide."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_id: dict[str, Service]
+    team_by_key: dict[str, Team]
+    team_by_name: dict[str, Team]
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest matching prefix."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """Describe one incarnation of a registered backend server."""
+
+    server_id: str
+    service_id: str
+    address: str
+    data_centre: str
+    version: str
+    slots: int
+    is_leaving: bool
+    born_ms: int
+    cold_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class VersionMove:
+    """Order a service's traffic to move to a version within a time."""
+
+    service_id: str
+    version: str
+    duration_s: float
+    revision: int
--- /dev/null
+++ b/marjoramfall/gateway/outcome.py
@@ -0,0 +1,41 @@
+"""Define how the exchange with a backend server can end."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjoramfall.gateway.http_messages import Response
+
+
+class Ending(StrEnum):
+    """Name what became of a request at a backend server."""
+
+    DELIVERED = 'delivered'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold how an exchange ended.
+
+    `response` and `body` are the backend server's own failure, which may still
+    be delivered.
+    """
+
+    ending: Ending
+    reason: str = ''
+    response: Response | None = None
+    body: bytes = b''
+
+
+class GatewayFailureError(Exception):
+    """Answer a request with a failure of the gateway's own."""
+
+    def __init__(
+        self, status: int, code: str, *, retry_after_ms: float | None = None
+    ) -> None:
+        super().__init__(code)
+        self.status = status
+        self.code = code
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -0,0 +1,160 @@
+"""Exchange state with the other entries."""
+
+from abc import ABC, abstractmethod
+from contextlib import closing
+
+import msgspec
+from gevent import socket, spawn
+from gevent.event import Event
+from loguru import logger
+
+from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.gateway.backend_connection import (
+    BackendConnection,
+    BrokenExchangeError,
+    NotReachedError,
+    split_address,
+)
+from marjoramfall.gateway.peer_state import PeerState, decode_state, encode_state
+from marjoramfall.gateway.peer_table import Peer, PeerTable
+from marjoramfall.gateway.registry import Registry, Snapshot
+
+HEARTBEAT_MS = 250
+# Changes within this time go out in one datagram.
+COALESCE_MS = 4
+MAX_DATAGRAM_BYTES = 65000
+# The own feed usually brings a change as soon as a peer's does.
+BEHIND_MS = 250
+FETCH_TIMEOUT_MS = 700
+SNAPSHOT_PATH = '/snapshot'
+
+
+class PeerListener(ABC):
+    """Provide the own state and use that of peers."""
+
+    @abstractmethod
+    def own_state(self) -> PeerState:
+        """Return what the peers should know now."""
+
+    @abstractmethod
+    def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
+        """Use the new state of a peer."""
+
+    @abstractmethod
+    def on_stale_feed(self) -> None:
+        """React to peers that know more than the store told this entry."""
+
+
+class PeerExchange:
+    """Send the whole own state by datagram whenever it changes.
+
+    A lost datagram is replaced by the next one, so that none is repeated.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        peers: PeerTable,
+        registry: Registry,
+        listener: PeerListener,
+        clock: Clock,
+    ) -> None:
+        self._peers = peers
+        self._registry = registry
+        self._listener = listener
+        self._clock = clock
+        self._changed = Event()
+        self._behind_since_ms: float | None = None
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(split_address(address))
+
+    def start(self) -> None:
+        """Start to send and receive."""
+        spawn(self._send_loop)
+        spawn(self._receive_loop)
+        spawn(self._catch_up_loop)
+
+    def notify(self) -> None:
+        """Send the state soon, for it has changed."""
+        self._changed.set()
+
+    def _send_loop(self) -> None:
+        while True:
+            if self._changed.wait(HEARTBEAT_MS / MS_PER_SECOND):
+                self._clock.sleep_ms(COALESCE_MS)
+                self._changed.clear()
+            self._send_state()
+
+    def _send_state(self) -> None:
+        datagram = encode_state(self._listener.own_state())
+        for address in tuple(self._peers.address_by_vm.values()):
+            try:
+                self._socket.sendto(datagram, split_address(address))
+            except OSError as error:
+                logger.bind(peer=address, details=str(error)).debug('datagram not sent')
+
+    def _receive_loop(self) -> None:
+        while True:
+            try:
+                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+                state = decode_state(datagram)
+            except (OSError, msgspec.DecodeError) as error:
+                logger.bind(details=str(error)).warning('datagram not understood')
+                continue
+            is_known = state.vm in self._peers.address_by_vm
+            previous = self._peers.update(state)
+            if not is_known:
+                logger.bind(peer=state.vm, address=state.address).info('peer met')
+                self.notify()
+            if previous is not state:
+                self._listener.on_peer_state(state, previous)
+
+    def _catch_up_loop(self) -> None:
+        while True:
+            self._clock.sleep_ms(BEHIND_MS / 2)
+            for vm in self._peers.forget_silent():
+                logger.bind(peer=vm).info('peer forgotten')
+            newer = next(filter(self._knows_more, self._peers.fresh()), None)
+            now_ms = self._clock.monotonic_ms()
+            if newer is None:
+                self._behind_since_ms = None
+            elif self._behind_since_ms is None:
+                self._behind_since_ms = now_ms
+            elif now_ms - self._behind_since_ms >= BEHIND_MS:
+                self._behind_since_ms = None
+                self._fetch(newer.state)
+                self._listener.on_stale_feed()
+
+    def _knows_more(self, peer: Peer) -> bool:
+        registry = self._registry
+        version = 0 if registry.config is None else registry.config.version
+        return (
+            peer.state.config_version > version
+            or peer.state.servers_revision > registry.servers_state.as_of
+            or peer.state.config_revision > registry.config_state.as_of
+        )
+
+    def _fetch(self, state: PeerState) -> None:
+        try:
+            snapshot = fetch_snapshot(state.address)
+        except (NotReachedError, BrokenExchangeError, msgspec.DecodeError) as error:
+            logger.bind(peer=state.vm, details=str(error)).warning(
+                'snapshot not fetched'
+            )
+            return
+        logger.bind(peer=state.vm, servers_as_of=snapshot.servers_as_of).info(
+            'snapshot of a peer taken over'
+        )
+        self._registry.merge(snapshot)
+
+
+def fetch_snapshot(address: str) -> Snapshot:
+    """Return all beliefs of the entry at an address."""
+    opened = BackendConnection(address, connect_timeout_ms=FETCH_TIMEOUT_MS)
+    with closing(opened) as connection:
+        connection.send(
+            f'GET {SNAPSHOT_PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n'.encode()
+        )
+        response = connection.read_response(FETCH_TIMEOUT_MS)
+        body = connection.read_all(response, FETCH_TIMEOUT_MS)
+    return msgspec.msgpack.decode(body, type=Snapshot)
--- /dev/null
+++ b/marjoramfall/gateway/peer_table.py
@@ -0,0 +1,87 @@
+"""Hold what an entry last heard of its peers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.peer_state import PeerState
+
+# Heartbeats come every 250 ms; three lost ones are no accident.
+FRESH_MS = 900
+# A peer that is cut off may come back and still uses its share meanwhile.
+FORGET_MS = 20_000
+
+
+@dataclass(slots=True)
+class Peer:
+    """Hold the last state of a peer and when it arrived."""
+
+    state: PeerState
+    heard_ms: float
+
+
+class PeerTable:
+    """Keep the newest state of each peer."""
+
+    def __init__(self, clock: Clock, *, own_vm: str) -> None:
+        self._clock = clock
+        self._own_vm = own_vm
+        self._peer_by_vm: dict[str, Peer] = {}
+        self.address_by_vm: dict[str, str] = {}
+
+    def add_address(self, vm: str, address: str) -> None:
+        """Learn where a peer listens before it was heard."""
+        if vm != self._own_vm:
+            self.address_by_vm[vm] = address
+
+    def update(self, state: PeerState) -> PeerState | None:
+        """Store a newer state and return the one it replaces.
+
+        An outdated state is returned itself, so that nothing seems to change.
+        """
+        known = self._peer_by_vm.get(state.vm)
+        now_ms = self._clock.monotonic_ms()
+        if known is None:
+            self._peer_by_vm[state.vm] = Peer(state, now_ms)
+            self.address_by_vm[state.vm] = state.address
+            return None
+        previous = known.state
+        is_same = state.incarnation == previous.incarnation
+        if is_same and state.sequence <= previous.sequence:
+            return state
+        known.state = state
+        known.heard_ms = now_ms
+        self.address_by_vm[state.vm] = state.address
+        return previous
+
+    def fresh(self) -> Iterator[Peer]:
+        """Yield the peers heard lately."""
+        oldest_ms = self._clock.monotonic_ms() - FRESH_MS
+        for peer in self._peer_by_vm.values():
+            if peer.heard_ms >= oldest_ms:
+                yield peer
+
+    def silent_count(self) -> int:
+        """Return how many peers fell silent without saying that they leave."""
+        now_ms = self._clock.monotonic_ms()
+        return sum(
+            FRESH_MS < now_ms - peer.heard_ms < FORGET_MS and not peer.state.is_leaving
+            for peer in self._peer_by_vm.values()
+        )
+
+    def member_count(self) -> int:
+        """Return how many entries may be serving, this one included."""
+        oldest_ms = self._clock.monotonic_ms() - FORGET_MS
+        heard = sum(peer.heard_ms >= oldest_ms for peer in self._peer_by_vm.values())
+        return heard + 1
+
+    def forget_silent(self) -> list[str]:
+        """Drop peers that were not heard for long and return their names."""
+        oldest_ms = self._clock.monotonic_ms() - FORGET_MS
+        gone = [
+            vm for vm, peer in self._peer_by_vm.items() if peer.heard_ms < oldest_ms
+        ]
+        for vm in gone:
+            self._peer_by_vm.pop(vm)
+            self.address_by_vm.pop(vm, None)
+        return gone
--- /dev/null
+++ b/marjoramfall/gateway/registry.py
@@ -0,0 +1,201 @@
+"""Hold the configuration and the backend servers that an entry believes in."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.model import BackendServer, Configuration, VersionMove
+
+# Registrations that lapsed during an outage are back within 2 s of its end.
+LAPSE_GRACE_MS = 2100.0
+# Removals that arrive this long after an outage may be such lapses.
+OUTAGE_TAIL_MS = 1500.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChange:
+    """Register a server or, if `server` is None, remove it at a revision."""
+
+    server_id: str
+    server: BackendServer | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Carry the beliefs of an entry to a peer."""
+
+    config: Configuration | None
+    config_revision: int
+    config_as_of: int
+    servers: tuple[ServerChange, ...]
+    servers_as_of: int
+
+
+@dataclass(slots=True)
+class Belief:
+    """Tell how current a table is.
+
+    `as_of` is the revision up to which all changes are known and `changed` the
+    revision of the last change.
+    """
+
+    as_of: int = 0
+    changed: int = 0
+
+
+@dataclass(slots=True)
+class Registry:
+    """Apply changes in the order of their revisions, whatever way they come."""
+
+    clock: Clock
+    on_config: Callable[[Configuration], None]
+    on_servers: Callable[[], None]
+    config: Configuration | None = None
+    config_state: Belief = field(default_factory=Belief)
+    servers_state: Belief = field(default_factory=Belief)
+    change_by_id: dict[str, ServerChange] = field(default_factory=dict)
+    lapses_at_by_id: dict[str, float] = field(default_factory=dict)
+    outage_ended_ms: float = float('-inf')
+    order_by_service: dict[str, VersionMove] = field(default_factory=dict)
+
+    @property
+    def servers(self) -> list[BackendServer]:
+        """Return the servers that are registered or have lapsed just now."""
+        return [
+            change.server
+            for change in self.change_by_id.values()
+            if change.server is not None
+        ]
+
+    def put_config(self, config: Configuration, revision: int) -> None:
+        """Take over a newer configuration; an older one changes nothing."""
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.config_state.changed = max(self.config_state.changed, revision)
+        logger.bind(
+            version=config.version, revision=revision, routes=_count_routes(config)
+        ).info('configuration in force')
+        self.on_config(config)
+
+    def set_config_as_of(self, revision: int) -> None:
+        """Note that every change of the configuration up to a revision is known."""
+        self.config_state.as_of = max(self.config_state.as_of, revision)
+
+    def put_order(self, order: VersionMove) -> None:
+        """Take over an order to move a service; an older one changes nothing."""
+        known = self.order_by_service.get(order.service_id)
+        if known is None or order.revision > known.revision:
+            self.order_by_service[order.service_id] = order
+            logger.bind(
+                service=order.service_id, version=order.version, revision=order.revision
+            ).info('move ordered')
+
+    def apply_changes(self, changes: Iterable[ServerChange], as_of: int) -> None:
+        """Apply single changes of servers."""
+        for change in changes:
+            self._apply(change)
+        self._advance_servers(as_of)
+
+    def apply_all(self, changes: Iterable[ServerChange], as_of: int) -> None:
+        """Replace all servers by those of a complete read."""
+        if as_of < self.servers_state.as_of:
+            return
+        listed = {change.server_id: change for change in changes}
+        for server_id in tuple(self.change_by_id):
+            if server_id not in listed:
+                self._apply(ServerChange(server_id, None, as_of))
+        for change in listed.values():
+            self._apply(change)
+        self._advance_servers(as_of)
+
+    def note_outage_end(self) -> None:
+        """Note that the store answers again after it did not."""
+        self.outage_ended_ms = self.clock.monotonic_ms()
+
+    def drop_lapsed(self) -> None:
+        """Remove servers that did not register again in time."""
+        now_ms = self.clock.monotonic_ms()
+        due = [
+            server_id for server_id, at in self.lapses_at_by_id.items() if at <= now_ms
+        ]
+        for server_id in due:
+            self.lapses_at_by_id.pop(server_id)
+            self._remove(server_id, 'lapsed')
+        if due:
+            self.on_servers()
+
+    def snapshot(self) -> Snapshot:
+        """Return all beliefs for a peer."""
+        return Snapshot(
+            config=self.config,
+            config_revision=self.config_state.changed,
+            config_as_of=self.config_state.as_of,
+            servers=tuple(
+                change
+                for server_id, change in self.change_by_id.items()
+                if server_id not in self.lapses_at_by_id
+            ),
+            servers_as_of=self.servers_state.as_of,
+        )
+
+    def merge(self, snapshot: Snapshot) -> None:
+        """Take over what a peer knows better."""
+        if snapshot.config is not None:
+            self.put_config(snapshot.config, snapshot.config_revision)
+            self.set_config_as_of(snapshot.config_as_of)
+        if snapshot.servers_as_of > self.servers_state.as_of:
+            self.apply_all(snapshot.servers, snapshot.servers_as_of)
+
+    def _advance_servers(self, as_of: int) -> None:
+        self.servers_state.as_of = max(self.servers_state.as_of, as_of)
+        self.on_servers()
+
+    def _apply(self, change: ServerChange) -> None:
+        server_id = change.server_id
+        known = self.change_by_id.get(server_id)
+        if known is not None and change.revision <= known.revision:
+            return
+        self.servers_state.changed = max(self.servers_state.changed, change.revision)
+        if change.server is not None:
+            self.lapses_at_by_id.pop(server_id, None)
+            self.change_by_id[server_id] = change
+            self._log_registration(known, change)
+        elif known is not None:
+            self._unregister(known)
+
+    def _unregister(self, known: ServerChange) -> None:
+        now_ms = self.clock.monotonic_ms()
+        leaving = known.server is not None and known.server.is_leaving
+        if not leaving and now_ms - self.outage_ended_ms < OUTAGE_TAIL_MS:
+            lapses_at = self.outage_ended_ms + LAPSE_GRACE_MS
+            self.lapses_at_by_id.setdefault(known.server_id, lapses_at)
+            return
+        self._remove(known.server_id, 'unregistered')
+
+    def _remove(self, server_id: str, reason: str) -> None:
+        self.change_by_id.pop(server_id, None)
+        self.lapses_at_by_id.pop(server_id, None)
+        logger.bind(server=server_id, reason=reason).info('server removed')
+
+    def _log_registration(
+        self, known: ServerChange | None, change: ServerChange
+    ) -> None:
+        server = change.server
+        if known is not None and known.server == server:
+            return
+        logger.bind(
+            server=change.server_id,
+            service=server.service_id,
+            address=server.address,
+            version=server.version,
+            leaving=server.is_leaving,
+            revision=change.revision,
+        ).info('server registered')
+
+
+def _count_routes(config: Configuration) -> int:
+    return sum(map(len, config.routes_by_host.values()))
--- /dev/null
+++ b/marjoramfall/gateway/service_queue.py
@@ -0,0 +1,173 @@
+"""Decide which waiting request goes next and to which backend server."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.demand import Demand
+from marjoramfall.gateway.server_load import Running, ServerLoad
+
+HOLD_SMOOTHING = 0.05
+INITIAL_HOLD_MS = 500.0
+INITIAL_CALL_HOLD_MS = 40.0
+MIN_RETRY_AFTER_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Assign a request to a server; `run` counts it until it ends."""
+
+    load: ServerLoad
+    run: Running
+
+
+class OverloadError(Exception):
+    """Report that no place is expected in time."""
+
+    def __init__(self, reason: str, *, retry_after_ms: float) -> None:
+        super().__init__(reason)
+        self.retry_after_ms = retry_after_ms
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignWaiter:
+    """Describe a request that waits at a peer."""
+
+    rank: float
+    arrived_ms: float
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """Hold a request until it gets a place or is rejected."""
+
+    demand: Demand
+    on_place: Callable[[Place], None]
+    on_reject: Callable[[OverloadError], None]
+
+
+class ServiceQueue:
+    """Place the requests of one service.
+
+    Every entry knows the running and waiting requests of all entries, so that
+    each computes the same order and takes only the places due to its own.
+    """
+
+    def __init__(self, clock: Clock, *, is_model: bool) -> None:
+        self._clock = clock
+        self._hold_ms = INITIAL_HOLD_MS if is_model else INITIAL_CALL_HOLD_MS
+        self.load_by_id: dict[str, ServerLoad] = {}
+        self.waiters: list[Waiter] = []
+        self.foreign_waiters: list[ForeignWaiter] = []
+
+    def submit(self, waiter: Waiter) -> None:
+        """Place the request, let it wait, or raise `OverloadError`."""
+        now_ms = self._clock.monotonic_ms()
+        if not any(self._eligible(waiter.demand)):
+            raise OverloadError('no server', retry_after_ms=self._hold_ms)
+        if self._usable(waiter.demand, now_ms):
+            wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
+            self._check_wait(waiter.demand, wait_ms, now_ms)
+        self.waiters.append(waiter)
+        self.assign()
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Forget a waiting request, for its caller has left."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+    def finish(self, place: Place) -> None:
+        """Free a place and let the next request have it."""
+        now_ms = self._clock.monotonic_ms()
+        held_ms = now_ms - place.run.started_ms
+        self._hold_ms += HOLD_SMOOTHING * (held_ms - self._hold_ms)
+        place.load.end(place.run)
+        self.assign()
+
+    def assign(self) -> None:
+        """Give free places to the requests that are due."""
+        if not self.waiters:
+            return
+        now_ms = self._clock.monotonic_ms()
+        self._reject_late(now_ms)
+        self.waiters.sort(key=lambda waiter: _order(waiter.demand, now_ms))
+        for waiter in tuple(self.waiters):
+            place = self._place(waiter.demand, now_ms)
+            if place is not None:
+                self.waiters.remove(waiter)
+                waiter.on_place(place)
+
+    def occupancy(self) -> float:
+        """Return the used share of the places of all servers."""
+        places = sum(load.server.slots for load in self.load_by_id.values())
+        running = sum(load.running for load in self.load_by_id.values())
+        return running / places if places else 1
+
+    def _place(self, demand: Demand, now_ms: float) -> Place | None:
+        usable = self._usable(demand, now_ms)
+        places = [load for load in usable if load.free_places]
+        ahead = self._count_ahead(demand, now_ms)
+        if ahead and ahead >= sum(load.free_places for load in places):
+            return None
+        if not places:
+            return None
+        load = min(places, key=lambda candidate: candidate.cost(demand, now_ms))
+        return Place(load, load.begin(demand, now_ms))
+
+    def _usable(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
+        eligible = list(self._eligible(demand))
+        healthy = [load for load in eligible if not load.is_ejected(now_ms)]
+        return healthy or [load for load in eligible if not load.own]
+
+    def _eligible(self, demand: Demand) -> Iterable[ServerLoad]:
+        for load in self.load_by_id.values():
+            server = load.server
+            if server.is_leaving or server.server_id in demand.excluded_ids:
+                continue
+            if demand.version is None or server.version == demand.version:
+                yield load
+
+    def _count_ahead(self, demand: Demand, now_ms: float) -> int:
+        order = _order(demand, now_ms)
+        return sum(
+            (foreign.rank, foreign.arrived_ms) < order
+            for foreign in self.foreign_waiters
+        )
+
+    def _expected_wait_ms(self, demand: Demand, now_ms: float) -> float:
+        usable = self._usable(demand, now_ms)
+        order = _order(demand, now_ms)
+        ahead = self._count_ahead(demand, now_ms)
+        ahead += sum(_order(waiter.demand, now_ms) < order for waiter in self.waiters)
+        free = sum(load.free_places for load in usable)
+        if ahead < free:
+            return 0
+        slots = sum(load.server.slots for load in usable)
+        return (ahead + 1 - free) * self._hold_ms / max(1, slots)
+
+    def _check_wait(self, demand: Demand, wait_ms: float, now_ms: float) -> None:
+        if not wait_ms:
+            return
+        first_ms = min(load.first_ms(demand) for load in self._usable(demand, now_ms))
+        if now_ms + wait_ms + first_ms > demand.give_up_ms:
+            raise OverloadError(
+                'no place in time', retry_after_ms=self._retry_after(wait_ms)
+            )
+
+    def _reject_late(self, now_ms: float) -> None:
+        for waiter in tuple(self.waiters):
+            if now_ms >= waiter.demand.give_up_ms:
+                self.waiters.remove(waiter)
+                wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
+                waiter.on_reject(
+                    OverloadError(
+                        'no place came free', retry_after_ms=self._retry_after(wait_ms)
+                    )
+                )
+
+    def _retry_after(self, wait_ms: float) -> float:
+        return max(MIN_RETRY_AFTER_MS, wait_ms)
+
+
+def _order(demand: Demand, now_ms: float) -> tuple[float, float]:
+    return demand.rank(now_ms), demand.arrived_ms
--- /dev/null
+++ b/marjoramfall/gateway/shared_limit.py
@@ -0,0 +1,87 @@
+"""Hold a team's limit that all entries share."""
+
+from dataclasses import dataclass
+
+from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.model import Team
+
+
+@dataclass(slots=True)
+class SharedLimit:
+    """Replicate one token bucket: every entry draws what all entries used.
+
+    `reserved_share` is what silent peers may be using unseen.
+    """
+
+    team: Team
+    level: float
+    updated_ms: float
+    used: float = 0.0
+
+    def refill(self, now_ms: float, reserved_share: float) -> None:
+        """Add what the rate gives since the last call."""
+        passed_ms = max(0, now_ms - self.updated_ms)
+        self.updated_ms = now_ms
+        usable_rate = self.team.rate_per_s * (1 - reserved_share)
+        added = usable_rate * passed_ms / MS_PER_SECOND
+        self.level = min(self.team.burst, self.level + added)
+
+    def try_use(self, amount: float) -> bool:
+        """Draw an amount; return False if the limit is reached.
+
+        A request larger than what is left may still go, and the next ones pay
+        for it, since else one larger than the burst could never go.
+        """
+        if self.level <= 0:
+            return False
+        self.level -= amount
+        self.used += amount
+        return True
+
+    def give_back(self, amount: float) -> None:
+        """Return what a request drew that did not run."""
+        self.level += amount
+        self.used -= amount
+
+    def draw_for_peer(self, amount: float) -> None:
+        """Draw what a peer has let pass."""
+        self.level -= amount
+
+    def wait_ms(self) -> float:
+        """Return when the limit lets the next request pass."""
+        if self.level > 0 or not self.team.rate_per_s:
+            return 0
+        return (1 - self.level) / self.team.rate_per_s * MS_PER_SECOND
+
+
+class SharedLimits:
+    """Keep the limits of all teams across changes of the configuration."""
+
+    def __init__(self) -> None:
+        self._limit_by_team: dict[str, SharedLimit] = {}
+
+    def set_teams(self, teams: dict[str, Team], now_ms: float) -> None:
+        """Take over the teams of a new configuration."""
+        previous = self._limit_by_team
+        self._limit_by_team = {}
+        for team in teams.values():
+            if team.rate_per_s <= 0:
+                continue
+            limit = previous.get(team.name) or SharedLimit(team, team.burst, now_ms)
+            limit.team = team
+            limit.level = min(limit.level, team.burst)
+            self._limit_by_team[team.name] = limit
+
+    def find(self, team: Team | None) -> SharedLimit | None:
+        """Return the limit of a team, None if it has none."""
+        return None if team is None else self._limit_by_team.get(team.name)
+
+    def draw_for_peer(self, team: str, amount: float) -> None:
+        """Draw what a peer has let pass for a team."""
+        limit = self._limit_by_team.get(team)
+        if limit is not None:
+            limit.draw_for_peer(amount)
+
+    def used_by_team(self) -> dict[str, float]:
+        """Return what each team used here since the start."""
+        return {name: limit.used for name, limit in self._limit_by_team.items()}
--- /dev/null
+++ b/marjoramfall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the gateway."""
--- /dev/null
+++ b/marjoramfall/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Start an entry on the users' platform."""
+
+from marjoramfall.platform.daemon import main
+
+main()
--- /dev/null
+++ b/marjoramfall/platform/dialect.py
@@ -0,0 +1,151 @@
+"""Read and write the headers of the users' platform."""
+
+from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.backend_connection import ExpectedHeader
+from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.dialect import Dialect
+from marjoramfall.gateway.http_messages import (
+    BadMessageError,
+    Header,
+    RequestHead,
+    Response,
+    encode_head,
+    end_to_end,
+    find_header,
+)
+from marjoramfall.gateway.model import BackendServer
+
+ATTEMPT_ID = b'marjoramfall-attempt-id'
+DEADLINE = b'marjoramfall-deadline-ms'
+EXPECTED_SERVER = b'marjoramfall-expect-instance'
+TEAM = b'marjoramfall-tenant'
+NOT_EXECUTED = b'marjoramfall-not-executed'
+# Prompt tokens and the maximum of output tokens.
+TOKENS = b'marjoramfall-token-usage'
+# The caller's estimate of the output tokens.
+LENGTH_HINT = b'marjoramfall-length-hint'
+LAST_EVENT_ID = b'last-event-id'
+AUTHORIZATION = b'authorization'
+BEARER = b'bearer '
+MISDIRECTED = 421
+# Headers that only the gateway may set; a caller's own are dropped.
+OWN_HEADERS = frozenset(
+    (
+        AUTHORIZATION,
+        DEADLINE,
+        EXPECTED_SERVER,
+        TEAM,
+        LAST_EVENT_ID,
+        b'content-length',
+        b'expect',
+        b'marjoramfall-expect-version',
+        b'marjoramfall-hold',
+        b'marjoramfall-pin-ms',
+        b'marjoramfall-kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+    )
+)
+
+
+class PlatformDialect(Dialect):
+    """Speak the headers of the users' platform."""
+
+    def read_fields(self, head: RequestHead) -> CallFields:
+        """Return the fields of a request; raises `BadMessageError`."""
+        by_name = dict(head.headers)
+        prompt_tokens, output_tokens = _read_tokens(by_name.get(TOKENS))
+        hint = _read_number(by_name.get(LENGTH_HINT))
+        likely = output_tokens if hint is None else int(hint)
+        host, path = _read_target(head, by_name[b'host'])
+        kept = tuple(
+            header
+            for header in end_to_end(head.headers)
+            if header[0] not in OWN_HEADERS
+        )
+        return CallFields(
+            attempt_id=by_name.get(ATTEMPT_ID, b'').decode('latin-1'),
+            host=host,
+            path=path,
+            api_key=_read_key(by_name.get(AUTHORIZATION)),
+            patience_ms=_read_number(by_name.get(DEADLINE)),
+            is_generation=TOKENS in by_name,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            likely_output_tokens=min(likely, output_tokens),
+            last_event_id=by_name.get(LAST_EVENT_ID),
+            headers=kept,
+        )
+
+    def encode_request(
+        self, call: Call, server: BackendServer, left_ms: float
+    ) -> bytes:
+        """Return the message for a backend server."""
+        headers = list(call.fields.headers)
+        headers.append((DEADLINE, str(max(1, int(left_ms))).encode()))
+        headers.append((EXPECTED_SERVER, server.server_id.encode()))
+        if call.team is not None:
+            headers.append((TEAM, call.team.name.encode()))
+        if call.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, call.last_event_id))
+        if call.body or call.head.method not in {b'GET', b'DELETE'}:
+            headers.append((b'content-length', str(len(call.body)).encode()))
+        first_line = call.head.method + b' ' + call.head.target + b' HTTP/1.1'
+        return encode_head(first_line, headers) + call.body
+
+    def expected_response(self, call: Call) -> ExpectedHeader:
+        """Return the echo of the attempt id."""
+        return ExpectedHeader(ATTEMPT_ID, call.fields.attempt_id.encode('latin-1'))
+
+    def was_rejected(self, response: Response) -> bool:
+        """Return whether the backend server says that it did not run the request."""
+        if response.status == MISDIRECTED:
+            return True
+        return find_header(response.headers, NOT_EXECUTED) is not None
+
+    def is_other_server(self, response: Response) -> bool:
+        """Return whether another server has taken over the address."""
+        return response.status == MISDIRECTED
+
+    def rejection_headers(
+        self, attempt_id: str, retry_after_ms: float | None
+    ) -> list[Header]:
+        """Return the headers of the gateway's own failures."""
+        headers = [(ATTEMPT_ID, attempt_id.encode('latin-1'))] if attempt_id else []
+        if retry_after_ms is not None:
+            seconds = f'{retry_after_ms / MS_PER_SECOND:.3f}'
+            headers.append((b'retry-after', seconds.encode()))
+        return headers
+
+
+def _read_target(head: RequestHead, host: bytes) -> tuple[str, str]:
+    target = head.target
+    if not target.startswith(b'/'):
+        raise BadMessageError('the target must be a path')
+    name = host.decode('latin-1').strip().lower().partition(':')[0]
+    path = target.partition(b'?')[0]
+    return name, path.decode('latin-1')
+
+
+def _read_key(authorization: bytes | None) -> str | None:
+    if authorization is None or not authorization.lower().startswith(BEARER):
+        return None
+    return authorization[len(BEARER) :].strip().decode('latin-1')
+
+
+def _read_number(text: bytes | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _read_tokens(text: bytes | None) -> tuple[int, int]:
+    prompt, _, output = (text or b'').partition(b',')
+    prompt = prompt.strip()
+    output = output.strip()
+    if not (prompt.isdigit() and output.isdigit()):
+        return 0, 0
+    return int(prompt), int(output)
--- /dev/null
+++ b/marjoramfall/platform/records.py
@@ -0,0 +1,134 @@
+"""Decode the records that the operator and the backend servers write."""
+
+from typing import TypeVar
+
+import msgspec
+
+from marjoramfall.gateway.model import (
+    BackendServer,
+    CallerLimits,
+    Configuration,
+    RepeatRule,
+    Route,
+    Service,
+    Team,
+    VersionMove,
+    WeightedService,
+    group_routes,
+)
+from marjoramfall.platform.wire_records import (
+    WireConfig,
+    WireRollout,
+    WireRoute,
+    WireServer,
+    WireService,
+    WireTeam,
+)
+
+LEAVING = 'draining'
+READY = 'ready'
+Record = TypeVar('Record')
+
+
+class RecordFaultError(Exception):
+    """Report a record that names nothing usable."""
+
+
+def decode_configuration(encoded: bytes) -> Configuration:
+    """Return the operator's configuration; raises `RecordFaultError`."""
+    config = _decode(encoded, WireConfig)
+    teams = [(wire_team, _to_team(wire_team)) for wire_team in config.tenants]
+    return Configuration(
+        version=config.version,
+        routes_by_host=group_routes(map(_to_route, config.routes)),
+        service_by_id={
+            service.name: _to_service(service) for service in config.services
+        },
+        team_by_key={key: team for wire, team in teams for key in wire.api_keys},
+        team_by_name={team.name: team for _, team in teams},
+        limits=CallerLimits(
+            max_header_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            header_timeout_ms=config.limits.header_timeout_ms,
+            idle_timeout_ms=config.limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_server(server_id: str, encoded: bytes) -> BackendServer:
+    """Return a registered backend server; raises `RecordFaultError`."""
+    entry = _decode(encoded, WireServer)
+    if entry.state not in {READY, LEAVING} or entry.slots < 1:
+        raise RecordFaultError(f'unknown state {entry.state!r} or no slots')
+    host, separator, port = entry.address.rpartition(':')
+    if not (host and separator and port.isdigit()):
+        raise RecordFaultError(f'bad address {entry.address!r}')
+    return BackendServer(
+        server_id=server_id,
+        service_id=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        version=entry.version,
+        slots=entry.slots,
+        is_leaving=entry.state == LEAVING,
+        born_ms=entry.born,
+        cold_ms=entry.cold_remaining_ms,
+    )
+
+
+def decode_move(encoded: bytes, revision: int) -> VersionMove:
+    """Return an order to move a service; raises `RecordFaultError`."""
+    order = _decode(encoded, WireRollout)
+    return VersionMove(order.service, order.to, order.duration_s, revision)
+
+
+def _decode(encoded: bytes, record: type[Record]) -> Record:
+    try:
+        return msgspec.json.decode(encoded, type=record)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordFaultError(str(error)) from error
+
+
+def _to_route(wire: WireRoute) -> Route:
+    splits = [
+        WeightedService(split.service, split.weight) for split in wire.traffic_split
+    ]
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        services=tuple(splits) or (WeightedService(wire.service, 1),),
+        repeat_rule=_repeat_rule(wire),
+        is_stream=wire.kind == 'streaming',
+        timeout_ms=wire.timeout_ms,
+        target_ms=wire.target_latency_ms,
+        max_gap_ms=wire.gap_aim_ms,
+        priority=wire.priority,
+        max_attempts=max(1, wire.max_attempts),
+        is_public=wire.public,
+    )
+
+
+def _repeat_rule(wire: WireRoute) -> RepeatRule:
+    if wire.kind == 'idempotent':
+        return RepeatRule.IDEMPOTENT
+    if wire.kind == 'streaming' and wire.resumable:
+        return RepeatRule.RESUMABLE
+    return RepeatRule.AT_MOST_ONCE
+
+
+def _to_service(wire: WireService) -> Service:
+    tokens_per_event = wire.engine.stride if wire.engine else 1
+    is_model = wire.engine is not None
+    return Service(wire.name, wire.max_conns, is_model, max(1, tokens_per_event))
+
+
+def _to_team(wire: WireTeam) -> Team:
+    return Team(
+        name=wire.name,
+        priority=wire.priority,
+        rate_per_s=wire.rate_per_s,
+        burst=wire.burst,
+        counts_tokens=wire.unit == 'tokens',
+        plain_tokens=wire.plain_tokens,
+    )
--- /dev/null
+++ b/marjoramfall/platform/settings.py
@@ -0,0 +1,124 @@
+"""Read the settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+
+import msgspec
+
+SETTINGS_VARIABLE = 'MARJORAMFALL_NODE_FILE'
+
+
+class _Listen(msgspec.Struct, rename='camel'):
+    front: str
+    ready: str
+    metrics: str = ''
+
+
+class _Store(msgspec.Struct, rename='camel'):
+    address: str
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: float = msgspec.field(name='drainMs', default=2000)
+    grace_s: float = msgspec.field(name='graceS', default=8)
+    retry_ratio: float = msgspec.field(name='retryBudgetRatio', default=0.2)
+    retry_window_s: float = msgspec.field(name='budgetWindowS', default=10)
+    retry_slack: float = msgspec.field(name='budgetSlack', default=0)
+    expose_share: float = msgspec.field(name='exposeShare', default=0.1)
+    expose_slack: float = msgspec.field(name='exposeSlack', default=50)
+
+
+class _Settings(msgspec.Struct):
+    vm: str = msgspec.field(name='nodeName')
+    ip: str = msgspec.field(name='ip')
+    # The users' page says zone for what this project calls a data centre.
+    data_centre: str = msgspec.field(name='zone')
+    internal_ports: tuple[int, int] = msgspec.field(name='internalPorts')
+    listen: _Listen = msgspec.field(name='listen')
+    store: _Store = msgspec.field(name='platform')
+    bounds: _Bounds = msgspec.field(name='bounds', default_factory=_Bounds)
+    heartbeat_ms: float = msgspec.field(name='heartbeatMs', default=1200)
+
+
+class SettingsFaultError(Exception):
+    """Report settings that cannot be used, one fault a line."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Hold the checked settings of one entry process."""
+
+    vm: str
+    ip: str
+    data_centre: str
+    peer_port: int
+    front_address: str
+    ready_address: str
+    metrics_address: str
+    store_address: str
+    heartbeat_ms: float
+    drain_ms: float
+    grace_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    expose_share: float
+    expose_slack: float
+
+
+METRICS_PORT = 9464
+
+
+def settings_path() -> str:
+    """Return the path of the settings file from the environment."""
+    return os.environ.get(SETTINGS_VARIABLE, '/etc/marjoramfall/settings.toml')
+
+
+def load_gateway_settings(path: str) -> GatewaySettings:
+    """Read and check the file; raises `SettingsFaultError`."""
+    try:
+        with open(path, 'rb') as settings_file:
+            document = tomllib.load(settings_file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsFaultError(f'{path}: {error}') from error
+    faults = list(_find_faults(document))
+    if faults:
+        raise SettingsFaultError('\n'.join(faults))
+    return _to_settings(msgspec.convert(document, _Settings))
+
+
+def _find_faults(document: dict[str, object]):
+    """Yield every fault, since the decoder stops at the first one."""
+    for field in msgspec.structs.fields(_Settings):
+        if field.encode_name not in document:
+            if field.required:
+                yield f'{field.encode_name}: missing'
+            continue
+        try:
+            msgspec.convert(document[field.encode_name], field.type)
+        except msgspec.ValidationError as error:
+            yield f'{field.encode_name}: {error}'
+
+
+def _to_settings(decoded: _Settings) -> GatewaySettings:
+    bounds = decoded.bounds
+    metrics = decoded.listen.metrics or f'{decoded.ip}:{METRICS_PORT}'
+    return GatewaySettings(
+        vm=decoded.vm,
+        ip=decoded.ip,
+        data_centre=decoded.data_centre,
+        peer_port=decoded.internal_ports[0],
+        front_address=decoded.listen.front,
+        ready_address=decoded.listen.ready,
+        metrics_address=metrics,
+        store_address=decoded.store.address,
+        heartbeat_ms=decoded.heartbeat_ms,
+        drain_ms=bounds.drain_ms,
+        grace_s=bounds.grace_s,
+        retry_ratio=bounds.retry_ratio,
+        retry_window_s=bounds.retry_window_s,
+        retry_slack=bounds.retry_slack,
+        expose_share=bounds.expose_share,
+        expose_slack=bounds.expose_slack,
+    )
--- /dev/null
+++ b/marjoramfall/platform/store.py
@@ -0,0 +1,205 @@
+"""Call the platform's metadata store."""
+
+import base64
+from dataclasses import dataclass
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.backend_connection import (
+    BackendConnection,
+    BrokenExchangeError,
+    NotReachedError,
+)
+
+CONNECT_TIMEOUT_MS = 500
+CALL_TIMEOUT_MS = 1500
+# A long poll that finds nothing ends after this time at the store.
+POLL_WAIT_MS = 8000
+# The answer of a long poll that found nothing takes a little longer.
+POLL_GRACE_MS = 1500
+
+OK = 200
+GONE = 410
+CONDITION_FAILED = 412
+
+
+class StoreError(Exception):
+    """Report a call that brought no answer to use."""
+
+
+class HistoryLostError(StoreError):
+    """Report that changes since the asked version are no longer available."""
+
+
+class _WireRow(msgspec.Struct):
+    table: str = ''
+    part: str = ''
+    key: str = ''
+    value: str = ''
+    ver: int = 0
+    # The store marks dropped rows so.
+    tombstone: bool | int | None = None
+
+
+class _WireRows(msgspec.Struct, rename='camel'):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    now_ms: float = 0
+    has_more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Hold a row; `content` is None once the row is deleted."""
+
+    table: str
+    key: str
+    content: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowSet:
+    """Hold rows as of a revision of the whole store."""
+
+    rows: tuple[Row, ...]
+    revision: int
+    store_ms: float
+
+
+class StoreClient:
+    """Own one connection to the store and make one call at a time."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._connection: BackendConnection | None = None
+        self.calls = 0
+
+    def read_table(self, table: str) -> RowSet:
+        """Return all rows of a table; raises `StoreError`."""
+        rows: list[Row] = []
+        start = ''
+        while True:
+            query = {'table': table, 'part': ''}
+            if start:
+                query['from'] = start
+            found = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
+            rows.extend(_to_row(row) for row in found.rows)
+            if not found.has_more:
+                return RowSet(tuple(rows), found.ver, found.now_ms)
+            start = f'{found.rows[-1].key}\0'
+
+    def follow_table(self, table: str, after: int) -> RowSet:
+        """Wait for changes after a revision.
+
+        Raises `HistoryLostError` if the table has to be read again, else
+        `StoreError`.
+        """
+        query = {'table': table, 'after': after, 'waitMs': POLL_WAIT_MS}
+        timeout_ms = POLL_WAIT_MS + POLL_GRACE_MS
+        found = self._get('/-/rows-feed', query, timeout_ms)
+        rows = tuple(_to_row(row) for row in found.rows)
+        return RowSet(rows, found.ver, found.now_ms)
+
+    def write_row(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        *,
+        expected_revision: int | None = None,
+    ) -> bool:
+        """Write a row; return False if its revision is not the expected one."""
+        encoded = base64.b64encode(content).decode('ascii')
+        return self._transact(table, key, expected_revision, put=encoded)
+
+    def remove_row(self, table: str, key: str, *, expected_revision: int) -> bool:
+        """Delete a row; return False if its revision is not the expected one."""
+        return self._transact(table, key, expected_revision, put=None)
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _transact(
+        self, table: str, key: str, expected_revision: int | None, *, put: str | None
+    ) -> bool:
+        name = {'table': table, 'part': '', 'key': key}
+        conditions = []
+        if expected_revision is not None:
+            conditions.append({**name, 'ver': expected_revision})
+        body = {
+            'expectedRevision': conditions,
+            'puts': [] if put is None else [{**name, 'value': put}],
+            'remove': [name] if put is None else [],
+        }
+        status, _ = self._call(
+            'POST', '/-/rows-tx', msgspec.json.encode(body), CALL_TIMEOUT_MS
+        )
+        if status not in {OK, CONDITION_FAILED}:
+            raise StoreError(f'write to {table} answered {status}')
+        return status == OK
+
+    def _get(self, path: str, query: dict[str, object], timeout_ms: float) -> _WireRows:
+        target = f'{path}?{urlencode(query, quote_via=quote)}'
+        status, body = self._call('GET', target, b'', timeout_ms)
+        if status == GONE:
+            raise HistoryLostError('the store dropped its history')
+        if status != OK:
+            raise StoreError(f'{path} answered {status}')
+        try:
+            return msgspec.json.decode(body, type=_WireRows)
+        except msgspec.DecodeError as error:
+            raise StoreError(f'{path}: {error}') from error
+
+    def _call(
+        self, method: str, target: str, body: bytes, timeout_ms: float
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        try:
+            connection = self._connect()
+            connection.send(self._encode(method, target, body))
+            response = connection.read_response(timeout_ms)
+            whole = connection.read_all(response, CALL_TIMEOUT_MS)
+        except (NotReachedError, BrokenExchangeError) as error:
+            self.close()
+            raise StoreError(str(error)) from error
+        if not connection.finish(response, self._clock.monotonic_ms()):
+            self.close()
+        return response.status, whole
+
+    def _connect(self) -> BackendConnection:
+        connection = self._connection
+        if connection is not None and not connection.is_quiet():
+            self.close()
+        if self._connection is None:
+            self._connection = BackendConnection(
+                self._address, connect_timeout_ms=CONNECT_TIMEOUT_MS
+            )
+        return self._connection
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        lines = [
+            f'{method} {target} HTTP/1.1',
+            f'Host: {self._address}',
+            f'Content-Length: {len(body)}',
+        ]
+        if body:
+            lines.append('Content-Type: application/json')
+        return '\r\n'.join((*lines, '', '')).encode('ascii') + body
+
+
+def _to_row(wire: _WireRow) -> Row:
+    if wire.tombstone:
+        return Row(wire.table, wire.key, None, wire.ver)
+    try:
+        content = base64.b64decode(wire.value)
+    except ValueError:
+        # Unreadable content is judged where the row is decoded.
+        content = b''
+    return Row(wire.table, wire.key, content, wire.ver)
--- /dev/null
+++ b/marjoramfall/platform/wire_records.py
@@ -0,0 +1,98 @@
+"""Spell the records of the platform as they lie in its store."""
+
+import msgspec
+
+DEFAULT_SLOTS = 4
+
+
+class WireSplit(msgspec.Struct):
+    """Give a service a share of a route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, rename='camel'):
+    """Hold a route."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 0
+    service: str = ''
+    traffic_split: list[WireSplit] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+
+
+class WireEngine(msgspec.Struct):
+    """Describe the model servers of a service."""
+
+    # Tokens in one event of a stream.
+    stride: float = 1
+
+
+class WireService(msgspec.Struct, rename='camel'):
+    """Hold a service."""
+
+    name: str
+    max_conns: int = 0
+    engine: WireEngine | None = None
+
+
+class WireTeam(msgspec.Struct, rename='camel'):
+    """Hold a team, which the users call a tenant."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ''
+    plain_tokens: int = 0
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class WireLimits(msgspec.Struct, rename='camel'):
+    """Bound what callers may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class WireConfig(msgspec.Struct):
+    """Hold the whole configuration."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    # The users' page says tenant for what this project calls a team.
+    tenants: list[WireTeam] = []
+
+
+class WireServer(msgspec.Struct, rename='camel'):
+    """Hold the registration of a backend server."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    version: str = ''
+    slots: int = DEFAULT_SLOTS
+    cold_remaining_ms: float = 0
+    born: int = 0
+
+
+class WireRollout(msgspec.Struct, rename='camel'):
+    """Order a version move."""
+
+    service: str
+    to: str
+    duration_s: float
