--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -5,6 +5,9 @@
 from marjoramfall.gateway.http_messages import Header, RequestHead
 from marjoramfall.gateway.model import RepeatRule, Route, Team
 
+# Route priorities that are told apart within one priority of a team.
+RANKS_PER_TEAM = 8
+
 
 @dataclass(frozen=True, slots=True)
 class CallFields:
@@ -49,10 +52,15 @@
 
     @property
     def priority(self) -> int:
-        """Return the rank of the request; 0 is the highest."""
+        """Return the rank of the request; 0 is the highest.
+
+        The priority of the team goes first, that of the route decides among
+        requests of equal teams.
+        """
+        route_rank = min(self.route.priority, RANKS_PER_TEAM - 1)
         if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
+            return self.team.priority * RANKS_PER_TEAM + route_rank
+        return self.route.priority * RANKS_PER_TEAM + route_rank
 
     @property
     def quota_tokens(self) -> int:
