Bound the exchange of load by the size of the system

Change: peers' loads are counted by difference; all changes go to entries of the same group, heartbeats to the others; feeds pause after a change.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass, field
 
 from loguru import logger
 
@@ -11,7 +12,12 @@
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
-from marjoramfall.gateway.peer_state import ServerSpeed, ServerUse, WaitingCall
+from marjoramfall.gateway.peer_state import (
+    PeerState,
+    ServerSpeed,
+    ServerUse,
+    WaitingCall,
+)
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.retry_allowance import RetryAllowance
 from marjoramfall.gateway.server_load import ServerLoad, Speed
@@ -19,6 +25,17 @@
 
 # Bounds the datagram; later requests wait behind these anyway.
 MAX_WAITING_SHARED = 60
+# What a server in another data centre costs more than one nearby.
+DISTANCE_MS = 5.0
+
+
+@dataclass(slots=True)
+class PeerUse:
+    """Hold what is counted at the servers and queues for one peer."""
+
+    uses: list[ServerUse] = field(default_factory=list)
+    speeds: list[ServerSpeed] = field(default_factory=list)
+    waiting_services: set[str] = field(default_factory=set)
 
 
 class Fleet:
@@ -30,12 +47,15 @@
         peers: PeerTable,
         pool: ConnectionPool,
         *,
+        data_centre: str,
         new_allowance: Callable[[], RetryAllowance],
         notify: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._pool = pool
+        self._data_centre = data_centre
+        self._peer_use_by_vm: dict[str, PeerUse] = {}
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
@@ -99,19 +119,31 @@
     def assign(self) -> None:
         """Let waiting requests have the places that are free now."""
         for queue in self._queue_by_service.values():
-            queue.assign()
-
-    def use_peers(self) -> None:
-        """Count the load and the waiting requests of all peers anew."""
-        for load in self._load_by_id.values():
-            load.peer_running = 0
-            load.peer_pending_tokens = 0
-            load.peer_speeds = []
-        for queue in self._queue_by_service.values():
-            queue.foreign_waiters = []
-        for peer in self._peers.fresh():
-            self._use_loads(peer.state.uses, peer.state.speeds)
-            self._use_waiting(peer.state.waiting, peer.heard_ms)
+            if queue.waiters:
+                queue.assign()
+
+    def on_peer_state(self, state: PeerState, heard_ms: float) -> None:
+        """Replace what is known of a peer's requests."""
+        known = self._peer_use_by_vm.setdefault(state.vm, PeerUse())
+        self._count_uses(known.uses, -1)
+        known.uses = state.uses
+        self._count_uses(known.uses, 1)
+        if state.speeds is not None:
+            self._count_speeds(known.speeds, -1)
+            known.speeds = state.speeds
+            self._count_speeds(known.speeds, 1)
+        self._use_waiting(state, known, heard_ms)
+        self.assign()
+
+    def forget_silent(self) -> None:
+        """Stop counting the requests of peers that fell silent."""
+        fresh = {peer.state.vm for peer in self._peers.fresh()}
+        for vm in tuple(self._peer_use_by_vm):
+            if vm not in fresh:
+                known = self._peer_use_by_vm.pop(vm)
+                self._count_uses(known.uses, -1)
+                self._count_speeds(known.speeds, -1)
+                self._drop_waiting(vm, known)
         self.assign()
 
     def uses(self) -> list[ServerUse]:
@@ -153,24 +185,41 @@
         ]
         return calls[:MAX_WAITING_SHARED]
 
-    def _use_loads(self, uses: list[ServerUse], speeds: list[ServerSpeed]) -> None:
+    def _count_uses(self, uses: list[ServerUse], sign: int) -> None:
         for use in uses:
             load = self._load_by_id.get(use.server_id)
             if load is not None:
-                load.peer_running += use.running
-                load.peer_pending_tokens += use.pending_tokens
+                load.peer_running += sign * use.running
+                load.peer_pending_tokens += sign * use.pending_tokens
+
+    def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
         for speed in speeds:
             load = self._load_by_id.get(speed.server_id)
             if load is not None:
-                load.peer_speeds.append(
-                    Speed(speed.event_ms, speed.token_us, speed.samples)
-                )
+                measured = Speed(speed.event_ms, speed.token_us, speed.samples)
+                load.peer_speeds.add(measured, sign)
 
-    def _use_waiting(self, waiting: list[WaitingCall], heard_ms: float) -> None:
-        for call in waiting:
+    def _use_waiting(self, state: PeerState, known: PeerUse, heard_ms: float) -> None:
+        self._drop_waiting(state.vm, known)
+        for call in state.waiting:
+            foreign = ForeignWaiter(call.rank, heard_ms - call.waited_ms)
             queue = self.queue(call.service_id)
-            arrived_ms = heard_ms - call.waited_ms
-            queue.foreign_waiters.append(ForeignWaiter(call.rank, arrived_ms))
+            queue.foreign_by_vm.setdefault(state.vm, []).append(foreign)
+            known.waiting_services.add(call.service_id)
+
+    def _drop_waiting(self, vm: str, known: PeerUse) -> None:
+        for service_id in known.waiting_services:
+            self.queue(service_id).foreign_by_vm.pop(vm, None)
+        known.waiting_services.clear()
+
+    def _count_known_peers(self, load: ServerLoad) -> None:
+        """Count at a new server what peers reported of it before."""
+        server_id = load.server.server_id
+        for known in self._peer_use_by_vm.values():
+            uses = [use for use in known.uses if use.server_id == server_id]
+            speeds = [speed for speed in known.speeds if speed.server_id == server_id]
+            self._count_uses(uses, 1)
+            self._count_speeds(speeds, 1)
 
     def _add(self, server: BackendServer) -> None:
         known = self._load_by_id.get(server.server_id)
@@ -187,8 +236,10 @@
             server,
             is_model=self._is_model(server.service_id),
             events_per_token=1 / tokens_per_event,
+            distance_ms=0 if server.data_centre == self._data_centre else DISTANCE_MS,
         )
         self._load_by_id[server.server_id] = load
+        self._count_known_peers(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
     def _remove(self, server_id: str) -> None:
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -1,6 +1,7 @@
 """Exchange state with the other entries."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from contextlib import closing
 
 import msgspec
@@ -19,9 +20,9 @@
 from marjoramfall.gateway.peer_table import Peer, PeerTable
 from marjoramfall.gateway.registry import Registry, Snapshot
 
-HEARTBEAT_MS = 250
 # Changes within this time go out in one datagram.
 COALESCE_MS = 4
+HEARTBEATS_PER_SPEEDS = 3
 MAX_DATAGRAM_BYTES = 65000
 # The own feed usually brings a change as soon as a peer's does.
 BEHIND_MS = 250
@@ -33,7 +34,7 @@
     """Provide the own state and use that of peers."""
 
     @abstractmethod
-    def own_state(self) -> PeerState:
+    def own_state(self, *, with_speeds: bool) -> PeerState:
         """Return what the peers should know now."""
 
     @abstractmethod
@@ -65,6 +66,8 @@
         self._clock = clock
         self._changed = Event()
         self._behind_since_ms: float | None = None
+        self._heartbeats = 0
+        self._heartbeat_ms = clock.monotonic_ms()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(split_address(address))
 
@@ -80,14 +83,29 @@
 
     def _send_loop(self) -> None:
         while True:
-            if self._changed.wait(HEARTBEAT_MS / MS_PER_SECOND):
+            due_ms = self._heartbeat_ms + self._peers.heartbeat_ms
+            wait_ms = max(1, due_ms - self._clock.monotonic_ms())
+            if self._changed.wait(wait_ms / MS_PER_SECOND):
                 self._clock.sleep_ms(COALESCE_MS)
                 self._changed.clear()
-            self._send_state()
-
-    def _send_state(self) -> None:
-        datagram = encode_state(self._listener.own_state())
-        for address in tuple(self._peers.address_by_vm.values()):
+                self._send_state(self._peers.near_addresses(), with_speeds=False)
+            if self._clock.monotonic_ms() >= due_ms:
+                self._heartbeat_ms = self._clock.monotonic_ms()
+                self._send_heartbeat()
+
+    def _send_heartbeat(self) -> None:
+        near = self._peers.near_addresses()
+        distant = set(self._peers.address_by_vm.values()).difference(near)
+        # Only entries nearby use the same servers often enough to share speeds.
+        self._heartbeats += 1
+        with_speeds = self._heartbeats % HEARTBEATS_PER_SPEEDS == 0
+        self._send_state(near, with_speeds=with_speeds)
+        self._send_state(distant, with_speeds=False)
+
+    def _send_state(self, addresses: Iterable[str], *, with_speeds: bool) -> None:
+        state = self._listener.own_state(with_speeds=with_speeds)
+        datagram = encode_state(state)
+        for address in addresses:
             try:
                 self._socket.sendto(datagram, split_address(address))
             except OSError as error:
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -50,10 +50,15 @@
 
 
 class PeerState(msgspec.Struct, array_like=True, frozen=True):
-    """Hold the whole shared state of an entry; each datagram replaces the last."""
+    """Hold the whole shared state of an entry; each datagram replaces the last.
+
+    `speeds` is None where they go out with another datagram, as they are long
+    and change slowly.
+    """
 
     vm: str
     address: str
+    data_centre: str
     incarnation: int
     sequence: int
     is_leaving: bool
@@ -62,8 +67,7 @@
     servers_revision: int
     uses: list[ServerUse]
     waiting: list[WaitingCall]
-    speeds: list[ServerSpeed]
-    failing_ids: list[str]
+    speeds: list[ServerSpeed] | None
     teams: list[TeamUse]
     versions: list[VersionCount]
 
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -1,13 +1,21 @@
 """Hold what an entry last heard of its peers."""
 
+from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peer_state import PeerState
 
-# Heartbeats come every 250 ms; three lost ones are no accident.
-FRESH_MS = 900
+HEARTBEAT_MS = 250.0
+# Distant peers hear from this entry less often the more there are, so that
+# its traffic stays bounded.
+HEARTBEAT_MS_PER_MEMBER = 10.0
+# Three lost heartbeats are no accident.
+FRESH_HEARTBEATS = 3.6
+# All entries of a small system hear of each change at once; in a large one
+# those of the same data centre do, up to a group of this size.
+NEAR_GROUP_SIZE = 20
 # A peer that is cut off may come back and still uses its share meanwhile.
 FORGET_MS = 20_000
 
@@ -23,9 +31,10 @@
 class PeerTable:
     """Keep the newest state of each peer."""
 
-    def __init__(self, clock: Clock, *, own_vm: str) -> None:
+    def __init__(self, clock: Clock, *, own_vm: str, data_centre: str) -> None:
         self._clock = clock
         self._own_vm = own_vm
+        self._data_centre = data_centre
         self._peer_by_vm: dict[str, Peer] = {}
         self.address_by_vm: dict[str, str] = {}
 
@@ -54,9 +63,33 @@
         self.address_by_vm[state.vm] = state.address
         return previous
 
+    @property
+    def heartbeat_ms(self) -> float:
+        """Return the interval at which distant peers hear of this entry."""
+        return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_MEMBER * len(self.address_by_vm))
+
+    @property
+    def fresh_ms(self) -> float:
+        """Return for how long the state of a peer counts."""
+        return FRESH_HEARTBEATS * self.heartbeat_ms
+
+    def near_addresses(self) -> list[str]:
+        """Return the peers that hear of every change at once."""
+        if len(self.address_by_vm) < NEAR_GROUP_SIZE:
+            return list(self.address_by_vm.values())
+        neighbours = sorted(
+            vm
+            for vm, peer in self._peer_by_vm.items()
+            if peer.state.data_centre == self._data_centre
+        )
+        own_index = bisect_left(neighbours, self._own_vm)
+        start = own_index // NEAR_GROUP_SIZE * NEAR_GROUP_SIZE
+        group = neighbours[start : start + NEAR_GROUP_SIZE]
+        return [self.address_by_vm[vm] for vm in group]
+
     def fresh(self) -> Iterator[Peer]:
         """Yield the peers heard lately."""
-        oldest_ms = self._clock.monotonic_ms() - FRESH_MS
+        oldest_ms = self._clock.monotonic_ms() - self.fresh_ms
         for peer in self._peer_by_vm.values():
             if peer.heard_ms >= oldest_ms:
                 yield peer
@@ -65,7 +98,8 @@
         """Return how many peers fell silent without saying that they leave."""
         now_ms = self._clock.monotonic_ms()
         return sum(
-            FRESH_MS < now_ms - peer.heard_ms < FORGET_MS and not peer.state.is_leaving
+            self.fresh_ms < now_ms - peer.heard_ms < FORGET_MS
+            and not peer.state.is_leaving
             for peer in self._peer_by_vm.values()
         )
 
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -19,6 +19,8 @@
 # Others' streams pause while a prompt is read.
 DISTURBANCE_WEIGHT = 0.5
 US_PER_MS = 1000
+# The initial guess counts as much as half a sample.
+PRIOR_SAMPLES = 0.5
 
 
 @dataclass(slots=True)
@@ -41,6 +43,21 @@
         self.token_us += weight * (token_us - self.token_us)
 
 
+@dataclass(slots=True)
+class PeerSpeeds:
+    """Sum what peers measured, weighted by their sample counts."""
+
+    event_ms: float = 0.0
+    token_us: float = 0.0
+    samples: int = 0
+
+    def add(self, speed: Speed, sign: int = 1) -> None:
+        """Add a measurement, or take it out with a negative sign."""
+        self.event_ms += sign * speed.event_ms * speed.samples
+        self.token_us += sign * speed.token_us * speed.samples
+        self.samples += sign * speed.samples
+
+
 @dataclass(slots=True)
 class Running:
     """Count a request that a server works on for this entry."""
@@ -54,17 +71,23 @@
     """Predict what a new request would see at a server."""
 
     def __init__(
-        self, server: BackendServer, *, is_model: bool, events_per_token: float
+        self,
+        server: BackendServer,
+        *,
+        is_model: bool,
+        events_per_token: float,
+        distance_ms: float,
     ) -> None:
         self.server = server
         self.is_model = is_model
         self.events_per_token = events_per_token
+        self.distance_ms = distance_ms
         event_ms = INITIAL_EVENT_MS if is_model else INITIAL_CALL_MS
         self.speed = Speed(event_ms, INITIAL_TOKEN_US)
         self.own: list[Running] = []
         self.peer_running = 0
         self.peer_pending_tokens = 0
-        self.peer_speeds: list[Speed] = []
+        self.peer_speeds = PeerSpeeds()
         self.error_share = 0.0
         self.failures = 0
         self.heard_ms = 0.0
@@ -98,11 +121,18 @@
 
     def event_ms(self) -> float:
         """Return the time between events as all entries measured it."""
-        return self._mean('event_ms')
+        own = self.speed
+        peers = self.peer_speeds
+        weight = own.samples + PRIOR_SAMPLES
+        return (own.event_ms * weight + peers.event_ms) / (weight + peers.samples)
 
     def token_ms(self) -> float:
         """Return the time to read one token of a prompt."""
-        return self._mean('token_us') / US_PER_MS
+        own = self.speed
+        peers = self.peer_speeds
+        weight = own.samples + PRIOR_SAMPLES
+        token_us = (own.token_us * weight + peers.token_us) / (weight + peers.samples)
+        return token_us / US_PER_MS
 
     def first_ms(self, demand: Demand) -> float:
         """Return the expected time until the first response."""
@@ -123,7 +153,7 @@
     def cost(self, demand: Demand, now_ms: float) -> float:
         """Return what placement minimises, in milliseconds."""
         first_ms = self.first_ms(demand)
-        cost = self.total_ms(demand)
+        cost = self.total_ms(demand) + self.distance_ms
         if self.is_model:
             reading_ms = demand.prompt_tokens * self.token_ms()
             cost += DISTURBANCE_WEIGHT * reading_ms * self.running
@@ -159,12 +189,3 @@
         self.on_error()
         delay_ms = FIRST_EJECTION_MS * 2 ** min(self.failures - 1, 5)
         self.ejected_until_ms = now_ms + min(delay_ms, MAX_EJECTION_MS)
-
-    def _mean(self, name: str) -> float:
-        own = self.speed
-        samples = own.samples + 0.5
-        weighted = getattr(own, name) * samples
-        for speed in self.peer_speeds:
-            weighted += getattr(speed, name) * speed.samples
-            samples += speed.samples
-        return weighted / samples
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -1,5 +1,6 @@
 """Decide which waiting request goes next and to which backend server."""
 
+from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -58,7 +59,7 @@
         self._hold_ms = INITIAL_HOLD_MS if is_model else INITIAL_CALL_HOLD_MS
         self.load_by_id: dict[str, ServerLoad] = {}
         self.waiters: list[Waiter] = []
-        self.foreign_waiters: list[ForeignWaiter] = []
+        self.foreign_by_vm: dict[str, list[ForeignWaiter]] = {}
 
     def submit(self, waiter: Waiter) -> None:
         """Place the request, let it wait, or raise `OverloadError`."""
@@ -90,9 +91,13 @@
             return
         now_ms = self._clock.monotonic_ms()
         self._reject_late(now_ms)
+        if not any(load.free_places for load in self.load_by_id.values()):
+            return
         self.waiters.sort(key=lambda waiter: _order(waiter.demand, now_ms))
+        foreign = self._foreign_orders()
         for waiter in tuple(self.waiters):
-            place = self._place(waiter.demand, now_ms)
+            ahead = bisect_left(foreign, _order(waiter.demand, now_ms))
+            place = self._place(waiter.demand, ahead, now_ms)
             if place is not None:
                 self.waiters.remove(waiter)
                 waiter.on_place(place)
@@ -103,10 +108,9 @@
         running = sum(load.running for load in self.load_by_id.values())
         return running / places if places else 1
 
-    def _place(self, demand: Demand, now_ms: float) -> Place | None:
+    def _place(self, demand: Demand, ahead: int, now_ms: float) -> Place | None:
         usable = self._usable(demand, now_ms)
         places = [load for load in usable if load.free_places]
-        ahead = self._count_ahead(demand, now_ms)
         if ahead and ahead >= sum(load.free_places for load in places):
             return None
         if not places:
@@ -127,17 +131,17 @@
             if demand.version is None or server.version == demand.version:
                 yield load
 
-    def _count_ahead(self, demand: Demand, now_ms: float) -> int:
-        order = _order(demand, now_ms)
-        return sum(
-            (foreign.rank, foreign.arrived_ms) < order
-            for foreign in self.foreign_waiters
+    def _foreign_orders(self) -> list[tuple[float, float]]:
+        return sorted(
+            (foreign.rank, foreign.arrived_ms)
+            for waiters in self.foreign_by_vm.values()
+            for foreign in waiters
         )
 
     def _expected_wait_ms(self, demand: Demand, now_ms: float) -> float:
         usable = self._usable(demand, now_ms)
         order = _order(demand, now_ms)
-        ahead = self._count_ahead(demand, now_ms)
+        ahead = bisect_left(self._foreign_orders(), order)
         ahead += sum(_order(waiter.demand, now_ms) < order for waiter in self.waiters)
         free = sum(load.free_places for load in usable)
         if ahead < free:
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -1,5 +1,6 @@
 """Run one entry on the users' platform."""
 
+import gc
 import signal
 import sys
 import time
@@ -65,13 +66,16 @@
         self._stopped = Event()
         peer_address = f'{settings.ip}:{settings.peer_port}'
         self._peer_address = peer_address
-        self._peers = PeerTable(clock, own_vm=settings.vm)
+        self._peers = PeerTable(
+            clock, own_vm=settings.vm, data_centre=settings.data_centre
+        )
         self._pool = ConnectionPool(clock, connect_timeout_ms=CONNECT_TIMEOUT_MS)
         self._limits = SharedLimits()
         self._fleet = Fleet(
             clock,
             self._peers,
             self._pool,
+            data_centre=settings.data_centre,
             new_allowance=self._new_allowance,
             notify=self._notify_peers,
         )
@@ -119,18 +123,22 @@
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
+        # What start-up made lives as long as the process.
+        gc.collect()
+        gc.freeze()
         self._stopped.wait()
         logger.info('entry stopped')
 
     # Peers.
 
-    def own_state(self) -> PeerState:
+    def own_state(self, *, with_speeds: bool) -> PeerState:
         """Return what the peers should know now."""
         self._sequence += 1
         registry = self._registry
         return PeerState(
             vm=self._settings.vm,
             address=self._peer_address,
+            data_centre=self._settings.data_centre,
             incarnation=self._incarnation,
             sequence=self._sequence,
             is_leaving=self._is_leaving,
@@ -139,9 +147,12 @@
             servers_revision=registry.servers_state.changed,
             uses=self._fleet.uses(),
             waiting=self._fleet.waiting(),
-            speeds=self._fleet.speeds(),
-            failing_ids=[],
-            teams=[TeamUse(*used) for used in self._limits.used_by_team().items()],
+            speeds=self._fleet.speeds() if with_speeds else None,
+            teams=[
+                TeamUse(team, used)
+                for team, used in self._limits.used_by_team().items()
+                if used
+            ],
             versions=[],
         )
 
@@ -153,7 +164,7 @@
             # A peer met for the first time has refilled what it used long ago.
             drawn = use.used - before.get(use.team, 0 if is_same else use.used)
             self._limits.draw_for_peer(use.team, drawn)
-        self._fleet.use_peers()
+        self._fleet.on_peer_state(state, self._clock.monotonic_ms())
 
     def on_stale_feed(self) -> None:
         """Open new connections to the store, as the present ones may be silent."""
@@ -221,7 +232,7 @@
             self._clock.sleep_ms(MAINTENANCE_MS)
             self._registry.drop_lapsed()
             self._pool.close_expired()
-            self._fleet.use_peers()
+            self._fleet.forget_silent()
 
     # Signals.
 
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -16,7 +16,7 @@
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
 # A long poll that finds nothing ends after this time at the store.
-POLL_WAIT_MS = 8000
+POLL_WAIT_MS = 20_000
 # The answer of a long poll that found nothing takes a little longer.
 POLL_GRACE_MS = 1500
 
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -35,6 +35,7 @@
     """Keep one table up to date: read it once, then follow its changes."""
 
     table = ''
+    pause_ms = 0.0
 
     def __init__(self, client: StoreClient, registry: Registry, clock: Clock) -> None:
         self._client = client
@@ -85,6 +86,8 @@
             found = self._client.follow_table(self.table, self._as_of)
             self._on_answer()
             self.apply_changes(found)
+            # Changes often come in series, and every call has its price.
+            gevent.sleep(self.pause_ms / MS_PER_SECOND)
         self._as_of = max(self._as_of or 0, found.revision)
 
     def _on_answer(self) -> None:
@@ -107,6 +110,7 @@
     """Follow the configuration and the orders to move versions."""
 
     table = OPERATOR_TABLE
+    pause_ms = 250.0
 
     def apply_all(self, rows: RowSet) -> None:
         """Use a complete read."""
@@ -137,6 +141,7 @@
     """Follow the registrations of backend servers."""
 
     table = SERVER_TABLE
+    pause_ms = 400.0
 
     def apply_all(self, rows: RowSet) -> None:
         """Use a complete read."""
