Serve within the tolerance of shared limits and send compact datagrams

Cause: requests within a team's limit were refused, as the replicas of the limit see each other's use late; datagrams carried use and speeds each time.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -27,6 +27,10 @@
 MAX_WAITING_SHARED = 60
 # What a server in another data centre costs more than one nearby.
 DISTANCE_MS = 5.0
+# In a large system the load of distant servers is known late. They are used
+# only when those nearby are full, and a place of theirs is left to others.
+FAR_DISTANCE_MS = 200.0
+FAR_RESERVE = 1
 
 
 @dataclass(slots=True)
@@ -137,6 +141,8 @@
 
     def forget_silent(self) -> None:
         """Stop counting the requests of peers that fell silent."""
+        for load in self._load_by_id.values():
+            self._set_distance(load)
         fresh = {peer.state.vm for peer in self._peers.fresh()}
         for vm in tuple(self._peer_use_by_vm):
             if vm not in fresh:
@@ -236,12 +242,20 @@
             server,
             is_model=self._is_model(server.service_id),
             events_per_token=1 / tokens_per_event,
-            distance_ms=0 if server.data_centre == self._data_centre else DISTANCE_MS,
+            distance_ms=0,
         )
         self._load_by_id[server.server_id] = load
+        self._set_distance(load)
         self._count_known_peers(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
+    def _set_distance(self, load: ServerLoad) -> None:
+        is_near = load.server.data_centre == self._data_centre
+        is_large = self._peers.is_large
+        far_ms = FAR_DISTANCE_MS if is_large else DISTANCE_MS
+        load.distance_ms = 0 if is_near else far_ms
+        load.reserve = FAR_RESERVE if is_large and not is_near else 0
+
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
         self.queue(load.server.service_id).load_by_id.pop(server_id, None)
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -22,7 +22,8 @@
 
 # Changes within this time go out in one datagram.
 COALESCE_MS = 4
-HEARTBEATS_PER_SPEEDS = 3
+# Speeds and the use of teams change slowly and are long.
+FULL_INTERVAL_MS = 500
 MAX_DATAGRAM_BYTES = 65000
 # The own feed usually brings a change as soon as a peer's does.
 BEHIND_MS = 250
@@ -34,7 +35,7 @@
     """Provide the own state and use that of peers."""
 
     @abstractmethod
-    def own_state(self, *, with_speeds: bool) -> PeerState:
+    def own_state(self, *, is_full: bool) -> PeerState:
         """Return what the peers should know now."""
 
     @abstractmethod
@@ -66,8 +67,9 @@
         self._clock = clock
         self._changed = Event()
         self._behind_since_ms: float | None = None
-        self._heartbeats = 0
-        self._heartbeat_ms = clock.monotonic_ms()
+        self._distant_are_behind = False
+        self._sent_distant_ms = clock.monotonic_ms()
+        self._sent_full_ms = self._sent_distant_ms
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(split_address(address))
 
@@ -83,27 +85,35 @@
 
     def _send_loop(self) -> None:
         while True:
-            due_ms = self._heartbeat_ms + self._peers.heartbeat_ms
-            wait_ms = max(1, due_ms - self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            wait_ms = max(1, self._next_distant_ms(now_ms) - now_ms)
             if self._changed.wait(wait_ms / MS_PER_SECOND):
                 self._clock.sleep_ms(COALESCE_MS)
                 self._changed.clear()
-                self._send_state(self._peers.near_addresses(), with_speeds=False)
-            if self._clock.monotonic_ms() >= due_ms:
-                self._heartbeat_ms = self._clock.monotonic_ms()
+                self._distant_are_behind = True
+                self._send_state(self._peers.near_addresses(), is_full=False)
+            if self._clock.monotonic_ms() >= self._next_distant_ms(now_ms):
                 self._send_heartbeat()
 
+    def _next_distant_ms(self, now_ms: float) -> float:
+        if self._distant_are_behind and self._peers.is_large:
+            return self._sent_distant_ms + self._peers.distant_ms
+        return self._sent_distant_ms + self._peers.heartbeat_ms
+
     def _send_heartbeat(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self._sent_distant_ms = now_ms
+        self._distant_are_behind = False
         near = self._peers.near_addresses()
         distant = set(self._peers.address_by_vm.values()).difference(near)
-        # Only entries nearby use the same servers often enough to share speeds.
-        self._heartbeats += 1
-        with_speeds = self._heartbeats % HEARTBEATS_PER_SPEEDS == 0
-        self._send_state(near, with_speeds=with_speeds)
-        self._send_state(distant, with_speeds=False)
-
-    def _send_state(self, addresses: Iterable[str], *, with_speeds: bool) -> None:
-        state = self._listener.own_state(with_speeds=with_speeds)
+        is_full = now_ms - self._sent_full_ms >= FULL_INTERVAL_MS
+        if is_full:
+            self._sent_full_ms = now_ms
+        self._send_state(near, is_full=is_full)
+        self._send_state(distant, is_full=is_full)
+
+    def _send_state(self, addresses: Iterable[str], *, is_full: bool) -> None:
+        state = self._listener.own_state(is_full=is_full)
         datagram = encode_state(state)
         for address in addresses:
             try:
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -52,8 +52,8 @@
 class PeerState(msgspec.Struct, array_like=True, frozen=True):
     """Hold the whole shared state of an entry; each datagram replaces the last.
 
-    `speeds` is None where they go out with another datagram, as they are long
-    and change slowly.
+    `speeds` and `teams` are None where they go out with another datagram, as
+    they are long and change slowly.
     """
 
     vm: str
@@ -68,7 +68,7 @@
     uses: list[ServerUse]
     waiting: list[WaitingCall]
     speeds: list[ServerSpeed] | None
-    teams: list[TeamUse]
+    teams: list[TeamUse] | None
     versions: list[VersionCount]
 
 
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -8,9 +8,9 @@
 from marjoramfall.gateway.peer_state import PeerState
 
 HEARTBEAT_MS = 250.0
-# Distant peers hear from this entry less often the more there are, so that
-# its traffic stays bounded.
-HEARTBEAT_MS_PER_MEMBER = 10.0
+# Distant peers hear of changes less often the more there are, so that an
+# entry's traffic stays bounded.
+DISTANT_MS_PER_MEMBER = 2.0
 # Three lost heartbeats are no accident.
 FRESH_HEARTBEATS = 3.6
 # All entries of a small system hear of each change at once; in a large one
@@ -65,8 +65,18 @@
 
     @property
     def heartbeat_ms(self) -> float:
-        """Return the interval at which distant peers hear of this entry."""
-        return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_MEMBER * len(self.address_by_vm))
+        """Return the longest time between two datagrams to a peer."""
+        return max(HEARTBEAT_MS, self.distant_ms)
+
+    @property
+    def distant_ms(self) -> float:
+        """Return how long a change may wait until distant peers hear of it."""
+        return DISTANT_MS_PER_MEMBER * len(self.address_by_vm)
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether some peers hear of changes later than others."""
+        return len(self.address_by_vm) >= NEAR_GROUP_SIZE
 
     @property
     def fresh_ms(self) -> float:
@@ -75,7 +85,7 @@
 
     def near_addresses(self) -> list[str]:
         """Return the peers that hear of every change at once."""
-        if len(self.address_by_vm) < NEAR_GROUP_SIZE:
+        if not self.is_large:
             return list(self.address_by_vm.values())
         neighbours = sorted(
             vm
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -82,6 +82,7 @@
         self.is_model = is_model
         self.events_per_token = events_per_token
         self.distance_ms = distance_ms
+        self.reserve = 0
         event_ms = INITIAL_EVENT_MS if is_model else INITIAL_CALL_MS
         self.speed = Speed(event_ms, INITIAL_TOKEN_US)
         self.own: list[Running] = []
@@ -102,7 +103,7 @@
     @property
     def free_places(self) -> int:
         """Return how many more requests the server can work on at once."""
-        return max(0, self.server.slots - self.running)
+        return max(0, self.server.slots - self.running - self.reserve)
 
     @property
     def pending_tokens(self) -> int:
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -4,22 +4,25 @@
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import Team
+from marjoramfall.gateway.peer_state import TeamUse
 
 
 @dataclass(slots=True)
 class SharedLimit:
     """Replicate one token bucket: every entry draws what all entries used.
 
-    `reserved_share` is what silent peers may be using unseen.
+    A shared limit is never exact; up to `tolerance` beyond it a request is
+    served rather than refused within its limit by mistake.
     """
 
     team: Team
     level: float
     updated_ms: float
+    tolerance: float = 0.0
     used: float = 0.0
 
     def refill(self, now_ms: float, reserved_share: float) -> None:
-        """Add what the rate gives since the last call."""
+        """Add what the rate gives, less what silent peers may be using."""
         passed_ms = max(0, now_ms - self.updated_ms)
         self.updated_ms = now_ms
         usable_rate = self.team.rate_per_s * (1 - reserved_share)
@@ -32,7 +35,7 @@
         A request larger than what is left may still go, and the next ones pay
         for it, since else one larger than the burst could never go.
         """
-        if self.level <= 0:
+        if self.level <= -self.tolerance:
             return False
         self.level -= amount
         self.used += amount
@@ -49,16 +52,20 @@
 
     def wait_ms(self) -> float:
         """Return when the limit lets the next request pass."""
-        if self.level > 0 or not self.team.rate_per_s:
+        missing = 1 - self.level - self.tolerance
+        if missing <= 0 or not self.team.rate_per_s:
             return 0
-        return (1 - self.level) / self.team.rate_per_s * MS_PER_SECOND
+        return missing / self.team.rate_per_s * MS_PER_SECOND
 
 
 class SharedLimits:
     """Keep the limits of all teams across changes of the configuration."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, tolerance_share: float, tolerance: float) -> None:
+        self._tolerance_share = tolerance_share
+        self._tolerance = tolerance
         self._limit_by_team: dict[str, SharedLimit] = {}
+        self._peer_use_by_key: dict[tuple[str, int], dict[str, float]] = {}
 
     def set_teams(self, teams: dict[str, Team], now_ms: float) -> None:
         """Take over the teams of a new configuration."""
@@ -70,18 +77,31 @@
             limit = previous.get(team.name) or SharedLimit(team, team.burst, now_ms)
             limit.team = team
             limit.level = min(limit.level, team.burst)
+            limit.tolerance = self._tolerance + self._tolerance_share * team.burst
             self._limit_by_team[team.name] = limit
 
     def find(self, team: Team | None) -> SharedLimit | None:
         """Return the limit of a team, None if it has none."""
         return None if team is None else self._limit_by_team.get(team.name)
 
-    def draw_for_peer(self, team: str, amount: float) -> None:
-        """Draw what a peer has let pass for a team."""
-        limit = self._limit_by_team.get(team)
-        if limit is not None:
-            limit.draw_for_peer(amount)
-
-    def used_by_team(self) -> dict[str, float]:
-        """Return what each team used here since the start."""
-        return {name: limit.used for name, limit in self._limit_by_team.items()}
+    def draw_for_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
+        """Draw what a peer has let pass since its last report."""
+        key = (vm, incarnation)
+        known = self._peer_use_by_key.get(key)
+        if known is None:
+            # What a peer used before it was met has been refilled mostly.
+            self._peer_use_by_key[key] = {use.team: use.used for use in uses}
+            return
+        for use in uses:
+            limit = self._limit_by_team.get(use.team)
+            if limit is not None:
+                limit.draw_for_peer(use.used - known.get(use.team, 0))
+            known[use.team] = use.used
+
+    def uses(self) -> list[TeamUse]:
+        """Return what teams used here since the start."""
+        return [
+            TeamUse(name, limit.used)
+            for name, limit in self._limit_by_team.items()
+            if limit.used
+        ]
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -22,7 +22,7 @@
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.model import Configuration
 from marjoramfall.gateway.peer_exchange import SNAPSHOT_PATH, PeerExchange, PeerListener
-from marjoramfall.gateway.peer_state import PeerState, TeamUse
+from marjoramfall.gateway.peer_state import PeerState
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.retry_allowance import RetryAllowance
@@ -70,7 +70,10 @@
             clock, own_vm=settings.vm, data_centre=settings.data_centre
         )
         self._pool = ConnectionPool(clock, connect_timeout_ms=CONNECT_TIMEOUT_MS)
-        self._limits = SharedLimits()
+        self._limits = SharedLimits(
+            tolerance_share=settings.limit_tolerance_share,
+            tolerance=settings.limit_tolerance,
+        )
         self._fleet = Fleet(
             clock,
             self._peers,
@@ -131,7 +134,7 @@
 
     # Peers.
 
-    def own_state(self, *, with_speeds: bool) -> PeerState:
+    def own_state(self, *, is_full: bool) -> PeerState:
         """Return what the peers should know now."""
         self._sequence += 1
         registry = self._registry
@@ -147,23 +150,15 @@
             servers_revision=registry.servers_state.changed,
             uses=self._fleet.uses(),
             waiting=self._fleet.waiting(),
-            speeds=self._fleet.speeds() if with_speeds else None,
-            teams=[
-                TeamUse(team, used)
-                for team, used in self._limits.used_by_team().items()
-                if used
-            ],
+            speeds=self._fleet.speeds() if is_full else None,
+            teams=self._limits.uses() if is_full or not self._peers.is_large else None,
             versions=[],
         )
 
     def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
         """Use the new state of a peer."""
-        is_same = previous is not None and previous.incarnation == state.incarnation
-        before = {use.team: use.used for use in previous.teams} if is_same else {}
-        for use in state.teams:
-            # A peer met for the first time has refilled what it used long ago.
-            drawn = use.used - before.get(use.team, 0 if is_same else use.used)
-            self._limits.draw_for_peer(use.team, drawn)
+        if state.teams is not None:
+            self._limits.draw_for_peer(state.vm, state.incarnation, state.teams)
         self._fleet.on_peer_state(state, self._clock.monotonic_ms())
 
     def on_stale_feed(self) -> None:
--- a/marjoramfall/platform/settings.py
+++ b/marjoramfall/platform/settings.py
@@ -25,6 +25,8 @@
     retry_ratio: float = msgspec.field(name='retryBudgetRatio', default=0.2)
     retry_window_s: float = msgspec.field(name='budgetWindowS', default=10)
     retry_slack: float = msgspec.field(name='budgetSlack', default=0)
+    quota_over: float = msgspec.field(name='quotaOver', default=0)
+    quota_slack: float = msgspec.field(name='quotaSlack', default=0)
     expose_share: float = msgspec.field(name='exposeShare', default=0.1)
     expose_slack: float = msgspec.field(name='exposeSlack', default=50)
 
@@ -63,11 +65,15 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    limit_tolerance_share: float
+    limit_tolerance: float
     expose_share: float
     expose_slack: float
 
 
 METRICS_PORT = 9464
+# The rest of the allowed excess is for what peers report late.
+TOLERANCE_SHARE = 0.3
 
 
 def settings_path() -> str:
@@ -119,6 +125,8 @@
         retry_ratio=bounds.retry_ratio,
         retry_window_s=bounds.retry_window_s,
         retry_slack=bounds.retry_slack,
+        limit_tolerance_share=bounds.quota_over,
+        limit_tolerance=bounds.quota_slack * TOLERANCE_SHARE,
         expose_share=bounds.expose_share,
         expose_slack=bounds.expose_slack,
     )
