--- a/marjoramfall/gateway/demand.py
+++ b/marjoramfall/gateway/demand.py
@@ -12,7 +12,7 @@
     """Hold what placement needs to know; times are monotonic milliseconds.
 
     `target_ms` is when the first response is due and `give_up_ms` when the
-    caller stops waiting for it.
+    caller stops waiting for it; the whole response is due at `deadline_ms`.
     """
 
     service_id: str
@@ -20,6 +20,7 @@
     arrived_ms: float
     target_ms: float
     give_up_ms: float
+    deadline_ms: float
     prompt_tokens: int = 0
     output_tokens: int = 0
     excluded_ids: set[str] = field(default_factory=set)
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -122,6 +122,10 @@
         self.queue(place.load.server.service_id).finish(place)
         self.notify()
 
+    def fresh_peer_count(self) -> int:
+        """Return how many peers' load is counted."""
+        return len(self._peer_use_by_vm)
+
     def assign(self) -> None:
         """Let waiting requests have the places that are free now."""
         for queue in self._queue_by_service.values():
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -14,7 +14,12 @@
 from marjoramfall.gateway.exchange import Exchange
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
-from marjoramfall.gateway.service_queue import OverloadError, Place, Waiter
+from marjoramfall.gateway.service_queue import (
+    OverloadError,
+    Place,
+    ServiceQueue,
+    Waiter,
+)
 
 # Sends beyond the allowed runs, for servers that say they did not run it.
 MAX_REJECTED_SENDS = 3
@@ -82,12 +87,14 @@
                 call, 'no place in time', FULL_RETRY_AFTER_MS
             ) from error
         except OverloadError as error:
+            self._log_overload(call, queue, error)
             raise self._refusal(call, str(error), error.retry_after_ms) from error
         finally:
             queue.withdraw(waiter)
             if place is None and placed.successful():
                 # The caller left just as its request got a place.
                 self._fleet.finish(placed.value)
+        self._log_placement(call, place, demand)
         return place
 
     def _refusal(
@@ -113,6 +120,7 @@
             arrived_ms=call.received_ms,
             target_ms=call.received_ms + route.target_ms,
             give_up_ms=call.received_ms + patience_ms,
+            deadline_ms=call.deadline_ms,
             prompt_tokens=call.fields.prompt_tokens,
             output_tokens=call.fields.likely_output_tokens,
             excluded_ids=call.excluded_ids,
@@ -152,6 +160,35 @@
             raise GatewayFailureError(TIMED_OUT, 'no response in time')
         raise GatewayFailureError(BAD_GATEWAY, outcome.reason)
 
+    def _log_placement(self, call: Call, place: Place, demand: Demand) -> None:
+        now_ms = self._clock.monotonic_ms()
+        load = place.load
+        logger.bind(
+            request=call.fields.attempt_id,
+            server=load.server.server_id,
+            rank=demand.rank(now_ms),
+            waited_ms=round(now_ms - call.received_ms, 1),
+            expected_first_ms=round(load.first_ms(demand), 1),
+            running=load.running,
+            running_at_peers=load.peer_running,
+            slots=load.server.slots,
+            peers_heard=self._fleet.fresh_peer_count(),
+        ).info('request placed')
+
+    def _log_overload(
+        self, call: Call, queue: ServiceQueue, error: OverloadError
+    ) -> None:
+        logger.bind(
+            request=call.fields.attempt_id,
+            service=call.service_id,
+            priority=call.priority,
+            reason=str(error),
+            waiting=len(queue.waiters),
+            occupancy=round(queue.occupancy(), 2),
+            retry_after_ms=round(error.retry_after_ms),
+            peers_heard=self._fleet.fresh_peer_count(),
+        ).warning('request not placed')
+
     def _log_failure(self, call: Call, place: Place, outcome: Outcome) -> None:
         logger.bind(
             request=call.fields.attempt_id,
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -19,6 +19,8 @@
 # Others' streams pause while a prompt is read.
 DISTURBANCE_WEIGHT = 0.5
 US_PER_MS = 1000
+# More than any other difference between servers.
+MISSED_DEADLINE_MS = 60_000.0
 # The initial guess counts as much as half a sample.
 PRIOR_SAMPLES = 0.5
 
@@ -160,9 +162,15 @@
             cost += DISTURBANCE_WEIGHT * reading_ms * self.running
         if now_ms + first_ms > demand.target_ms:
             cost += first_ms
+        if not self.meets_deadline(demand, now_ms):
+            cost += MISSED_DEADLINE_MS
         reliability = max(0.1, 1 - self.error_share)
         return cost / (reliability * reliability)
 
+    def meets_deadline(self, demand: Demand, now_ms: float) -> bool:
+        """Return whether the whole response is expected in time."""
+        return now_ms + self.total_ms(demand) <= demand.deadline_ms
+
     def begin(self, demand: Demand, now_ms: float) -> Running:
         """Count a request that is sent to the server."""
         run = Running(demand, now_ms)
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -12,6 +12,9 @@
 INITIAL_HOLD_MS = 500.0
 INITIAL_CALL_HOLD_MS = 40.0
 MIN_RETRY_AFTER_MS = 100.0
+WAIT_SMOOTHING = 0.2
+MIN_WAIT_RATIO = 0.25
+MAX_WAIT_RATIO = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,7 @@
     demand: Demand
     on_place: Callable[[Place], None]
     on_reject: Callable[[OverloadError], None]
+    expected_ms: float = 0.0
 
 
 class ServiceQueue:
@@ -57,6 +61,7 @@
     def __init__(self, clock: Clock, *, is_model: bool) -> None:
         self._clock = clock
         self._hold_ms = INITIAL_HOLD_MS if is_model else INITIAL_CALL_HOLD_MS
+        self._wait_ratio_by_priority: dict[int, float] = {}
         self.load_by_id: dict[str, ServerLoad] = {}
         self.waiters: list[Waiter] = []
         self.foreign_by_vm: dict[str, list[ForeignWaiter]] = {}
@@ -68,6 +73,7 @@
             raise OverloadError('no server', retry_after_ms=self._hold_ms)
         if self._usable(waiter.demand, now_ms):
             wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
+            waiter.expected_ms = wait_ms
             self._check_wait(waiter.demand, wait_ms, now_ms)
         self.waiters.append(waiter)
         self.assign()
@@ -100,6 +106,7 @@
             place = self._place(waiter.demand, ahead, now_ms)
             if place is not None:
                 self.waiters.remove(waiter)
+                self._learn_wait(waiter, now_ms)
                 waiter.on_place(place)
 
     def has_other(self, place: Place) -> bool:
@@ -124,8 +131,18 @@
         if not places:
             return None
         load = min(places, key=lambda candidate: candidate.cost(demand, now_ms))
+        if self._should_wait_for_faster(demand, load, usable, now_ms):
+            return None
         return Place(load, load.begin(demand, now_ms))
 
+    def _should_wait_for_faster(
+        self, demand: Demand, load: ServerLoad, usable: list[ServerLoad], now_ms: float
+    ) -> bool:
+        """Return whether only a server without a free place meets the deadline."""
+        if load.meets_deadline(demand, now_ms) or now_ms >= demand.target_ms:
+            return False
+        return any(faster.meets_deadline(demand, now_ms) for faster in usable)
+
     def _usable(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         eligible = list(self._eligible(demand))
         healthy = [load for load in eligible if not load.is_ejected(now_ms)]
@@ -155,7 +172,8 @@
         if ahead < free:
             return 0
         slots = sum(load.server.slots for load in usable)
-        return (ahead + 1 - free) * self._hold_ms / max(1, slots)
+        ratio = self._wait_ratio_by_priority.get(demand.priority, 1)
+        return (ahead + 1 - free) * self._hold_ms / max(1, slots) * ratio
 
     def _check_wait(self, demand: Demand, wait_ms: float, now_ms: float) -> None:
         if not wait_ms:
@@ -170,6 +188,7 @@
         for waiter in tuple(self.waiters):
             if now_ms >= waiter.demand.give_up_ms:
                 self.waiters.remove(waiter)
+                self._learn_wait(waiter, now_ms)
                 wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
                 waiter.on_reject(
                     OverloadError(
@@ -177,6 +196,18 @@
                     )
                 )
 
+    def _learn_wait(self, waiter: Waiter, now_ms: float) -> None:
+        """Learn how much longer a priority waits, as later ones go before it."""
+        if waiter.expected_ms <= 0:
+            return
+        priority = waiter.demand.priority
+        known = self._wait_ratio_by_priority.get(priority, 1)
+        waited_ms = now_ms - waiter.demand.arrived_ms
+        seen = known * waited_ms / waiter.expected_ms
+        seen = min(max(seen, MIN_WAIT_RATIO), MAX_WAIT_RATIO)
+        learned = known + WAIT_SMOOTHING * (seen - known)
+        self._wait_ratio_by_priority[priority] = learned
+
     def _retry_after(self, wait_ms: float) -> float:
         return max(MIN_RETRY_AFTER_MS, wait_ms)
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -53,6 +53,7 @@
         'arrived_ms': arrived_ms,
         'target_ms': arrived_ms + 800,
         'give_up_ms': arrived_ms + 3200,
+        'deadline_ms': arrived_ms + 12_000,
         'prompt_tokens': 1000,
         'output_tokens': 100,
     }
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -95,6 +95,18 @@
                 self.submit(priority=2)
         self.submit(priority=0)
 
+    def test_learns_to_refuse(self):
+        """Guards against low requests that wait in vain behind later ones."""
+        self.fill()
+        for _ in range(12):
+            self.submit(priority=2)
+        self.clock.advance_ms(3300)
+        self.queue.assign()
+        self.assertEqual(len(self.rejected), 12)
+        with self.assertRaises(OverloadError):
+            for _ in range(12):
+                self.submit(priority=2)
+
     def test_gives_up(self):
         """Guards against a request held after its caller has stopped waiting."""
         self.fill()
@@ -162,6 +174,19 @@
         self.submit()
         self.assertEqual(set(self.chosen_ids()), {'s2'})
 
+    def test_long_output(self):
+        """Guards against an output that a slow server cannot finish in time."""
+        slow = self.queue.load_by_id['s1']
+        slow.speed = Speed(100, 20, samples=20)
+        fast = self.queue.load_by_id['s2']
+        fast.speed = Speed(10, 20, samples=20)
+        self.submit()
+        self.submit()
+        self.submit(output_tokens=1000)
+        self.assertEqual(len(self.placed), 2)
+        self.finish_first()
+        self.assertEqual(set(self.chosen_ids()), {'s2'})
+
     def test_trickle(self):
         """Guards against many requests that try a failed server at once."""
         load = self.queue.load_by_id['s1']
