--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -4,14 +4,15 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
+from gevent import spawn_later
 from loguru import logger
 
-from marjoramfall.clock import Clock
+from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
+from marjoramfall.gateway.peer_loads import PeerLoads
 from marjoramfall.gateway.peer_state import (
     PeerState,
     ServerSpeed,
@@ -20,8 +21,8 @@
 )
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.retry_allowance import RetryAllowance
-from marjoramfall.gateway.server_load import ServerLoad, Speed
-from marjoramfall.gateway.service_queue import ForeignWaiter, Place, ServiceQueue
+from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.service_queue import Place, ServiceQueue
 
 # Bounds the datagram; later requests wait behind these anyway. In a large
 # system many entries share few free places, and links are narrow.
@@ -33,15 +34,7 @@
 # only when those nearby are full, and a place of theirs is left to others.
 FAR_DISTANCE_MS = 200.0
 FAR_RESERVE = 1
-
-
-@dataclass(slots=True)
-class PeerUse:
-    """Hold what is counted at the servers and queues for one peer."""
-
-    uses: list[ServerUse] = field(default_factory=list)
-    speeds: list[ServerSpeed] = field(default_factory=list)
-    waiting_services: set[str] = field(default_factory=set)
+ASSIGN_INTERVAL_MS = 15.0
 
 
 class Fleet:
@@ -61,13 +54,14 @@
         self._peers = peers
         self._pool = pool
         self._data_centre = data_centre
-        self._peer_use_by_vm: dict[str, PeerUse] = {}
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
+        self._peer_loads = PeerLoads(self._load_by_id, self.queue)
         self._allowance_by_service: dict[str, RetryAllowance] = defaultdict(
             new_allowance
         )
+        self._is_assigning = False
         self.notify = notify
 
     def set_config(self, config: Configuration) -> None:
@@ -124,7 +118,7 @@
 
     def fresh_peer_count(self) -> int:
         """Return how many peers' load is counted."""
-        return len(self._peer_use_by_vm)
+        return self._peer_loads.peer_count
 
     def assign(self) -> None:
         """Let waiting requests have the places that are free now."""
@@ -134,28 +128,14 @@
 
     def on_peer_state(self, state: PeerState, heard_ms: float) -> None:
         """Replace what is known of a peer's requests."""
-        known = self._peer_use_by_vm.setdefault(state.vm, PeerUse())
-        self._count_uses(known.uses, -1)
-        known.uses = state.uses
-        self._count_uses(known.uses, 1)
-        if state.speeds is not None:
-            self._count_speeds(known.speeds, -1)
-            known.speeds = state.speeds
-            self._count_speeds(known.speeds, 1)
-        self._use_waiting(state, known, heard_ms)
-        self.assign()
+        self._peer_loads.replace(state, heard_ms)
+        self._assign_soon()
 
     def forget_silent(self) -> None:
         """Stop counting the requests of peers that fell silent."""
         for load in self._load_by_id.values():
             self._set_distance(load)
-        fresh = {peer.state.vm for peer in self._peers.fresh()}
-        for vm in tuple(self._peer_use_by_vm):
-            if vm not in fresh:
-                known = self._peer_use_by_vm.pop(vm)
-                self._count_uses(known.uses, -1)
-                self._count_speeds(known.speeds, -1)
-                self._drop_waiting(vm, known)
+        self._peer_loads.keep_only({peer.state.vm for peer in self._peers.fresh()})
         self.assign()
 
     def uses(self) -> list[ServerUse]:
@@ -199,41 +179,17 @@
             return sorted(calls, key=_waiting_order)[:MAX_WAITING_SHARED_LARGE]
         return calls[:MAX_WAITING_SHARED]
 
-    def _count_uses(self, uses: list[ServerUse], sign: int) -> None:
-        for use in uses:
-            load = self._load_by_id.get(use.server_id)
-            if load is not None:
-                load.peer_running += sign * use.running
-                load.peer_pending_tokens += sign * use.pending_tokens
+    def _assign_soon(self) -> None:
+        if not self._peers.is_large:
+            self.assign()
+        elif not self._is_assigning:
+            # Hundreds of datagrams a second need not each be acted upon.
+            self._is_assigning = True
+            spawn_later(ASSIGN_INTERVAL_MS / MS_PER_SECOND, self._assign_later)
 
-    def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
-        for speed in speeds:
-            load = self._load_by_id.get(speed.server_id)
-            if load is not None:
-                measured = Speed(speed.event_ms, speed.token_us, speed.samples)
-                load.peer_speeds.add(measured, sign)
-
-    def _use_waiting(self, state: PeerState, known: PeerUse, heard_ms: float) -> None:
-        self._drop_waiting(state.vm, known)
-        for call in state.waiting:
-            foreign = ForeignWaiter(call.rank, heard_ms - call.waited_ms)
-            queue = self.queue(call.service_id)
-            queue.foreign_by_vm.setdefault(state.vm, []).append(foreign)
-            known.waiting_services.add(call.service_id)
-
-    def _drop_waiting(self, vm: str, known: PeerUse) -> None:
-        for service_id in known.waiting_services:
-            self.queue(service_id).foreign_by_vm.pop(vm, None)
-        known.waiting_services.clear()
-
-    def _count_known_peers(self, load: ServerLoad) -> None:
-        """Count at a new server what peers reported of it before."""
-        server_id = load.server.server_id
-        for known in self._peer_use_by_vm.values():
-            uses = [use for use in known.uses if use.server_id == server_id]
-            speeds = [speed for speed in known.speeds if speed.server_id == server_id]
-            self._count_uses(uses, 1)
-            self._count_speeds(speeds, 1)
+    def _assign_later(self) -> None:
+        self._is_assigning = False
+        self.assign()
 
     def _add(self, server: BackendServer) -> None:
         known = self._load_by_id.get(server.server_id)
@@ -254,7 +210,7 @@
         )
         self._load_by_id[server.server_id] = load
         self._set_distance(load)
-        self._count_known_peers(load)
+        self._peer_loads.count_for(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
     def _set_distance(self, load: ServerLoad) -> None:
--- /dev/null
+++ b/marjoramfall/gateway/peer_loads.py
@@ -0,0 +1,94 @@
+"""Count the requests of peers at the servers and queues of this entry."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from marjoramfall.gateway.peer_state import PeerState, ServerSpeed, ServerUse
+from marjoramfall.gateway.server_load import ServerLoad, Speed
+from marjoramfall.gateway.service_queue import ForeignWaiter, ServiceQueue
+
+
+@dataclass(slots=True)
+class PeerUse:
+    """Hold what is counted at the servers and queues for one peer."""
+
+    uses: list[ServerUse] = field(default_factory=list)
+    speeds: list[ServerSpeed] = field(default_factory=list)
+    waiting_services: set[str] = field(default_factory=set)
+
+
+class PeerLoads:
+    """Replace the counts of a peer by difference whenever it reports."""
+
+    def __init__(
+        self,
+        load_by_id: Mapping[str, ServerLoad],
+        find_queue: Callable[[str], ServiceQueue],
+    ) -> None:
+        self._load_by_id = load_by_id
+        self._find_queue = find_queue
+        self._use_by_vm: dict[str, PeerUse] = {}
+
+    @property
+    def peer_count(self) -> int:
+        """Return how many peers are counted."""
+        return len(self._use_by_vm)
+
+    def replace(self, state: PeerState, heard_ms: float) -> None:
+        """Count a newer state of a peer in place of the last one."""
+        known = self._use_by_vm.setdefault(state.vm, PeerUse())
+        self._count_uses(known.uses, -1)
+        known.uses = state.uses
+        self._count_uses(known.uses, 1)
+        if state.speeds is not None:
+            self._count_speeds(known.speeds, -1)
+            known.speeds = state.speeds
+            self._count_speeds(known.speeds, 1)
+        self._replace_waiting(state, known, heard_ms)
+
+    def keep_only(self, vms: set[str]) -> None:
+        """Stop counting all other peers."""
+        for vm in tuple(self._use_by_vm):
+            if vm not in vms:
+                known = self._use_by_vm.pop(vm)
+                self._count_uses(known.uses, -1)
+                self._count_speeds(known.speeds, -1)
+                self._drop_waiting(vm, known)
+
+    def count_for(self, load: ServerLoad) -> None:
+        """Count at a new server what peers reported of it before."""
+        server_id = load.server.server_id
+        for known in self._use_by_vm.values():
+            uses = [use for use in known.uses if use.server_id == server_id]
+            speeds = [speed for speed in known.speeds if speed.server_id == server_id]
+            self._count_uses(uses, 1)
+            self._count_speeds(speeds, 1)
+
+    def _count_uses(self, uses: list[ServerUse], sign: int) -> None:
+        for use in uses:
+            load = self._load_by_id.get(use.server_id)
+            if load is not None:
+                load.peer_running += sign * use.running
+                load.peer_pending_tokens += sign * use.pending_tokens
+
+    def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
+        for speed in speeds:
+            load = self._load_by_id.get(speed.server_id)
+            if load is not None:
+                measured = Speed(speed.event_ms, speed.token_us, speed.samples)
+                load.peer_speeds.add(measured, sign)
+
+    def _replace_waiting(
+        self, state: PeerState, known: PeerUse, heard_ms: float
+    ) -> None:
+        self._drop_waiting(state.vm, known)
+        for call in state.waiting:
+            foreign = ForeignWaiter(call.rank, heard_ms - call.waited_ms)
+            queue = self._find_queue(call.service_id)
+            queue.foreign_by_vm.setdefault(state.vm, []).append(foreign)
+            known.waiting_services.add(call.service_id)
+
+    def _drop_waiting(self, vm: str, known: PeerUse) -> None:
+        for service_id in known.waiting_services:
+            self._find_queue(service_id).foreign_by_vm.pop(vm, None)
+        known.waiting_services.clear()
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -97,14 +97,19 @@
             return
         now_ms = self._clock.monotonic_ms()
         self._reject_late(now_ms)
-        if not any(load.free_places for load in self.load_by_id.values()):
+        free = sum(load.free_places for load in self.load_by_id.values())
+        if not free:
             return
         self.waiters.sort(key=lambda waiter: _order(waiter.demand, now_ms))
         foreign = self._foreign_orders()
         for waiter in tuple(self.waiters):
             ahead = bisect_left(foreign, _order(waiter.demand, now_ms))
+            if ahead >= free:
+                # Whoever comes later in the order has as many ahead.
+                return
             place = self._place(waiter.demand, ahead, now_ms)
             if place is not None:
+                free -= 1
                 self.waiters.remove(waiter)
                 self._learn_wait(waiter, now_ms)
                 waiter.on_place(place)
--- /dev/null
+++ b/tests/test_peer_loads.py
@@ -0,0 +1,62 @@
+"""Test that the load of peers is counted once, whatever they report."""
+
+import unittest
+
+from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.peer_loads import PeerLoads
+from marjoramfall.gateway.peer_state import (
+    ServerSpeed,
+    ServerUse,
+    WaitingCall,
+    decode_state,
+    encode_state,
+)
+from marjoramfall.gateway.service_queue import ServiceQueue
+from tests.gateway_fakes import MODEL, make_load, make_state
+
+
+class TestPeerLoads(unittest.TestCase):
+    """A report replaces the one before it."""
+
+    def setUp(self):
+        self.loads = {'s1': make_load('s1'), 's2': make_load('s2')}
+        self.queue = ServiceQueue(PausedClock(), is_model=True)
+        self.peers = PeerLoads(self.loads, lambda service_id: self.queue)
+
+    def report(self, **changes):
+        """Count a state that has gone over the wire."""
+        state = decode_state(encode_state(make_state(**changes)))
+        self.peers.replace(state, 0)
+
+    def test_replaced(self):
+        """Guards against load that is counted twice or never taken off."""
+        self.report(uses=[ServerUse('s1', 2, 500)])
+        self.report(uses=[ServerUse('s2', 1, 100), ServerUse('unknown', 1, 1)])
+        self.assertEqual(self.loads['s1'].peer_running, 0)
+        self.assertEqual(self.loads['s2'].peer_running, 1)
+        self.assertEqual(self.loads['s2'].pending_tokens, 100)
+
+    def test_silent(self):
+        """Guards against the load of a peer that is gone."""
+        self.report(
+            uses=[ServerUse('s1', 2, 500)],
+            speeds=[ServerSpeed('s1', 50, 60, 10)],
+            waiting=[WaitingCall(MODEL, 1, 5)],
+        )
+        self.peers.keep_only(set())
+        self.assertEqual(self.loads['s1'].running, 0)
+        self.assertEqual(self.loads['s1'].peer_speeds.samples, 0)
+        self.assertFalse(self.queue.foreign_by_vm)
+
+    def test_new_server(self):
+        """Guards against a server that seems idle as it was heard of late."""
+        self.report(uses=[ServerUse('s3', 3, 0)])
+        self.loads['s3'] = make_load('s3')
+        self.peers.count_for(self.loads['s3'])
+        self.assertEqual(self.loads['s3'].running, 3)
+
+    def test_speed(self):
+        """What peers measured counts where this entry has no sample."""
+        before_ms = self.loads['s1'].event_ms()
+        self.report(speeds=[ServerSpeed('s1', 60, 60, 20)])
+        self.assertGreater(self.loads['s1'].event_ms(), 2 * before_ms)
