--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -144,6 +144,10 @@
             last_event_id=fields.last_event_id,
         )
 
+    def _version_in_force(self) -> int:
+        config = self._registry.config
+        return 0 if config is None else config.version
+
     def _bounded(
         self, failure: GatewayFailureError, call: Call | None
     ) -> GatewayFailureError:
@@ -183,7 +187,7 @@
             route=route,
             service=call.service_id if call else '',
             team=call.team.name if call and call.team else '',
-            config_version=call.config_version if call else 0,
+            config_version=call.config_version if call else self._version_in_force(),
             status=reply.status,
             ending=str(ending),
             sends=call.sends if call else 0,
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -26,8 +26,9 @@
 # Speeds and the use of teams change slowly and are long.
 FULL_INTERVAL_MS = 500
 MAX_DATAGRAM_BYTES = 65000
-# The own feed usually brings a change as soon as a peer's does.
-BEHIND_MS = 250
+# The own feed pauses after a change and brings the next one soon after.
+BEHIND_MS = 800
+CHECK_INTERVAL_MS = 100
 FETCH_TIMEOUT_MS = 700
 SNAPSHOT_PATH = '/snapshot'
 
@@ -151,7 +152,7 @@
 
     def _catch_up_loop(self) -> None:
         while True:
-            self._clock.sleep_ms(BEHIND_MS / 2)
+            self._clock.sleep_ms(CHECK_INTERVAL_MS)
             for vm in self._peers.forget_silent():
                 logger.bind(peer=vm).info('peer forgotten')
             newer = next(filter(self._knows_more, self._peers.fresh()), None)
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -67,7 +67,7 @@
 
     def _reconnect(self) -> None:
         for watch in self._watches:
-            watch.restart()
+            watch.restart_if_silent()
 
 
 def _reload() -> None:
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -25,6 +25,8 @@
 
 FIRST_DELAY_MS = 100.0
 MAX_DELAY_MS = 700.0
+# A feed that has not answered for so long misses what peers know already.
+SILENT_MS = 700.0
 OPERATOR_TABLE = 'op'
 SERVER_TABLE = 'servers'
 CONFIG_KEY = 'config'
@@ -42,6 +44,7 @@
         self._registry = registry
         self._clock = clock
         self._delay_ms = FIRST_DELAY_MS
+        self._answered_ms = clock.monotonic_ms()
         self._as_of: int | None = None
         self._is_connected = True
         self._greenlet: gevent.Greenlet | None = None
@@ -56,10 +59,15 @@
             self._greenlet.kill(block=False)
         self._client.close()
 
-    def restart(self) -> None:
-        """Give up a call that may wait on a silent connection."""
-        self.stop()
-        self.start()
+    def restart_if_silent(self) -> None:
+        """Give up a call that should have brought news by now."""
+        silent_ms = self._clock.monotonic_ms() - self._answered_ms
+        if silent_ms >= SILENT_MS and self._is_connected:
+            logger.bind(table=self.table, silent_ms=round(silent_ms)).warning(
+                'store connection silent'
+            )
+            self.stop()
+            self.start()
 
     @abstractmethod
     def apply_all(self, rows: RowSet) -> None:
@@ -96,6 +104,7 @@
 
     def _on_answer(self) -> None:
         self._delay_ms = FIRST_DELAY_MS
+        self._answered_ms = self._clock.monotonic_ms()
         if not self._is_connected:
             self._is_connected = True
             self._registry.note_outage_end()
