--- a/marjoramfall/gateway/demand.py
+++ b/marjoramfall/gateway/demand.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from marjoramfall.gateway.version_moves import ANY_VERSION, VersionChoice
+
 # A request that can no longer meet its target yields to those that can, also
 # to those one rank below.
 LATE_RANK = 1.0
@@ -24,7 +26,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     excluded_ids: set[str] = field(default_factory=set)
-    version: str | None = None
+    version: VersionChoice = ANY_VERSION
 
     def rank(self, now_ms: float) -> float:
         """Return the order in which waiting requests go; the least first."""
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -28,6 +28,7 @@
 from marjoramfall.gateway.retry_allowance import RetryAllowance
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.small_server import Document, SmallServer
+from marjoramfall.gateway.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
 MAINTENANCE_MS = 250
@@ -73,15 +74,19 @@
             tolerance_share=settings.limit_tolerance_share,
             tolerance=settings.limit_tolerance,
         )
+        self.moves = VersionMoves(clock, expose_share=settings.expose_share)
         self._fleet = Fleet(
             clock,
             self.peers,
             self._pool,
+            self.moves,
             data_centre=settings.data_centre,
             new_allowance=self._new_allowance,
             notify=self._notify_peers,
         )
-        self.registry = Registry(clock, self._on_config, self._on_servers)
+        self.registry = Registry(
+            clock, self._on_config, self._on_servers, self.moves.begin
+        )
         self._metrics = GatewayMetrics(vm=settings.vm)
         forwarder = Forwarder(self._fleet, self._pool, dialect, clock)
         self._gateway = Gateway(
@@ -143,13 +148,14 @@
             waiting=self._fleet.waiting(),
             speeds=self._fleet.speeds() if with_speeds else None,
             teams=self._limits.uses() if with_teams else None,
-            versions=[],
+            moves=self.moves.reports(),
         )
 
     def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
         """Use the new state of a peer."""
         if state.teams is not None:
             self._limits.draw_for_peer(state.vm, state.incarnation, state.teams)
+        self.moves.on_reports(state.vm, state.moves)
         self._fleet.on_peer_state(state, self._clock.monotonic_ms())
 
     def on_stale_feed(self) -> None:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -11,7 +11,9 @@
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.connection_pool import ConnectionPool
+from marjoramfall.gateway.exchange import FIRST_SERVER_FAILURE
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
+from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.peer_loads import PeerLoads
 from marjoramfall.gateway.peer_state import (
     PeerState,
@@ -23,6 +25,11 @@
 from marjoramfall.gateway.retry_allowance import RetryAllowance
 from marjoramfall.gateway.server_load import ServerLoad
 from marjoramfall.gateway.service_queue import Place, ServiceQueue
+from marjoramfall.gateway.version_moves import (
+    ANY_VERSION,
+    VersionChoice,
+    VersionMoves,
+)
 
 # Bounds the datagram; later requests wait behind these anyway. In a large
 # system many entries share few free places, and links are narrow.
@@ -45,6 +52,7 @@
         clock: Clock,
         peers: PeerTable,
         pool: ConnectionPool,
+        moves: VersionMoves,
         *,
         data_centre: str,
         new_allowance: Callable[[], RetryAllowance],
@@ -53,6 +61,7 @@
         self._clock = clock
         self._peers = peers
         self._pool = pool
+        self._moves = moves
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
@@ -86,6 +95,33 @@
             self._queue_by_service[service_id] = queue
         return queue
 
+    def choose_version(self, service_id: str) -> VersionChoice:
+        """Return which version the next request of a service may use."""
+        choice = self._moves.choose(service_id)
+        loads = self.queue(service_id).load_by_id.values()
+        # A version that no server runs yet must not fail requests.
+        if any(choice.allows(load.server.version) for load in loads):
+            return choice
+        return ANY_VERSION
+
+    def on_outcome(
+        self, call: Call, place: Place, outcome: Outcome, *, status: int
+    ) -> None:
+        """Let moves learn from the end of a request at a server."""
+        if outcome.ending is Ending.NOT_RUN:
+            return
+        delivered = outcome.ending is Ending.DELIVERED
+        first_ms = None
+        if call.first_byte_ms is not None:
+            first_ms = call.first_byte_ms - place.run.started_ms
+        self._moves.on_result(
+            place.load.server.service_id,
+            place.load.server.version,
+            route=call.route.name,
+            failed=not delivered or status >= FIRST_SERVER_FAILURE,
+            first_ms=first_ms,
+        )
+
     def on_request(self, call: Call) -> None:
         """Count a request for the allowance of repeats."""
         allowance = self._allowance_by_service[call.service_id]
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -69,7 +69,11 @@
     ) -> Outcome:
         exchange = Exchange(call, place, self._pool, self._dialect, self._clock)
         with self._fleet.held(place):
-            return exchange.run(reply, splitter, may_move=self._may_move(call, place))
+            outcome = exchange.run(
+                reply, splitter, may_move=self._may_move(call, place)
+            )
+        self._fleet.on_outcome(call, place, outcome, status=reply.status)
+        return outcome
 
     def _acquire(self, call: Call) -> Place:
         demand = self._demand(call)
@@ -124,6 +128,7 @@
             prompt_tokens=call.fields.prompt_tokens,
             output_tokens=call.fields.likely_output_tokens,
             excluded_ids=call.excluded_ids,
+            version=self._fleet.choose_version(call.service_id),
         )
 
     def _may_move(self, call: Call, place: Place) -> bool:
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -39,14 +39,17 @@
     used: float
 
 
-class VersionCount(msgspec.Struct, array_like=True, frozen=True):
-    """Report the results of a moving version at an entry since its start."""
+class MoveReport(msgspec.Struct, array_like=True, frozen=True):
+    """Report the phase of a move at an entry and the results it counted."""
 
     service_id: str
-    version: str
-    requests: int
-    failures: int
-    slow: int
+    revision: int
+    elapsed_ms: int
+    phase: int
+    new: int
+    new_bad: int
+    old: int
+    old_bad: int
 
 
 class PeerState(msgspec.Struct, array_like=True, frozen=True):
@@ -69,7 +72,7 @@
     waiting: list[WaitingCall]
     speeds: list[ServerSpeed] | None
     teams: list[TeamUse] | None
-    versions: list[VersionCount]
+    moves: list[MoveReport]
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -53,13 +53,13 @@
     clock: Clock
     on_config: Callable[[Configuration], None]
     on_servers: Callable[[], None]
+    on_order: Callable[[VersionMove], None]
     config: Configuration | None = None
     config_state: Belief = field(default_factory=Belief)
     servers_state: Belief = field(default_factory=Belief)
     change_by_id: dict[str, ServerChange] = field(default_factory=dict)
     lapses_at_by_id: dict[str, float] = field(default_factory=dict)
     outage_ended_ms: float = float('-inf')
-    order_by_service: dict[str, VersionMove] = field(default_factory=dict)
 
     @property
     def servers(self) -> list[BackendServer]:
@@ -85,15 +85,6 @@
         """Note that every change of the configuration up to a revision is known."""
         self.config_state.as_of = max(self.config_state.as_of, revision)
 
-    def put_order(self, order: VersionMove) -> None:
-        """Take over an order to move a service; an older one changes nothing."""
-        known = self.order_by_service.get(order.service_id)
-        if known is None or order.revision > known.revision:
-            self.order_by_service[order.service_id] = order
-            logger.bind(
-                service=order.service_id, version=order.version, revision=order.revision
-            ).info('move ordered')
-
     def apply_changes(self, changes: Iterable[ServerChange], as_of: int) -> None:
         """Apply single changes of servers."""
         for change in changes:
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -158,7 +158,7 @@
             server = load.server
             if server.is_leaving or server.server_id in demand.excluded_ids:
                 continue
-            if demand.version is None or server.version == demand.version:
+            if demand.version.allows(server.version):
                 yield load
 
     def _foreign_orders(self) -> list[tuple[float, float]]:
--- /dev/null
+++ b/marjoramfall/gateway/version_moves.py
@@ -0,0 +1,239 @@
+"""Move the traffic of services to new versions, or take it back."""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from loguru import logger
+
+from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.gateway.model import VersionMove
+from marjoramfall.gateway.peer_state import MoveReport
+
+# Half of what the operators allow a bad version to get, so that a late fault
+# finds something left of it.
+TRIAL_PART = 0.5
+# A version stays on trial until late, as it may be bad only later or under
+# load; all traffic moves early enough to see it bear that before the end.
+SWITCH_AFTER = 0.6
+COMPLETE_AFTER = 0.85
+MIN_FAILURES = 4
+# Failures that the old version has as well are no reason to withdraw.
+FAILURE_RATIO = 2.0
+FAILURE_MARGIN = 0.08
+SLOW_RATIO = 2.5
+SLOW_MARGIN_MS = 20.0
+USUAL_SMOOTHING = 0.1
+
+
+class Phase(IntEnum):
+    """Order the phases of a move; a later one prevails over an earlier one."""
+
+    RUNNING = 0
+    WITHDRAWN = 1
+    COMPLETED = 2
+    ROLLED_BACK = 3
+
+
+@dataclass(frozen=True, slots=True)
+class VersionChoice:
+    """Bind a request to a version, or keep it off one."""
+
+    only: str | None = None
+    avoided: str | None = None
+
+    def allows(self, version: str) -> bool:
+        """Return whether a server of the version may be used."""
+        if self.only is not None:
+            return version == self.only
+        return version != self.avoided or self.avoided is None
+
+
+ANY_VERSION = VersionChoice()
+
+
+@dataclass(slots=True)
+class Results:
+    """Count results of the new version and of the old ones."""
+
+    new: int = 0
+    new_bad: int = 0
+    old: int = 0
+    old_bad: int = 0
+
+    def add(self, other: 'Results') -> None:
+        """Add other counts."""
+        self.new += other.new
+        self.new_bad += other.new_bad
+        self.old += other.old
+        self.old_bad += other.old_bad
+
+    def is_bad(self) -> bool:
+        """Return whether the new version fails clearly more than the old ones."""
+        if self.new_bad < MIN_FAILURES:
+            return False
+        usual = self.old_bad / self.old if self.old else 0
+        return self.new_bad / self.new > FAILURE_RATIO * usual + FAILURE_MARGIN
+
+
+@dataclass(slots=True)
+class Move:
+    """Follow one order at one entry."""
+
+    order: VersionMove
+    started_ms: float
+    phase: Phase = Phase.RUNNING
+    own: Results = field(default_factory=Results)
+    peer_results_by_vm: dict[str, Results] = field(default_factory=dict)
+
+    def elapsed_share(self, now_ms: float) -> float:
+        """Return which share of the ordered time has passed."""
+        total_ms = max(1, self.order.duration_s * MS_PER_SECOND)
+        return (now_ms - self.started_ms) / total_ms
+
+    def results(self) -> Results:
+        """Return the counts of all entries."""
+        total = Results()
+        total.add(self.own)
+        for results in self.peer_results_by_vm.values():
+            total.add(results)
+        return total
+
+
+class VersionMoves:
+    """Decide which version a request may use and when a move ends."""
+
+    def __init__(self, clock: Clock, *, expose_share: float) -> None:
+        self._clock = clock
+        self._trial_share = expose_share * TRIAL_PART
+        self._move_by_service: dict[str, Move] = {}
+        self._usual_ms_by_route: dict[str, float] = defaultdict(float)
+
+    @property
+    def moves(self) -> list[Move]:
+        """Return the newest move of each service."""
+        return list(self._move_by_service.values())
+
+    def begin(self, order: VersionMove, *, elapsed_ms: float = 0) -> None:
+        """Follow an order; an older or known one changes nothing."""
+        known = self._move_by_service.get(order.service_id)
+        if known is not None and known.order.revision >= order.revision:
+            return
+        started_ms = self._clock.monotonic_ms() - elapsed_ms
+        self._move_by_service[order.service_id] = Move(order, started_ms)
+        logger.bind(
+            service=order.service_id, version=order.version, revision=order.revision
+        ).info('move begun')
+
+    def choose(self, service_id: str) -> VersionChoice:
+        """Return which version the next request of a service may use."""
+        move = self._move_by_service.get(service_id)
+        if move is None or move.phase is Phase.COMPLETED:
+            return ANY_VERSION
+        version = move.order.version
+        if move.phase is not Phase.RUNNING:
+            return VersionChoice(avoided=version)
+        if move.elapsed_share(self._clock.monotonic_ms()) >= SWITCH_AFTER:
+            return VersionChoice(only=version)
+        if random.random() < self._trial_share:
+            return VersionChoice(only=version)
+        return VersionChoice(avoided=version)
+
+    def on_result(
+        self,
+        service_id: str,
+        version: str,
+        *,
+        route: str,
+        failed: bool,
+        first_ms: float | None,
+    ) -> None:
+        """Learn from the end of a request at a server of a version."""
+        move = self._move_by_service.get(service_id)
+        is_new = move is not None and move.order.version == version
+        is_bad = failed or self._is_slow(route, first_ms)
+        if not is_new and first_ms is not None and not failed:
+            self._learn_usual(route, first_ms)
+        if move is None:
+            return
+        if is_new:
+            move.own.new += 1
+            move.own.new_bad += is_bad
+        else:
+            move.own.old += 1
+            move.own.old_bad += is_bad
+        self._judge(move)
+
+    def on_reports(self, vm: str, reports: list[MoveReport]) -> None:
+        """Learn from what a peer counted and decided."""
+        for report in reports:
+            move = self._move_by_service.get(report.service_id)
+            if move is None or move.order.revision != report.revision:
+                continue
+            started_ms = self._clock.monotonic_ms() - report.elapsed_ms
+            move.started_ms = min(move.started_ms, started_ms)
+            move.peer_results_by_vm[vm] = Results(
+                report.new, report.new_bad, report.old, report.old_bad
+            )
+            if report.phase > move.phase:
+                self._enter(move, Phase(report.phase), f'reported by {vm}')
+            self._judge(move)
+
+    def reports(self) -> list[MoveReport]:
+        """Return what the peers should know."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            MoveReport(
+                service_id=move.order.service_id,
+                revision=move.order.revision,
+                elapsed_ms=int(now_ms - move.started_ms),
+                phase=int(move.phase),
+                new=move.own.new,
+                new_bad=move.own.new_bad,
+                old=move.own.old,
+                old_bad=move.own.old_bad,
+            )
+            for move in self._move_by_service.values()
+        ]
+
+    def is_due(self, move: Move) -> bool:
+        """Return whether the end of a move should be recorded now."""
+        if move.phase is Phase.WITHDRAWN:
+            return True
+        elapsed = move.elapsed_share(self._clock.monotonic_ms())
+        return move.phase is Phase.RUNNING and elapsed >= COMPLETE_AFTER
+
+    def end(self, move: Move, *, completed: bool) -> None:
+        """Note that the end of a move is recorded."""
+        phase = Phase.COMPLETED if completed else Phase.ROLLED_BACK
+        self._enter(move, phase, 'recorded')
+
+    def _judge(self, move: Move) -> None:
+        if move.phase is Phase.RUNNING and move.results().is_bad():
+            self._enter(move, Phase.WITHDRAWN, 'fails more than the old version')
+
+    def _enter(self, move: Move, phase: Phase, reason: str) -> None:
+        move.phase = phase
+        results = move.results()
+        logger.bind(
+            service=move.order.service_id,
+            version=move.order.version,
+            phase=phase.name.lower(),
+            reason=reason,
+            new=results.new,
+            new_bad=results.new_bad,
+            old=results.old,
+            old_bad=results.old_bad,
+        ).info('move changed')
+
+    def _is_slow(self, route: str, first_ms: float | None) -> bool:
+        usual_ms = self._usual_ms_by_route[route]
+        if first_ms is None or not usual_ms:
+            return False
+        return first_ms > SLOW_RATIO * usual_ms + SLOW_MARGIN_MS
+
+    def _learn_usual(self, route: str, first_ms: float) -> None:
+        usual_ms = self._usual_ms_by_route[route] or first_ms
+        learned = usual_ms + USUAL_SMOOTHING * (first_ms - usual_ms)
+        self._usual_ms_by_route[route] = learned
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -11,6 +11,7 @@
 from marjoramfall.gateway.log_output import LogOutput, install_log_output
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
+from marjoramfall.platform.move_status import MoveRecorder
 from marjoramfall.platform.settings import (
     PlatformSettings,
     SettingsFaultError,
@@ -44,6 +45,13 @@
             OperatorWatch(self._new_client(), registry, clock),
             ServerWatch(self._new_client(), registry, clock),
         )
+        self._recorder = MoveRecorder(
+            self._new_client(),
+            self._entry.moves,
+            self._entry.peers,
+            clock,
+            vm=settings.entry.vm,
+        )
         self._directory = MemberDirectory(
             self._new_client(),
             self._entry.peers,
@@ -60,6 +68,7 @@
         for watch in self._watches:
             watch.start()
         gevent.spawn(self._directory.run)
+        gevent.spawn(self._recorder.run)
         self._entry.run()
 
     def _new_client(self) -> StoreClient:
--- /dev/null
+++ b/marjoramfall/platform/move_status.py
@@ -0,0 +1,133 @@
+"""Record how moves stand where the operator reads it."""
+
+import msgspec
+from loguru import logger
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.version_moves import Move, Phase, VersionMoves
+from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
+
+STATUS_TABLE = 'status'
+STATUS_PREFIX = 'rollout/'
+CHECK_INTERVAL_MS = 200
+# Each entry waits its turn, so that mostly one of them writes.
+TURN_MS = 400
+RUNNING = 'running'
+STATE_BY_PHASE = {
+    Phase.RUNNING: RUNNING,
+    Phase.COMPLETED: 'completed',
+    Phase.ROLLED_BACK: 'rolled_back',
+}
+
+
+class _Status(msgspec.Struct, rename='camel'):
+    state: str
+    to: str
+    # The revision of the order and the store's time when it was begun.
+    order_revision: int = 0
+    started_ms: float = 0
+
+
+class MoveRecorder:
+    """Write the state of each move once for all entries.
+
+    Writes are conditional on the row that was read, so that of two entries
+    with different ends the first one decides and the other follows.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        moves: VersionMoves,
+        peers: PeerTable,
+        clock: Clock,
+        *,
+        vm: str,
+    ) -> None:
+        self._client = client
+        self._moves = moves
+        self._peers = peers
+        self._clock = clock
+        self._vm = vm
+        self._recorded: set[tuple[int, str]] = set()
+        self._wanted_since_ms: dict[tuple[int, str], float] = {}
+
+    def run(self) -> None:
+        """Record moves as they change; never returns."""
+        while True:
+            self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            for move in self._moves.moves:
+                self.check(move)
+
+    def check(self, move: Move) -> None:
+        """Record the state of a move if it is due and this entry's turn."""
+        state = self._wanted_state(move)
+        key = (move.order.revision, state)
+        if key in self._recorded or not self._is_turn(key):
+            return
+        try:
+            self._record(move, state)
+        except StoreError as error:
+            logger.bind(service=move.order.service_id, details=str(error)).warning(
+                'move not recorded yet'
+            )
+            return
+        self._recorded.add(key)
+
+    def _wanted_state(self, move: Move) -> str:
+        if not self._moves.is_due(move):
+            return STATE_BY_PHASE.get(move.phase, RUNNING)
+        if move.phase is Phase.WITHDRAWN:
+            return STATE_BY_PHASE[Phase.ROLLED_BACK]
+        return STATE_BY_PHASE[Phase.COMPLETED]
+
+    def _is_turn(self, key: tuple[int, str]) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        since_ms = self._wanted_since_ms.setdefault(key, now_ms)
+        vms = (peer.state.vm for peer in self._peers.fresh())
+        turn = sum(vm < self._vm for vm in vms)
+        return now_ms - since_ms >= turn * TURN_MS
+
+    def _record(self, move: Move, state: str) -> None:
+        row_key = f'{STATUS_PREFIX}{move.order.service_id}'
+        rows = self._client.read_table(STATUS_TABLE)
+        row = next((found for found in rows.rows if found.key == row_key), None)
+        known = _decode(row)
+        if known is not None and known.order_revision == move.order.revision:
+            self._follow(move, known, rows)
+            if known.state in {state, 'completed', 'rolled_back'}:
+                return
+            started_ms = known.started_ms
+        else:
+            elapsed_ms = self._clock.monotonic_ms() - move.started_ms
+            started_ms = rows.store_ms - elapsed_ms
+        status = _Status(state, move.order.version, move.order.revision, started_ms)
+        expected = 0 if row is None else row.revision
+        written = self._client.write_row(
+            STATUS_TABLE,
+            row_key,
+            msgspec.json.encode(status),
+            expected_revision=expected,
+        )
+        if not written:
+            raise StoreError('the status has changed meanwhile')
+        self._end(move, state)
+
+    def _follow(self, move: Move, known: _Status, rows: RowSet) -> None:
+        elapsed_ms = rows.store_ms - known.started_ms
+        started_ms = self._clock.monotonic_ms() - elapsed_ms
+        move.started_ms = min(move.started_ms, started_ms)
+        self._end(move, known.state)
+
+    def _end(self, move: Move, state: str) -> None:
+        if state != RUNNING and move.phase < Phase.COMPLETED:
+            self._moves.end(move, completed=state == STATE_BY_PHASE[Phase.COMPLETED])
+
+
+def _decode(row: Row | None) -> _Status | None:
+    try:
+        return msgspec.json.decode(row.content or b'', type=_Status) if row else None
+    except msgspec.DecodeError as error:
+        logger.bind(key=row.key, details=str(error)).warning('status not understood')
+        return None
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -147,7 +147,7 @@
             self._registry.put_config(decode_configuration(row.content), row.revision)
         elif row.key.startswith(MOVE_PREFIX):
             order: VersionMove = decode_move(row.content, row.revision)
-            self._registry.put_order(order)
+            self._registry.on_order(order)
 
 
 class ServerWatch(TableWatch):
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -16,6 +16,7 @@
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.retry_allowance import RetryAllowance
 from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.version_moves import VersionMoves
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_fakes import PLAIN, make_config, make_server
 from tests.scripted_backend import ScriptedBackend
@@ -57,6 +58,7 @@
             self.clock,
             self.peers,
             self.pool,
+            VersionMoves(self.clock, expose_share=0.1),
             data_centre='dc-a',
             new_allowance=lambda: RetryAllowance(
                 share=1, slack=50, window_ms=10 * MS_PER_SECOND
@@ -64,7 +66,9 @@
             notify=lambda: None,
         )
         self.limits = SharedLimits(tolerance_share=0, tolerance=0)
-        self.registry = Registry(self.clock, self.use_config, self.use_servers)
+        self.registry = Registry(
+            self.clock, self.use_config, self.use_servers, lambda order: None
+        )
         self.gateway = Gateway(
             self.registry,
             self.limits,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -13,6 +13,7 @@
     group_routes,
 )
 from marjoramfall.gateway.peer_state import PeerState
+from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.server_load import ServerLoad
 
 PLAIN = 'bookings'
@@ -131,6 +132,11 @@
         'waiting': [],
         'speeds': None,
         'teams': None,
-        'versions': [],
+        'moves': [],
     }
     return PeerState(**{**fields, **changes})
+
+
+def new_registry(clock):
+    """Return a registry that tells nobody of its changes."""
+    return Registry(clock, lambda config: None, lambda: None, lambda order: None)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -119,7 +119,9 @@
         super().setUp()
         self.store.put('op', 'config', CONFIG)
         self.store.put('servers', 'i-1', SERVER)
-        self.registry = Registry(self.clock, lambda config: None, lambda: None)
+        self.registry = Registry(
+            self.clock, lambda config: None, lambda: None, lambda order: None
+        )
         self.watches = (
             OperatorWatch(self.new_client(), self.registry, self.clock),
             ServerWatch(self.new_client(), self.registry, self.clock),
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -23,6 +23,7 @@
             self.clock,
             lambda config: self.versions.append(config.version),
             lambda: None,
+            lambda order: None,
         )
         self.registry.apply_all([change('s1', 10)], 10)
 
@@ -44,7 +45,9 @@
     def test_snapshot(self):
         """An entry that the store refuses learns from a peer."""
         self.registry.put_config(make_config(5), 11)
-        other = Registry(self.clock, lambda config: None, lambda: None)
+        other = Registry(
+            self.clock, lambda config: None, lambda: None, lambda order: None
+        )
         other.merge(self.registry.snapshot())
         self.assertEqual(other.config.version, 5)
         self.assertEqual(len(other.servers), 1)
