--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -252,9 +252,13 @@
     def _set_distance(self, load: ServerLoad) -> None:
         is_near = load.server.data_centre == self._data_centre
         is_large = self._peers.is_large
-        far_ms = FAR_DISTANCE_MS if is_large else DISTANCE_MS
+        # Plain services have few servers, which all data centres share.
+        prefers_near = is_large and load.is_model
+        far_ms = FAR_DISTANCE_MS if prefers_near else DISTANCE_MS
         load.distance_ms = 0 if is_near else far_ms
-        load.reserve = FAR_RESERVE if is_large and not is_near else 0
+        load.reserve = FAR_RESERVE if prefers_near and not is_near else 0
+        queue = self.queue(load.server.service_id)
+        queue.spreads = is_large and not load.is_model
 
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -1,5 +1,6 @@
 """Decide which waiting request goes next and to which backend server."""
 
+import random
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -62,6 +63,8 @@
         self._clock = clock
         self._hold_ms = INITIAL_HOLD_MS if is_model else INITIAL_CALL_HOLD_MS
         self._wait_ratio_by_priority: dict[int, float] = {}
+        # Many entries that know the load late would all choose the same server.
+        self.spreads = False
         self.load_by_id: dict[str, ServerLoad] = {}
         self.waiters: list[Waiter] = []
         self.foreign_by_vm: dict[str, list[ForeignWaiter]] = {}
@@ -135,11 +138,20 @@
             return None
         if not places:
             return None
-        load = min(places, key=lambda candidate: candidate.cost(demand, now_ms))
+        load = self._choose(places, demand, now_ms)
         if self._should_wait_for_faster(demand, load, usable, now_ms):
             return None
         return Place(load, load.begin(demand, now_ms))
 
+    def _choose(
+        self, places: list[ServerLoad], demand: Demand, now_ms: float
+    ) -> ServerLoad:
+        costs = [load.cost(demand, now_ms) for load in places]
+        if not self.spreads:
+            return places[costs.index(min(costs))]
+        weights = [1 / (cost * cost) for cost in costs]
+        return random.choices(places, weights)[0]
+
     def _should_wait_for_faster(
         self, demand: Demand, load: ServerLoad, usable: list[ServerLoad], now_ms: float
     ) -> bool:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real entry processes under injected faults."""
--- /dev/null
+++ b/tests/soak/backend.py
@@ -0,0 +1,103 @@
+"""Stand in for a backend server that counts what it runs."""
+
+import random
+from collections import Counter
+
+from gevent import sleep, socket
+from gevent.server import StreamServer
+
+EVENTS = 6
+EVENT_S = 0.02
+CALL_S = 0.01
+FAILING_PERCENT = 4
+
+
+class CountingBackend:
+    """Run requests and count the runs of each attempt."""
+
+    def __init__(self, server_id: str, runs: Counter[str], rng: random.Random) -> None:
+        self.server_id = server_id
+        self._runs = runs
+        self._rng = rng
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+        self.port = self._server.server_port
+
+    def stop(self) -> None:
+        """Accept nothing more."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection: socket.socket, _address: object) -> None:
+        try:
+            with connection.makefile('rb') as requests:
+                self._answer_all(connection, requests)
+        except OSError:
+            # The entry or the proxy broke the connection.
+            connection.close()
+
+    def _answer_all(self, connection: socket.socket, requests) -> None:
+        keeps_open = True
+        while keeps_open:
+            head = _read_head(requests)
+            if not head:
+                return
+            keeps_open = self._answer(connection, head)
+
+    def _answer(self, connection: socket.socket, head: dict[str, str]) -> bool:
+        attempt = head.get('marjoramfall-attempt-id', '')
+        echo = f'Marjoramfall-Attempt-Id: {attempt}\r\n'
+        if head.get('marjoramfall-expect-instance') != self.server_id:
+            self._send(connection, '421 Misdirected', '', b'')
+            return True
+        draw = self._rng.randrange(100)
+        if draw < FAILING_PERCENT:
+            rejected = f'{echo}Marjoramfall-Not-Executed: 1\r\n'
+            self._send(connection, '503 Full', rejected, b'')
+            return True
+        self._runs[attempt] += 1
+        if draw < 2 * FAILING_PERCENT:
+            connection.close()
+            return False
+        sleep(CALL_S)
+        if head['path'].startswith('/summary'):
+            return self._stream(connection, attempt, echo, cut=draw > 90)
+        if draw < 3 * FAILING_PERCENT:
+            # A second answer to the same request.
+            self._send(connection, '200 OK', echo, attempt.encode())
+        self._send(connection, '200 OK', echo, attempt.encode())
+        return True
+
+    def _stream(
+        self, connection: socket.socket, attempt: str, echo: str, *, cut: bool
+    ) -> bool:
+        head = f'HTTP/1.1 200 OK\r\n{echo}Transfer-Encoding: chunked\r\n\r\n'
+        connection.sendall(head.encode())
+        for number in range(1, EVENTS + 1):
+            event = f'id: {number}\ndata: {attempt}\n\n'
+            if cut and number == EVENTS:
+                connection.close()
+                return False
+            connection.sendall(f'{len(event):x}\r\n{event}\r\n'.encode())
+            sleep(EVENT_S)
+        connection.sendall(b'0\r\n\r\n')
+        return True
+
+    def _send(
+        self, connection: socket.socket, status: str, headers: str, body: bytes
+    ) -> None:
+        head = f'HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n'
+        connection.sendall(head.encode() + body)
+
+
+def _read_head(requests) -> dict[str, str]:
+    first = requests.readline().decode().split()
+    if len(first) < 3:
+        return {}
+    head = {'path': first[1]}
+    for line in requests:
+        name, _, value = line.decode().strip().partition(':')
+        if not name:
+            break
+        head[name.lower()] = value.strip()
+    requests.read(int(head.get('content-length', 0)))
+    return head
--- /dev/null
+++ b/tests/soak/entries.py
@@ -0,0 +1,74 @@
+"""Run entry processes and treat them with signals."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+SETTINGS = """
+nodeName = "{vm}"
+ip = "{ip}"
+zone = "{zone}"
+internalPorts = [{peer_port},{peer_port}]
+[listen]
+front = "{ip}:{front_port}"
+ready = "{ip}:{ready_port}"
+metrics = "{ip}:{metrics_port}"
+[bounds]
+graceS = 4
+retryBudgetRatio = 0.2
+budgetSlack = 58
+[platform]
+address = "{store}"
+"""
+
+
+class EntryProcess:
+    """Own one entry process; it is ended only by its own id."""
+
+    def __init__(self, number: int, base_port: int, store: str, folder: Path) -> None:
+        self.vm = f'entry-{number}'
+        ip = f'127.0.1.{number + 1}'
+        self.address = (ip, base_port)
+        self._folder = folder
+        self._process: subprocess.Popen | None = None
+        settings = SETTINGS.format(
+            vm=self.vm,
+            ip=ip,
+            zone=f'dc-{number % 2}',
+            front_port=base_port,
+            ready_port=base_port + 1,
+            peer_port=base_port + 2,
+            metrics_port=base_port + 3,
+            store=store,
+        )
+        self._settings = folder / f'{self.vm}.toml'
+        self._settings.write_text(settings)
+
+    def start(self) -> None:
+        """Start the process if it does not run."""
+        if self._process is not None and self._process.poll() is None:
+            return
+        log = self._folder / f'{self.vm}.log'
+        with log.open('ab') as output:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'marjoramfall.platform'],
+                cwd=ROOT,
+                env={**os.environ, 'MARJORAMFALL_NODE_FILE': str(self._settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def end(self) -> None:
+        """Kill the process and wait until it is gone."""
+        if self._process is not None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            self._process.wait()
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -1,5 +1,6 @@
 """Test who waits, who is refused and where work goes, by patterns of load."""
 
+import random
 import unittest
 
 from marjoramfall.clock import PausedClock
@@ -10,7 +11,7 @@
     ServiceQueue,
     Waiter,
 )
-from tests.gateway_fakes import make_demand, make_load
+from tests.gateway_fakes import make_demand, make_load, make_server
 
 
 class QueueCase(unittest.TestCase):
@@ -148,6 +149,21 @@
         self.finish_first()
         self.assertEqual(len(self.placed), before - 1)
 
+    def test_spread_of_many(self):
+        """Guards against many entries that all choose the same server."""
+        random.seed(20261204)
+        self.queue.spreads = True
+        for load in self.queue.load_by_id.values():
+            load.server = make_server(load.server.server_id, slots=1000)
+        self.queue.load_by_id['s2'].speed = Speed(45, 60, samples=20)
+        for _ in range(200):
+            self.submit()
+            self.queue.load_by_id['s1'].own.clear()
+            self.queue.load_by_id['s2'].own.clear()
+        slow = self.chosen_ids().count('s2')
+        self.assertGreater(slow, 2)
+        self.assertLess(slow, 60)
+
     def test_reserve(self):
         """Guards against distant entries that take a server's last place."""
         for load in self.queue.load_by_id.values():
