--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -27,7 +27,7 @@
 FULL_INTERVAL_MS = 500
 MAX_DATAGRAM_BYTES = 65000
 # The own feed pauses after a change and brings the next one soon after.
-BEHIND_MS = 800
+BEHIND_MS = 1000
 CHECK_INTERVAL_MS = 100
 FETCH_TIMEOUT_MS = 700
 SNAPSHOT_PATH = '/snapshot'
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -10,7 +10,7 @@
 MEMBER_TABLE = 'entries'
 RETRY_MS = 500
 # An entry whose datagrams were all lost is found by the next read.
-READ_INTERVAL_MS = 20_000
+READ_INTERVAL_MS = 60_000
 
 
 class _Member(msgspec.Struct):
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -26,7 +26,7 @@
 FIRST_DELAY_MS = 100.0
 MAX_DELAY_MS = 700.0
 # A feed that has not answered for so long misses what peers know already.
-SILENT_MS = 700.0
+SILENT_MS = 900.0
 OPERATOR_TABLE = 'op'
 SERVER_TABLE = 'servers'
 CONFIG_KEY = 'config'
@@ -37,6 +37,7 @@
     """Keep one table up to date: read it once, then follow its changes."""
 
     table = ''
+    # Well below the time in which a change has to be in force.
     pause_ms = 0.0
 
     def __init__(self, client: StoreClient, registry: Registry, clock: Clock) -> None:
@@ -123,7 +124,7 @@
     """Follow the configuration and the orders to move versions."""
 
     table = OPERATOR_TABLE
-    pause_ms = 250.0
+    pause_ms = 500.0
 
     def apply_all(self, rows: RowSet) -> None:
         """Use a complete read."""
@@ -154,7 +155,7 @@
     """Follow the registrations of backend servers."""
 
     table = SERVER_TABLE
-    pause_ms = 400.0
+    pause_ms = 700.0
 
     def apply_all(self, rows: RowSet) -> None:
         """Use a complete read."""
