--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -28,6 +28,8 @@
 INTERNAL = 502
 UNAVAILABLE = 503
 NOT_CONFIGURED_RETRY_MS = 300.0
+# Other entries serve; the caller may turn to them at once.
+STOPPING_RETRY_MS = 20.0
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
 
@@ -52,12 +54,17 @@
         self._metrics = metrics
         self._clock = clock
         self.stopping = False
+        self._ends_at_ms = float('inf')
         self.in_flight = 0
 
     def is_stopping(self) -> bool:
         """Return whether the process is about to stop."""
         return self.stopping
 
+    def refuse_beyond(self, ends_at_ms: float) -> None:
+        """Take only requests whose callers wait until then at the most."""
+        self._ends_at_ms = ends_at_ms
+
     def limits(self) -> CallerLimits:
         """Return the limits of the configuration in force."""
         config = self._registry.config
@@ -90,6 +97,7 @@
         ending = 'left'
         try:
             call = self._admit(head, body, fields, received_ms)
+            self._check_end(call)
             ending = self._serve(call, reply)
         except GatewayFailureError as failure:
             ending = failure.code
@@ -97,6 +105,12 @@
         finally:
             self._record(fields, call, reply, ending, received_ms)
 
+    def _check_end(self, call: Call) -> None:
+        if call.deadline_ms > self._ends_at_ms:
+            raise GatewayFailureError(
+                UNAVAILABLE, 'stopping', retry_after_ms=STOPPING_RETRY_MS
+            )
+
     def _serve(self, call: Call, reply: Reply) -> str:
         limit = self._limits.find(call.team)
         if limit is None:
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -146,6 +146,34 @@
         self.assertIn(b'x-own: 1', head)
 
 
+class TestStopping(GatewayCase):
+    """A process that is about to stop takes only what it can finish."""
+
+    def setUp(self):
+        super().setUp()
+        self.backend = self.add_backend(answer)
+        self.gateway.stopping = True
+        self.gateway.refuse_beyond(self.clock.monotonic_ms() + 30_000)
+
+    def ask_within(self, patience_ms):
+        """Send a request of a caller who waits for the time."""
+        patient = make_route('read', timeout_ms=60_000)
+        self.registry.put_config(make_config(2, routes=(patient,)), 2)
+        return self.ask('/read/1', f'Marjoramfall-Deadline-Ms: {patience_ms}')
+
+    def test_too_long(self):
+        """Guards against a request that is cut when the process ends."""
+        response = self.ask_within(40_000)
+        self.assertIn(b'503 Service Unavailable', response)
+        self.assertIn(b'connection: close', response)
+        self.assertIn(b'retry-after', response)
+        self.assertFalse(self.backend.heads)
+
+    def test_short(self):
+        """Guards against refusals of requests that would be finished."""
+        self.assertIn(b'200 OK', self.ask_within(10_000))
+
+
 class TestAtMostOnce(GatewayCase):
     """A request that must not run twice."""
 
