Resume a stream also when its first event is long past

Cause: found by reading: the time after which callers give up was counted from the arrival of the request, so that a stream broken after 3.2 s (plan-review) was refused a place at another server though its route may be resumed.

--- a/marjoramfall/gateway/demand.py
+++ b/marjoramfall/gateway/demand.py
@@ -2,11 +2,16 @@
 
 from dataclasses import dataclass, field
 
+from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.version_moves import ANY_VERSION, VersionChoice
 
 # A request that can no longer meet its target yields to those that can, also
 # to those one rank below.
 LATE_RANK = 1.0
+# Callers leave a stream after such a silence, whichever bound is longest.
+MIN_STREAM_PATIENCE_MS = 2000.0
+TARGET_PATIENCE = 4.0
+GAP_PATIENCE = 8.0
 
 
 @dataclass(slots=True)
@@ -33,3 +38,36 @@
         if now_ms > self.target_ms:
             return self.priority + LATE_RANK
         return self.priority
+
+
+def demand_of(call: Call, now_ms: float, version: VersionChoice) -> Demand:
+    """Return what a request asks of its next server.
+
+    The caller of a stream that was broken waits for its next event, not for
+    the first one any more.
+    """
+    is_resumed = call.first_byte_ms is not None
+    waits_since_ms = now_ms if is_resumed else call.received_ms
+    return Demand(
+        service_id=call.service_id,
+        priority=call.priority,
+        arrived_ms=call.received_ms,
+        target_ms=waits_since_ms + call.route.target_ms,
+        give_up_ms=min(call.deadline_ms, waits_since_ms + _patience_ms(call)),
+        deadline_ms=call.deadline_ms,
+        prompt_tokens=call.fields.prompt_tokens,
+        output_tokens=call.fields.likely_output_tokens,
+        excluded_ids=call.excluded_ids,
+        version=version,
+    )
+
+
+def _patience_ms(call: Call) -> float:
+    route = call.route
+    if not route.is_stream:
+        return call.deadline_ms - call.received_ms
+    return max(
+        MIN_STREAM_PATIENCE_MS,
+        TARGET_PATIENCE * route.target_ms,
+        GAP_PATIENCE * route.max_gap_ms,
+    )
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -8,7 +8,7 @@
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.caller_connection import Reply
 from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.demand import Demand
+from marjoramfall.gateway.demand import Demand, demand_of
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.event_splitter import EventSplitter
 from marjoramfall.gateway.exchange import Exchange
@@ -23,10 +23,6 @@
 
 # Sends beyond the allowed runs, for servers that say they did not run it.
 MAX_REJECTED_SENDS = 3
-# Callers leave a stream after such a silence, whichever bound is longest.
-MIN_STREAM_PATIENCE_MS = 2000.0
-TARGET_PATIENCE = 4.0
-GAP_PATIENCE = 8.0
 # A retry after a rejection by a full server finds a place sooner or later.
 FULL_RETRY_AFTER_MS = 150.0
 BAD_GATEWAY = 502
@@ -76,7 +72,8 @@
         return outcome
 
     def _acquire(self, call: Call) -> Place:
-        demand = self._demand(call)
+        version = self._fleet.choose_version(call.service_id)
+        demand = demand_of(call, self._clock.monotonic_ms(), version)
         placed: AsyncResult = AsyncResult()
         waiter = Waiter(demand, placed.set, placed.set_exception)
         queue = self._fleet.queue(call.service_id)
@@ -108,29 +105,6 @@
             return GatewayFailureError(BAD_GATEWAY, reason)
         return GatewayFailureError(UNAVAILABLE, reason, retry_after_ms=retry_after_ms)
 
-    def _demand(self, call: Call) -> Demand:
-        route = call.route
-        patience_ms = call.deadline_ms - call.received_ms
-        if route.is_stream:
-            longest_ms = max(
-                MIN_STREAM_PATIENCE_MS,
-                TARGET_PATIENCE * route.target_ms,
-                GAP_PATIENCE * route.max_gap_ms,
-            )
-            patience_ms = min(patience_ms, longest_ms)
-        return Demand(
-            service_id=call.service_id,
-            priority=call.priority,
-            arrived_ms=call.received_ms,
-            target_ms=call.received_ms + route.target_ms,
-            give_up_ms=call.received_ms + patience_ms,
-            deadline_ms=call.deadline_ms,
-            prompt_tokens=call.fields.prompt_tokens,
-            output_tokens=call.fields.likely_output_tokens,
-            excluded_ids=call.excluded_ids,
-            version=self._fleet.choose_version(call.service_id),
-        )
-
     def _may_move(self, call: Call, place: Place) -> bool:
         if not call.may_repeat or call.runs + 1 >= call.route.max_attempts:
             return False
--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,66 @@
+"""Test what placement is told of a request."""
+
+import unittest
+
+from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.demand import demand_of
+from marjoramfall.gateway.http_messages import RequestHead
+from marjoramfall.gateway.model import RepeatRule
+from marjoramfall.gateway.version_moves import ANY_VERSION
+from tests.gateway_fakes import TEAM, make_route
+
+FIELDS = CallFields(
+    attempt_id='a-1',
+    host='a.example',
+    path='/review/',
+    api_key=None,
+    patience_ms=None,
+    is_generation=True,
+    prompt_tokens=1000,
+    output_tokens=100,
+    likely_output_tokens=80,
+    last_event_id=None,
+    headers=(),
+)
+
+
+class TestDemand(unittest.TestCase):
+    """Times follow what the caller waits for."""
+
+    def setUp(self):
+        route = make_route(
+            'review',
+            RepeatRule.RESUMABLE,
+            is_stream=True,
+            target_ms=800,
+            max_gap_ms=250,
+        )
+        self.call = Call(
+            head=RequestHead(),
+            body=b'',
+            fields=FIELDS,
+            received_ms=1000,
+            route=route,
+            team=TEAM,
+            service_id='tutor',
+            config_version=1,
+            deadline_ms=13_000,
+        )
+
+    def test_first(self):
+        """Guards against a wait for the first event that callers do not bear."""
+        demand = demand_of(self.call, 1500, ANY_VERSION)
+        self.assertEqual(demand.target_ms, 1800)
+        self.assertEqual(demand.give_up_ms, 4200)
+
+    def test_resumed(self):
+        """Guards against a long stream that is given up as it has to be resumed."""
+        self.call.first_byte_ms = 1200
+        demand = demand_of(self.call, 6000, ANY_VERSION)
+        self.assertEqual(demand.give_up_ms, 9200)
+
+    def test_deadline(self):
+        """Guards against a wait beyond the deadline of the caller."""
+        self.call.first_byte_ms = 1200
+        demand = demand_of(self.call, 12_000, ANY_VERSION)
+        self.assertEqual(demand.give_up_ms, 13_000)
