Answer HEAD requests without waiting for a body

Cause: the parser took the announced length of a response to HEAD for a body that follows, so that the caller waited until its deadline, and the gateway's own failures carried a body.

--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -110,12 +110,13 @@
         poll.register(self._socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
-    def send(self, message: bytes) -> None:
-        """Send a whole request.
+    def send(self, message: bytes, *, expects_body: bool = True) -> None:
+        """Send a whole request, whose response may have a body.
 
         Raises `NotReachedError` if not even its first byte was sent, else
         `BrokenExchangeError`.
         """
+        self._parser.expects_body = expects_body
         self._socket.settimeout(UNACKNOWLEDGED_MS / MS_PER_SECOND)
         try:
             sent = self._socket.send(message)
--- a/marjoramfall/gateway/caller_connection.py
+++ b/marjoramfall/gateway/caller_connection.py
@@ -8,6 +8,7 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.backend_connection import configure_socket
 from marjoramfall.gateway.http_messages import (
+    HEAD,
     BadMessageError,
     Header,
     RequestHead,
@@ -50,6 +51,7 @@
     ) -> None:
         self._socket = connection
         self._is_http10 = head.is_http10
+        self._has_body = head.method != HEAD
         self._is_chunked = False
         self._keep_alive = keep_alive and not head.is_http10
         self.has_begun = False
@@ -70,13 +72,13 @@
         self, status: int, headers: list[Header], body: bytes, reason: bytes = b''
     ) -> None:
         """Send a response with its whole body."""
-        kept = [
-            header for header in end_to_end(headers) if header[0] != b'content-length'
-        ]
-        kept.append((b'content-length', str(len(body)).encode()))
+        kept = end_to_end(headers)
+        if self._has_body:
+            kept = [header for header in kept if header[0] != b'content-length']
+            kept.append((b'content-length', str(len(body)).encode()))
         head = self._encode_head(status, reason, kept)
         self.has_begun = True
-        self._send(head + body)
+        self._send(head + body if self._has_body else head)
         self.is_complete = True
 
     def begin(
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -14,7 +14,7 @@
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.event_splitter import EventSplitter
-from marjoramfall.gateway.http_messages import Response
+from marjoramfall.gateway.http_messages import HEAD, Response
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.server_load import US_PER_MS
 from marjoramfall.gateway.service_queue import Place
@@ -113,18 +113,19 @@
         message = self._dialect.encode_request(
             self._call, self._server, self._call.left_ms(now_ms)
         )
+        expects_body = self._call.head.method != HEAD
         self._timing.pending_tokens = self._load.pending_tokens
         self._call.sends += 1
         self._connection = self._acquire()
         try:
-            self._connection.send(message)
+            self._connection.send(message, expects_body=expects_body)
         except NotReachedError:
             # The server closed the idle connection just now; a new one tells
             # whether it is reachable.
             self._connection.close()
             self._pool.drop(self._server.server_id)
             self._connection = self._acquire()
-            self._connection.send(message)
+            self._connection.send(message, expects_body=expects_body)
         self._timing.sent_ms = self._clock.monotonic_ms()
 
     def _acquire(self) -> BackendConnection:
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from marjoramfall.gateway.event_splitter import EventSplitter
 from marjoramfall.gateway.exchange import Exchange
 from marjoramfall.gateway.fleet import Fleet
+from marjoramfall.gateway.http_messages import HEAD
 from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
 from marjoramfall.gateway.service_queue import (
     OverloadError,
@@ -46,7 +47,8 @@
 
         Raises `GatewayFailureError` while nothing was delivered.
         """
-        splitter = EventSplitter() if call.route.is_stream else None
+        is_stream = call.route.is_stream and call.head.method != HEAD
+        splitter = EventSplitter() if is_stream else None
         self._fleet.on_request(call)
         while True:
             place = self._acquire(call)
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -7,6 +7,7 @@
 import httptools
 
 FIRST_FINAL_STATUS = 200
+HEAD = b'HEAD'
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 CHUNKED = b'chunked'
@@ -224,6 +225,8 @@
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._current = Response()
+        # A response to HEAD announces the length of a body that does not come.
+        self.expects_body = True
         self.responses: deque[Response] = deque()
 
     def feed(self, received: bytes) -> None:
@@ -269,6 +272,10 @@
             NOT_MODIFIED,
         }
         response.ends_with_connection = has_body and not has_length and encoding is None
+        if response.is_final and not self.expects_body:
+            # The parser waits for a body, so that the connection must end.
+            response.is_complete = True
+            response.keep_alive = False
         if response.is_final:
             self.responses.append(response)
 
