Use changed bounds while running; keep idle connections within a server's limit

Settings: SIGHUP only checked the file, and a change without a signal was not noticed. The bounds (repeats, limits, trial share, grace) are used at once now; what was counted of repeats stays counted.

Connections: every entry kept as many idle connections to a server as it had used at once. With hundreds of entries their sum may pass maxConns, and the server resets new ones. Each entry keeps its part of 0.8 of the limit now.

--- a/marjoramfall/gateway/connection_pool.py
+++ b/marjoramfall/gateway/connection_pool.py
@@ -5,6 +5,21 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.backend_connection import BackendConnection
 
+# The rest is for connections in use and those of entries not met yet.
+IDLE_SHARE = 0.8
+
+
+def idle_share(max_connections: int, *, slots: int, members: int) -> int:
+    """Return how many idle connections to a server one entry may keep.
+
+    A server resets connections beyond its limit, which counts those of all
+    entries; a limit of 0 means that it has none.
+    """
+    if not max_connections:
+        return slots
+    left = IDLE_SHARE * max_connections - slots
+    return max(0, min(int(left / members), max_connections))
+
 
 class ConnectionPool:
     """Reuse the connection that was used last and close those idle too long."""
@@ -13,6 +28,7 @@
         self._clock = clock
         self._connect_timeout_ms = connect_timeout_ms
         self._idle_by_key: dict[str, deque[BackendConnection]] = {}
+        self._idle_limit_by_key: dict[str, int] = {}
         self.opened = 0
 
     def acquire(self, key: str, address: str) -> BackendConnection:
@@ -28,18 +44,35 @@
         self.opened += 1
         return BackendConnection(address, connect_timeout_ms=self._connect_timeout_ms)
 
+    def set_idle_limit(self, key: str, limit: int) -> None:
+        """Bound how many idle connections of the key are kept."""
+        self._idle_limit_by_key[key] = limit
+
     def release(self, key: str, connection: BackendConnection) -> None:
         """Keep a connection that may carry another request."""
-        self._idle_by_key.setdefault(key, deque()).append(connection)
+        idle = self._idle_by_key.setdefault(key, deque())
+        idle.append(connection)
+        self._close_beyond(key, idle)
 
     def drop(self, key: str) -> None:
         """Close every idle connection of the key."""
         for connection in self._idle_by_key.pop(key, ()):
             connection.close()
 
+    def forget(self, key: str) -> None:
+        """Close the connections of a key that is not used any more."""
+        self._idle_limit_by_key.pop(key, None)
+        self.drop(key)
+
     def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         now_ms = self._clock.monotonic_ms()
-        for idle in self._idle_by_key.values():
+        for key, idle in self._idle_by_key.items():
+            self._close_beyond(key, idle)
             while idle and now_ms - idle[0].idle_since_ms >= idle[0].idle_limit_ms:
                 idle.popleft().close()
+
+    def _close_beyond(self, key: str, idle: deque[BackendConnection]) -> None:
+        limit = self._idle_limit_by_key.get(key)
+        while limit is not None and len(idle) > limit:
+            idle.popleft().close()
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -15,7 +15,7 @@
 from marjoramfall.gateway.caller_connection import CallerConnection
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.entry_settings import GatewaySettings
+from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.gateway import Gateway
@@ -25,7 +25,7 @@
 from marjoramfall.gateway.peer_state import PeerState
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
-from marjoramfall.gateway.retry_allowance import RetryAllowance
+from marjoramfall.gateway.retry_allowance import RetryAllowances, RetryBounds
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.small_server import Document, SmallServer
 from marjoramfall.gateway.version_moves import VersionMoves
@@ -56,6 +56,7 @@
         on_stale_feed: Callable[[], None],
     ) -> None:
         self._settings = settings
+        self._bounds = settings.bounds
         self._clock = clock
         self._ready_path = ready_path
         self._on_stale_feed = on_stale_feed
@@ -70,18 +71,19 @@
             clock, own_vm=settings.vm, data_centre=settings.data_centre
         )
         self._pool = ConnectionPool(clock, connect_timeout_ms=CONNECT_TIMEOUT_MS)
+        self._allowances = RetryAllowances(self._retry_bounds())
         self._limits = SharedLimits(
-            tolerance_share=settings.limit_tolerance_share,
-            tolerance=settings.limit_tolerance,
+            tolerance_share=self._bounds.limit_tolerance_share,
+            tolerance=self._bounds.limit_tolerance,
         )
-        self.moves = VersionMoves(clock, expose_share=settings.expose_share)
+        self.moves = VersionMoves(clock, expose_share=self._bounds.expose_share)
         self._fleet = Fleet(
             clock,
             self.peers,
             self._pool,
             self.moves,
             data_centre=settings.data_centre,
-            new_allowance=self._new_allowance,
+            allowances=self._allowances,
             notify=self._notify_peers,
         )
         self.registry = Registry(
@@ -122,6 +124,16 @@
         self._stopped.wait()
         logger.info('entry stopped')
 
+    def use_bounds(self, bounds: EntryBounds) -> None:
+        """Use changed bounds from now on."""
+        self._bounds = bounds
+        self._allowances.use_bounds(self._retry_bounds())
+        self._limits.use_tolerance(
+            tolerance_share=bounds.limit_tolerance_share,
+            tolerance=bounds.limit_tolerance,
+        )
+        self.moves.set_expose_share(bounds.expose_share)
+
     def begin_stop(self) -> None:
         """Finish what is held, take nothing new, and end `run`."""
         if not self._is_leaving:
@@ -175,12 +187,12 @@
         if self.registry.config is not None:
             self._fleet.set_servers(self.registry.servers)
 
-    def _new_allowance(self) -> RetryAllowance:
-        settings = self._settings
-        return RetryAllowance(
-            share=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_ms=settings.retry_window_s * MS_PER_SECOND,
+    def _retry_bounds(self) -> RetryBounds:
+        bounds = self._bounds
+        return RetryBounds(
+            share=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_ms=bounds.retry_window_s * MS_PER_SECOND,
         )
 
     def _serve(self, connection, address) -> None:
@@ -221,7 +233,7 @@
     def _stop(self) -> None:
         self._gateway.stopping = True
         started_ms = self._clock.monotonic_ms()
-        limit_ms = self._settings.grace_s * MS_PER_SECOND - STOP_MARGIN_MS
+        limit_ms = self._bounds.grace_s * MS_PER_SECOND - STOP_MARGIN_MS
         self._clock.sleep_ms(BALANCER_DELAY_MS)
         # Callers may still come where most entries of a data centre stop.
         self._gateway.refuse_beyond(started_ms + limit_ms)
--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -3,13 +3,30 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class EntryBounds:
+    """Hold the bounds that may change while the process runs.
+
+    Repeats are allowed up to `retry_ratio` of the requests in
+    `retry_window_s` and `retry_slack` for all entries together; `expose_*`
+    bound in the same way what a version on trial may get.
+    """
+
+    grace_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    limit_tolerance_share: float
+    limit_tolerance: float
+    expose_share: float
+    expose_slack: float
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Hold the checked settings of one entry process.
 
-    Addresses are `host:port`. Repeats are allowed up to `retry_ratio` of the
-    requests in `retry_window_s` and `retry_slack` for all entries together;
-    `expose_*` bound in the same way what a version on trial may get.
+    Addresses are `host:port`.
     """
 
     vm: str
@@ -19,11 +36,4 @@
     front_address: str
     ready_address: str
     metrics_address: str
-    grace_s: float
-    retry_ratio: float
-    retry_window_s: float
-    retry_slack: float
-    limit_tolerance_share: float
-    limit_tolerance: float
-    expose_share: float
-    expose_slack: float
+    bounds: EntryBounds
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -1,7 +1,6 @@
 """Know all backend servers, their load here and at the peers, and the limits."""
 
 import random
-from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -10,7 +9,7 @@
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.connection_pool import ConnectionPool
+from marjoramfall.gateway.connection_pool import ConnectionPool, idle_share
 from marjoramfall.gateway.exchange import FIRST_SERVER_FAILURE
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
 from marjoramfall.gateway.outcome import Ending, Outcome
@@ -22,7 +21,7 @@
     WaitingCall,
 )
 from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.retry_allowance import RetryAllowance
+from marjoramfall.gateway.retry_allowance import RetryAllowances
 from marjoramfall.gateway.server_load import ServerLoad
 from marjoramfall.gateway.service_queue import Place, ServiceQueue
 from marjoramfall.gateway.version_moves import (
@@ -55,7 +54,7 @@
         moves: VersionMoves,
         *,
         data_centre: str,
-        new_allowance: Callable[[], RetryAllowance],
+        allowances: RetryAllowances,
         notify: Callable[[], None],
     ) -> None:
         self._clock = clock
@@ -67,9 +66,7 @@
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
-        self._allowance_by_service: dict[str, RetryAllowance] = defaultdict(
-            new_allowance
-        )
+        self._allowances = allowances
         self._is_assigning = False
         self.notify = notify
 
@@ -124,12 +121,12 @@
 
     def on_request(self, call: Call) -> None:
         """Count a request for the allowance of repeats."""
-        allowance = self._allowance_by_service[call.service_id]
+        allowance = self._allowances.find(call.service_id)
         allowance.on_request(self._clock.monotonic_ms())
 
     def try_repeat(self, call: Call) -> bool:
         """Count and allow sending a request once more."""
-        allowance = self._allowance_by_service[call.service_id]
+        allowance = self._allowances.find(call.service_id)
         allowed = allowance.try_repeat(
             self._clock.monotonic_ms(), self._peers.member_count()
         )
@@ -171,6 +168,7 @@
         """Stop counting the requests of peers that fell silent."""
         for load in self._load_by_id.values():
             self._set_distance(load)
+            self._limit_idle(load)
         self._peer_loads.keep_only({peer.state.vm for peer in self._peers.fresh()})
         self.assign()
 
@@ -246,6 +244,7 @@
         )
         self._load_by_id[server.server_id] = load
         self._set_distance(load)
+        self._limit_idle(load)
         self._peer_loads.count_for(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
@@ -260,10 +259,19 @@
         queue = self.queue(load.server.service_id)
         queue.spreads = is_large and not load.is_model
 
+    def _limit_idle(self, load: ServerLoad) -> None:
+        service = self._service_by_id.get(load.server.service_id)
+        limit = idle_share(
+            service.max_connections if service else 0,
+            slots=load.server.slots,
+            members=self._peers.member_count(),
+        )
+        self._pool.set_idle_limit(load.server.server_id, limit)
+
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
         self.queue(load.server.service_id).load_by_id.pop(server_id, None)
-        self._pool.drop(server_id)
+        self._pool.forget(server_id)
 
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
--- a/marjoramfall/gateway/retry_allowance.py
+++ b/marjoramfall/gateway/retry_allowance.py
@@ -1,25 +1,37 @@
 """Bound the additional arrivals at a service."""
 
-from collections import deque
+from collections import defaultdict, deque
+from dataclasses import dataclass
 
 # Leaves room for what peers and late counts add.
 SAFETY = 0.75
 
 
-class RetryAllowance:
-    """Allow repeats up to a share of the requests in a sliding window.
+@dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """Bound repeats by a share of the requests in a window of milliseconds.
 
     `slack` repeats a window are allowed to all entries together without any
     request; each takes its part of them.
     """
 
-    def __init__(self, *, share: float, slack: float, window_ms: float) -> None:
-        self._share = share * SAFETY
-        self._slack = slack * SAFETY
-        self._window_ms = window_ms
+    share: float
+    slack: float
+    window_ms: float
+
+
+class RetryAllowance:
+    """Allow repeats up to a share of the requests in a sliding window."""
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def use_bounds(self, bounds: RetryBounds) -> None:
+        """Use other bounds; what was counted stays."""
+        self._bounds = bounds
+
     def on_request(self, now_ms: float) -> None:
         """Count a request's first arrival."""
         self._requests.append(now_ms)
@@ -27,14 +39,36 @@
     def try_repeat(self, now_ms: float, members: int) -> bool:
         """Count and allow a repeat, or return False when none is left."""
         self._forget(now_ms)
-        allowed = self._share * len(self._requests) + self._slack / max(1, members)
-        if len(self._repeats) + 1 > allowed:
+        bounds = self._bounds
+        allowed = bounds.share * len(self._requests) + bounds.slack / max(1, members)
+        if len(self._repeats) + 1 > SAFETY * allowed:
             return False
         self._repeats.append(now_ms)
         return True
 
     def _forget(self, now_ms: float) -> None:
-        oldest_ms = now_ms - self._window_ms
+        oldest_ms = now_ms - self._bounds.window_ms
         for times in (self._requests, self._repeats):
             while times and times[0] < oldest_ms:
                 times.popleft()
+
+
+class RetryAllowances:
+    """Keep an allowance for each service."""
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
+        self._allowance_by_service: dict[str, RetryAllowance] = defaultdict(self._add)
+
+    def find(self, service_id: str) -> RetryAllowance:
+        """Return the allowance of a service."""
+        return self._allowance_by_service[service_id]
+
+    def use_bounds(self, bounds: RetryBounds) -> None:
+        """Use other bounds for all services."""
+        self._bounds = bounds
+        for allowance in self._allowance_by_service.values():
+            allowance.use_bounds(bounds)
+
+    def _add(self) -> RetryAllowance:
+        return RetryAllowance(self._bounds)
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -77,9 +77,16 @@
             limit = previous.get(team.name) or SharedLimit(team, team.burst, now_ms)
             limit.team = team
             limit.level = min(limit.level, team.burst)
-            limit.tolerance = self._tolerance + self._tolerance_share * team.burst
+            limit.tolerance = self._tolerance_of(team)
             self._limit_by_team[team.name] = limit
 
+    def use_tolerance(self, *, tolerance_share: float, tolerance: float) -> None:
+        """Use another tolerance for all teams."""
+        self._tolerance_share = tolerance_share
+        self._tolerance = tolerance
+        for limit in self._limit_by_team.values():
+            limit.tolerance = self._tolerance_of(limit.team)
+
     def find(self, team: Team | None) -> SharedLimit | None:
         """Return the limit of a team, None if it has none."""
         return None if team is None else self._limit_by_team.get(team.name)
@@ -105,3 +112,6 @@
             for name, limit in self._limit_by_team.items()
             if limit.used
         ]
+
+    def _tolerance_of(self, team: Team) -> float:
+        return self._tolerance + self._tolerance_share * team.burst
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -115,6 +115,10 @@
         """Return the newest move of each service."""
         return list(self._move_by_service.values())
 
+    def set_expose_share(self, expose_share: float) -> None:
+        """Bound the share of requests that a version on trial gets."""
+        self._trial_share = expose_share * TRIAL_PART
+
     def begin(self, order: VersionMove, *, elapsed_ms: float = 0) -> None:
         """Follow an order; an older or known one changes nothing."""
         known = self._move_by_service.get(order.service_id)
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -18,6 +18,7 @@
     load_settings,
     settings_path,
 )
+from marjoramfall.platform.settings_watch import SettingsWatch
 from marjoramfall.platform.store import StoreClient
 from marjoramfall.platform.watch import OperatorWatch, ServerWatch
 
@@ -35,7 +36,7 @@
 class PlatformDaemon:
     """Feed an entry from the store and end it on a signal."""
 
-    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+    def __init__(self, settings: PlatformSettings, path: str, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._entry = Entry(
@@ -65,15 +66,20 @@
             address=self._entry.peer_address,
         )
 
+        self._settings_watch = SettingsWatch(
+            path, settings, clock, on_bounds=self._entry.use_bounds
+        )
+
     def run(self) -> None:
         """Serve until a signal stops the process; raises `OSError`."""
         gevent.signal_handler(signal.SIGTERM, self._entry.begin_stop)
         gevent.signal_handler(signal.SIGINT, self._entry.begin_stop)
-        gevent.signal_handler(signal.SIGHUP, _reload)
+        gevent.signal_handler(signal.SIGHUP, self._settings_watch.reload)
         for watch in self._watches:
             watch.start()
         gevent.spawn(self._directory.run)
         gevent.spawn(self._recorder.run)
+        gevent.spawn(self._settings_watch.run)
         self._entry.run()
 
     def _new_client(self) -> StoreClient:
@@ -88,23 +94,14 @@
             watch.restart_if_silent()
 
 
-def _reload() -> None:
-    """Check the changed settings; all of them are read at the next start."""
-    try:
-        load_settings(settings_path())
-    except SettingsFaultError as error:
-        logger.bind(details=str(error)).error('settings not reloaded')
-        return
-    logger.info('settings reloaded')
-
-
 def run_daemon() -> int:
     """Run the entry of this machine; return the exit status."""
     clock = RuntimeClock()
     output = LogOutput(clock)
     install_log_output(output, vm='')
+    path = settings_path()
     try:
-        settings = load_settings(settings_path())
+        settings = load_settings(path)
     except SettingsFaultError as error:
         for fault in str(error).splitlines():
             logger.bind(fault=fault).error('invalid settings')
@@ -112,12 +109,14 @@
         return EXIT_INVALID_SETTINGS
     install_log_output(output, vm=settings.entry.vm)
     output.start()
-    return _serve(settings, clock, output)
+    return _serve(settings, path, clock, output)
 
 
-def _serve(settings: PlatformSettings, clock: Clock, output: LogOutput) -> int:
+def _serve(
+    settings: PlatformSettings, path: str, clock: Clock, output: LogOutput
+) -> int:
     try:
-        PlatformDaemon(settings, clock).run()
+        PlatformDaemon(settings, path, clock).run()
     except OSError as error:
         logger.bind(details=str(error)).error('entry cannot listen')
         output.flush()
--- a/marjoramfall/platform/settings.py
+++ b/marjoramfall/platform/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from marjoramfall.gateway.entry_settings import GatewaySettings
+from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 
 SETTINGS_VARIABLE = 'MARJORAMFALL_NODE_FILE'
 
@@ -103,12 +103,14 @@
         front_address=decoded.listen.front,
         ready_address=decoded.listen.ready,
         metrics_address=metrics,
-        grace_s=bounds.grace_s,
-        retry_ratio=bounds.retry_ratio,
-        retry_window_s=bounds.retry_window_s,
-        retry_slack=bounds.retry_slack,
-        limit_tolerance_share=bounds.quota_over,
-        limit_tolerance=bounds.quota_slack * TOLERANCE_SHARE,
-        expose_share=bounds.expose_share,
-        expose_slack=bounds.expose_slack,
+        bounds=EntryBounds(
+            grace_s=bounds.grace_s,
+            retry_ratio=bounds.retry_ratio,
+            retry_window_s=bounds.retry_window_s,
+            retry_slack=bounds.retry_slack,
+            limit_tolerance_share=bounds.quota_over,
+            limit_tolerance=bounds.quota_slack * TOLERANCE_SHARE,
+            expose_share=bounds.expose_share,
+            expose_slack=bounds.expose_slack,
+        ),
     )
--- /dev/null
+++ b/tests/test_connection_pool.py
@@ -0,0 +1,70 @@
+"""Test how many idle connections an entry keeps."""
+
+import unittest
+from itertools import repeat
+
+from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.connection_pool import ConnectionPool, idle_share
+
+
+class FakeConnection:
+    """Stand for an open connection that carries nothing."""
+
+    address = 'a:1'
+    idle_limit_ms = 4000
+
+    def __init__(self):
+        self.idle_since_ms = 0
+        self.is_closed = False
+
+    def close(self):
+        """Note the end."""
+        self.is_closed = True
+
+    def is_quiet(self):
+        """Return that nothing arrived."""
+        return True
+
+
+class TestIdleShare(unittest.TestCase):
+    """All entries together stay below the connections of a server."""
+
+    def test_few_entries(self):
+        """Guards against needless new connections in a small system."""
+        self.assertGreaterEqual(idle_share(110, slots=6, members=9), 6)
+
+    def test_many_entries(self):
+        """Guards against resets by a server that holds too many connections."""
+        for members in (30, 100, 300, 1000):
+            kept = idle_share(370, slots=5, members=members)
+            self.assertLess(kept * members + 5, 370)
+
+    def test_unlimited(self):
+        """A service that names no limit gets its slots from each entry."""
+        self.assertEqual(idle_share(0, slots=5, members=300), 5)
+
+
+class TestConnectionPool(unittest.TestCase):
+    """Idle connections beyond the share are closed."""
+
+    def setUp(self):
+        self.pool = ConnectionPool(PausedClock(), connect_timeout_ms=100)
+        self.connections = [new() for new in repeat(FakeConnection, 3)]
+
+    def test_release_beyond(self):
+        """Guards against an idle connection for every request of a burst."""
+        self.pool.set_idle_limit('s1', 2)
+        for connection in self.connections:
+            self.pool.release('s1', connection)
+        self.assertEqual(sum(known.is_closed for known in self.connections), 1)
+        self.assertIs(self.pool.acquire('s1', 'a:1'), self.connections[-1])
+
+    def test_lowered(self):
+        """Guards against keeping connections that are due to new entries."""
+        for connection in self.connections:
+            self.pool.release('s1', connection)
+        self.pool.set_idle_limit('s1', 1)
+        self.pool.close_expired()
+        self.assertEqual(
+            [known.is_closed for known in self.connections], [True, True, False]
+        )
