Split process/ by subject and end imports between packages in both directions

process/ held 48 modules, and process and borders, request and connection imported each other. config, membership and group are packages of their own now; the interface of the platform's services, which every layer uses, stands beside model.py; the answer of a server belongs to its connection and the speed estimate to the request side that uses it. Modules were moved and imports rewritten, nothing else; 414 tests pass before and after.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,7 +21,7 @@
 from benchmarks.table_writer import TableWriter
 from marjoramfall.messages import MessageCodec
 from marjoramfall.model import BackendServer, Configuration, Move, Team
-from marjoramfall.process.member import Member
+from marjoramfall.process.membership.member import Member
 from marjoramfall.request.events import FinishReport, WaitingRequest, WorkEstimate
 from marjoramfall.version.move_router import MoveRouter
 
--- a/benchmarks/config_mesh.py
+++ b/benchmarks/config_mesh.py
@@ -6,7 +6,6 @@
 from itertools import count
 from random import Random
 
-from marjoramfall.borders.platform import PlatformError, TableService
 from marjoramfall.clock import PausedClock
 from marjoramfall.messages import (
     ConfigEntries,
@@ -16,15 +15,16 @@
     MessageCodec,
     ProbeReply,
 )
-from marjoramfall.process.config_log import ConfigLog, Submission, WrittenChange
-from marjoramfall.process.config_spread import (
+from marjoramfall.platform_services import PlatformError, TableService
+from marjoramfall.process.config.log import ConfigLog, Submission, WrittenChange
+from marjoramfall.process.config.spread import (
     ConfigSpread,
     PeerReport,
     PollStore,
     SendToPeer,
     SpreadAction,
 )
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.state import ConfigState
 
 TICK_MS = 50
 HEARTBEAT_MS = 200
--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -13,10 +13,10 @@
 from benchmarks.config_mesh import ConfigMesh, MeshNode
 from benchmarks.table_writer import TableWriter
 from marjoramfall.model import Tier
-from marjoramfall.process.config_changes import PutTier
-from marjoramfall.process.config_log import Submission
-from marjoramfall.process.config_polls import READER_POLL_MS
-from marjoramfall.process.config_spread import (
+from marjoramfall.process.config.changes import PutTier
+from marjoramfall.process.config.log import Submission
+from marjoramfall.process.config.polls import READER_POLL_MS
+from marjoramfall.process.config.spread import (
     SendToPeer,
     SpreadAction,
 )
--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -20,9 +20,9 @@
 from marjoramfall.borders.platform_http import HttpTableService
 from marjoramfall.clock import RuntimeClock
 from marjoramfall.model import BackendServer, Delivery, Service, ServiceKind
-from marjoramfall.process.config_changes import PutBackendServer, PutService
-from marjoramfall.process.config_log import ConfigLog, Submission
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.changes import PutBackendServer, PutService
+from marjoramfall.process.config.log import ConfigLog, Submission
+from marjoramfall.process.config.state import ConfigState
 from marjoramfall_standins.loopback import free_address
 from tests.process_harness import AUTHORIZATION, System
 
--- a/benchmarks/member_model.py
+++ b/benchmarks/member_model.py
@@ -4,14 +4,14 @@
 import random
 from dataclasses import dataclass, field
 
-from marjoramfall.borders.platform import VmRecord, VmRole, VmState
 from marjoramfall.messages import MessageCodec
-from marjoramfall.process.member import (
+from marjoramfall.platform_services import VmRecord, VmRole, VmState
+from marjoramfall.process.membership.member import (
     MemberRemoved,
     MembershipAction,
     SendMessage,
 )
-from marjoramfall.process.membership import Membership
+from marjoramfall.process.membership.membership import Membership
 
 TICK_MS = 20
 DELAY_MS = 1
--- a/benchmarks/store_writes.py
+++ b/benchmarks/store_writes.py
@@ -11,8 +11,8 @@
 from gevent.pool import Pool
 
 from benchmarks.table_writer import TableWriter
-from marjoramfall.borders.platform import Row, TableService
 from marjoramfall.clock import RuntimeClock
+from marjoramfall.platform_services import Row, TableService
 from marjoramfall.request.key_claim import (
     AlreadyDispatchedError,
     ClaimOutcome,
--- a/marjoramfall/borders/admin_apply.py
+++ b/marjoramfall/borders/admin_apply.py
@@ -11,7 +11,7 @@
 from marjoramfall.borders.admin_options import make_options
 from marjoramfall.borders.rpc.marjoramfall.v1 import admin_pb2
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_draft import (
+from marjoramfall.process.config.draft import (
     ENTITY_TYPES,
     Entity,
     EntityKind,
--- a/marjoramfall/borders/admin_backend.py
+++ b/marjoramfall/borders/admin_backend.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_log import Submission, WrittenChange
-from marjoramfall.process.config_spread import Confirmation
-from marjoramfall.process.config_state import LogRecord
+from marjoramfall.process.config.log import Submission, WrittenChange
+from marjoramfall.process.config.spread import Confirmation
+from marjoramfall.process.config.state import LogRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/borders/admin_client.py
+++ b/marjoramfall/borders/admin_client.py
@@ -16,7 +16,7 @@
 from marjoramfall.borders.admin_options import pass_console
 from marjoramfall.borders.rpc.marjoramfall.v1 import admin_pb2
 from marjoramfall.clock import RuntimeClock
-from marjoramfall.process.config_draft import entity_id_of, kind_of
+from marjoramfall.process.config.draft import entity_id_of, kind_of
 
 CONFIRM_TRIES = 30
 CONFIRM_PAUSE_MS = 100
--- a/marjoramfall/borders/admin_convert.py
+++ b/marjoramfall/borders/admin_convert.py
@@ -7,8 +7,8 @@
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 
-from marjoramfall.process.config_draft import Entity
-from marjoramfall.process.config_errors import ConfigChangeError
+from marjoramfall.process.config.draft import Entity
+from marjoramfall.process.config.errors import ConfigChangeError
 
 UNSPECIFIED = 'UNSPECIFIED'
 
--- a/marjoramfall/borders/admin_entity_commands.py
+++ b/marjoramfall/borders/admin_entity_commands.py
@@ -25,7 +25,7 @@
     Version,
     VersionState,
 )
-from marjoramfall.process.config_draft import Entity
+from marjoramfall.process.config.draft import Entity
 
 PAGE_SIZE = 1000
 
--- a/marjoramfall/borders/admin_file.py
+++ b/marjoramfall/borders/admin_file.py
@@ -18,7 +18,7 @@
     Version,
     VersionState,
 )
-from marjoramfall.process.config_draft import (
+from marjoramfall.process.config.draft import (
     Entity,
     entity_id_of,
     find_entity,
--- a/marjoramfall/borders/admin_methods.py
+++ b/marjoramfall/borders/admin_methods.py
@@ -14,7 +14,7 @@
 from marjoramfall.borders.rpc.marjoramfall.v1 import admin_pb2
 from marjoramfall.clock import Clock
 from marjoramfall.model import Move, MoveGuard, MoveState
-from marjoramfall.process.config_changes import (
+from marjoramfall.process.config.changes import (
     Change,
     Delete,
     Put,
@@ -24,16 +24,16 @@
     PutTier,
     PutVersion,
 )
-from marjoramfall.process.config_draft import (
+from marjoramfall.process.config.draft import (
     ENTITY_TYPES,
     EntityKind,
     require_entity,
     require_reference,
 )
-from marjoramfall.process.config_errors import ConfigChangeError
-from marjoramfall.process.config_log import Submission
-from marjoramfall.process.config_moves import EndMove, StartMove, SwitchVersion
-from marjoramfall.process.config_spread import Confirmation
+from marjoramfall.process.config.errors import ConfigChangeError
+from marjoramfall.process.config.log import Submission
+from marjoramfall.process.config.moves import EndMove, StartMove, SwitchVersion
+from marjoramfall.process.config.spread import Confirmation
 
 CONFIRM_WITHIN_MS = 3000
 CONFIRM_POLL_MS = 10
--- a/marjoramfall/borders/caller_http.py
+++ b/marjoramfall/borders/caller_http.py
@@ -34,12 +34,12 @@
 )
 from marjoramfall.borders.caller_server import CALLER_SOCKET
 from marjoramfall.borders.caller_watch import CallerWatch
-from marjoramfall.borders.request_record import RequestRecord
 from marjoramfall.clock import Clock
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.identifiers import RequestIds
 from marjoramfall.model import Configuration
 from marjoramfall.request.parsed_request import ParsedRequest
+from marjoramfall.request.record import RequestRecord
 from marjoramfall.request.request_path import RequestPath
 
 DEFAULT_MAX_BODY_BYTES = 2 * 1024 * 1024
--- a/marjoramfall/borders/caller_requests.py
+++ b/marjoramfall/borders/caller_requests.py
@@ -5,12 +5,12 @@
 from marjoramfall.borders.caller_bodies import ModelBody, decode_body
 from marjoramfall.borders.caller_errors import UnknownServiceError
 from marjoramfall.borders.caller_parsing import Environ, Identity, forwarded_headers
-from marjoramfall.borders.request_record import RequestRecord
 from marjoramfall.clock import Clock
 from marjoramfall.errors import InvalidRequestError
 from marjoramfall.model import Configuration, Service, ServiceKind
 from marjoramfall.request.parsed_request import ParsedRequest
 from marjoramfall.request.prompt import estimate_tokens, prefix_hashes
+from marjoramfall.request.record import RequestRecord
 
 DOT_SEGMENTS = frozenset(('.', '..', '%2e', '%2e%2e', '.%2e', '%2e.'))
 
--- a/marjoramfall/borders/caller_responses.py
+++ b/marjoramfall/borders/caller_responses.py
@@ -9,10 +9,10 @@
 from marjoramfall.borders.caller_errors import UnreadBodyError
 from marjoramfall.borders.caller_watch import CallerWatch
 from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.connection.answer import StreamEvent
 from marjoramfall.connection.backend_client import BackendResponse
 from marjoramfall.connection.backend_errors import BackendStatusError
 from marjoramfall.errors import MarjoramfallError
-from marjoramfall.request.answer import StreamEvent
 from marjoramfall.request.dispatch_attempt import (
     AnswerStream,
     CallerGoneError,
--- a/marjoramfall/borders/platform_http.py
+++ b/marjoramfall/borders/platform_http.py
@@ -12,7 +12,8 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
-from marjoramfall.borders.platform import (
+from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.platform_services import (
     ObjectStore,
     PlatformAnswerLostError,
     PlatformUnavailableError,
@@ -23,7 +24,6 @@
     VmList,
     VmRecord,
 )
-from marjoramfall.clock import MS_PER_SECOND
 
 DEFAULT_TIMEOUT_MS = 1000
 MAX_CONNECTIONS = 8
--- a/marjoramfall/connection/backend_client.py
+++ b/marjoramfall/connection/backend_client.py
@@ -8,6 +8,11 @@
 from gevent.pool import Pool
 
 from marjoramfall.clock import Clock, RuntimeClock
+from marjoramfall.connection.answer import (
+    AnswerAssembler,
+    IncompleteAnswerError,
+    StreamEvent,
+)
 from marjoramfall.connection.backend_errors import (
     BackendConnectionBrokenError,
     BackendLeavingError,
@@ -19,11 +24,6 @@
 from marjoramfall.connection.event_stream import split_events
 from marjoramfall.connection.http_connection import HttpConnection, ResponseParser
 from marjoramfall.errors import BackendServerError, RunState
-from marjoramfall.request.answer import (
-    AnswerAssembler,
-    IncompleteAnswerError,
-    StreamEvent,
-)
 
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # The first resume is tried at once; a restarting server needs longer.
--- a/marjoramfall/connection/event_stream.py
+++ b/marjoramfall/connection/event_stream.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Iterator
 
+from marjoramfall.connection.answer import StreamEvent
 from marjoramfall.connection.backend_errors import MalformedResponseError
-from marjoramfall.request.answer import StreamEvent
 
 # Bounds the memory per connection; a token event takes some hundred bytes.
 MAX_EVENT_BYTES = 256 * 1024
--- /dev/null
+++ b/marjoramfall/process/config/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the configuration log and spread its changes."""
--- a/marjoramfall/process/config_changes.py
+++ b/marjoramfall/process/config/changes.py
@@ -13,7 +13,7 @@
     Tier,
     Version,
 )
-from marjoramfall.process.config_draft import (
+from marjoramfall.process.config.draft import (
     ConfigDraft,
     Entity,
     EntityKind,
@@ -22,12 +22,12 @@
     require_entity,
     require_reference,
 )
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.errors import (
     ConfigChangeError,
     MoveRunningError,
     StillReferencedError,
 )
-from marjoramfall.process.config_rules import check_fields
+from marjoramfall.process.config.rules import check_fields
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True, tag_field='type'):
--- a/marjoramfall/process/config_draft.py
+++ b/marjoramfall/process/config/draft.py
@@ -13,7 +13,7 @@
     Tier,
     Version,
 )
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.errors import (
     EntityNotFoundError,
     UnknownReferenceError,
 )
--- a/marjoramfall/process/config_freshness.py
+++ b/marjoramfall/process/config/freshness.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from marjoramfall.identifiers import vm_of
-from marjoramfall.process.config_peers import LEASE_MS, PeerView, PeerViews
+from marjoramfall.process.config.peers import LEASE_MS, PeerView, PeerViews
 
 # Above this size a member cannot probe a majority directly within a lease;
 # membership's own failure detection counts instead.
--- a/marjoramfall/process/config_log.py
+++ b/marjoramfall/process/config/log.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from marjoramfall.borders.platform import (
+from marjoramfall.clock import Clock
+from marjoramfall.model import Configuration
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformError,
     PlatformUnavailableError,
@@ -12,17 +14,15 @@
     RowWrite,
     TableService,
 )
-from marjoramfall.clock import Clock
-from marjoramfall.model import Configuration
-from marjoramfall.process.config_changes import Change
-from marjoramfall.process.config_draft import ConfigDraft, find_entity
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.changes import Change
+from marjoramfall.process.config.draft import ConfigDraft, find_entity
+from marjoramfall.process.config.errors import (
     ChangeIdReusedError,
     ChangeOutcomeUnknownError,
     ConfigChangeError,
     RevisionConflictError,
 )
-from marjoramfall.process.config_state import (
+from marjoramfall.process.config.state import (
     ConfigState,
     LogRecord,
     RecordCodec,
--- a/marjoramfall/process/config_moves.py
+++ b/marjoramfall/process/config/moves.py
@@ -9,7 +9,7 @@
     Service,
     VersionState,
 )
-from marjoramfall.process.config_changes import (
+from marjoramfall.process.config.changes import (
     Change,
     Delete,
     PutBackendServer,
@@ -18,18 +18,18 @@
     PutTier,
     PutVersion,
 )
-from marjoramfall.process.config_draft import (
+from marjoramfall.process.config.draft import (
     ConfigDraft,
     EntityKind,
     require_entity,
     require_reference,
 )
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.errors import (
     ConfigChangeError,
     MoveRunningError,
     UnknownReferenceError,
 )
-from marjoramfall.process.config_rules import check_fields
+from marjoramfall.process.config.rules import check_fields
 
 # The audit trail keeps every move; the configuration is copied to each entry.
 MAX_FINISHED_MOVES_PER_SERVICE = 10
--- a/marjoramfall/process/config_polls.py
+++ b/marjoramfall/process/config/polls.py
@@ -1,6 +1,6 @@
 """Decide when an entry reads the configuration log from the store."""
 
-from marjoramfall.process.config_peers import LEASE_MS, PeerViews
+from marjoramfall.process.config.peers import LEASE_MS, PeerViews
 
 READER_POLL_MS = 500
 # Members that are not readers poll only while no reader's news reaches them.
--- a/marjoramfall/process/config_questions.py
+++ b/marjoramfall/process/config/questions.py
@@ -1,8 +1,8 @@
 """Ask members for news of the head when heartbeats bring none."""
 
 from marjoramfall.messages import ConfigEntries
-from marjoramfall.process.config_freshness import MAX_DIRECT_MEMBERS
-from marjoramfall.process.config_peers import LEASE_MS, PeerReport, PeerViews
+from marjoramfall.process.config.freshness import MAX_DIRECT_MEMBERS
+from marjoramfall.process.config.peers import LEASE_MS, PeerReport, PeerViews
 
 ASK_SPACING_MS = 500
 ASK_READER_AGE_MS = LEASE_MS / 3
--- a/marjoramfall/process/config_rules.py
+++ b/marjoramfall/process/config/rules.py
@@ -13,8 +13,8 @@
     Tier,
     Version,
 )
-from marjoramfall.process.config_draft import Entity
-from marjoramfall.process.config_errors import ConfigChangeError
+from marjoramfall.process.config.draft import Entity
+from marjoramfall.process.config.errors import ConfigChangeError
 
 MAX_RANK = 100
 MAX_PORT = 65_535
--- a/marjoramfall/process/config_snapshot.py
+++ b/marjoramfall/process/config/snapshot.py
@@ -6,15 +6,15 @@
 import msgspec
 import xxhash
 
-from marjoramfall.borders.platform import (
+from marjoramfall.model import Configuration
+from marjoramfall.platform_services import (
     ObjectStore,
     RowCondition,
     RowWrite,
     TableService,
 )
-from marjoramfall.model import Configuration
-from marjoramfall.process.config_errors import ConfigLogError
-from marjoramfall.process.config_log import TABLE
+from marjoramfall.process.config.errors import ConfigLogError
+from marjoramfall.process.config.log import TABLE
 
 POINTER_KEY = 'snapshot'
 # The one before the latest serves when the latest is torn.
--- a/marjoramfall/process/config_spread.py
+++ b/marjoramfall/process/config/spread.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 
 from marjoramfall.messages import ConfigEntries, ConfigRequest
-from marjoramfall.process.config_freshness import FreshnessLease
-from marjoramfall.process.config_log import LogTail
-from marjoramfall.process.config_peers import PeerReport, PeerView, PeerViews
-from marjoramfall.process.config_polls import StorePolls
-from marjoramfall.process.config_questions import HeadQuestions
-from marjoramfall.process.config_snapshot import SnapshotCodec
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.freshness import FreshnessLease
+from marjoramfall.process.config.log import LogTail
+from marjoramfall.process.config.peers import PeerReport, PeerView, PeerViews
+from marjoramfall.process.config.polls import StorePolls
+from marjoramfall.process.config.questions import HeadQuestions
+from marjoramfall.process.config.snapshot import SnapshotCodec
+from marjoramfall.process.config.state import ConfigState
 
 RESEND_MS = 200
 MAX_RESEND_MS = 1000
--- a/marjoramfall/process/config_state.py
+++ b/marjoramfall/process/config/state.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_draft import ConfigDraft
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.draft import ConfigDraft
+from marjoramfall.process.config.errors import (
     ContradictingRecordError,
     MalformedRecordError,
 )
-from marjoramfall.process.config_moves import AnyChange
+from marjoramfall.process.config.moves import AnyChange
 
 # A day has about 1,700 changes; a peer that is further behind loads a snapshot.
 MAX_RETAINED_RECORDS = 4096
--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -7,23 +7,23 @@
 from gevent.event import Event
 from loguru import logger
 
-from marjoramfall.borders.platform import PlatformError
 from marjoramfall.clock import Clock
 from marjoramfall.connection.backend_client import BackendClient
 from marjoramfall.connection.connection_pool import ConnectionPool
 from marjoramfall.identifiers import RequestIds, new_incarnation
 from marjoramfall.messages import Message, MessageCodec
 from marjoramfall.model import Configuration
+from marjoramfall.platform_services import PlatformError
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.config_log import LogTail, WrittenChange
-from marjoramfall.process.config_spread import PollStore
+from marjoramfall.process.config.log import LogTail, WrittenChange
+from marjoramfall.process.config.spread import PollStore
 from marjoramfall.process.decision_counter import DecisionCounter
 from marjoramfall.process.entry_core import CoreAction, EntryCore
-from marjoramfall.process.grant_gateway import GrantGateway
-from marjoramfall.process.group_exchange import ExchangeAction
+from marjoramfall.process.group.exchange import ExchangeAction
+from marjoramfall.process.group.grant_gateway import GrantGateway
 from marjoramfall.process.key_owners import KeyOwners
 from marjoramfall.process.listeners import EntryListeners, EntryParts
-from marjoramfall.process.member import SendMessage
+from marjoramfall.process.membership.member import SendMessage
 from marjoramfall.process.metrics import Metrics
 from marjoramfall.process.peer_transport import PeerTransport
 from marjoramfall.process.platform_links import (
--- a/marjoramfall/process/entry_admin.py
+++ b/marjoramfall/process/entry_admin.py
@@ -8,9 +8,9 @@
 )
 from marjoramfall.clock import Clock
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_log import ConfigLog, Submission, WrittenChange
-from marjoramfall.process.config_spread import Confirmation
-from marjoramfall.process.config_state import LogRecord, RecordCodec
+from marjoramfall.process.config.log import ConfigLog, Submission, WrittenChange
+from marjoramfall.process.config.spread import Confirmation
+from marjoramfall.process.config.state import LogRecord, RecordCodec
 from marjoramfall.process.entry_core import EntryCore
 from marjoramfall.process.readiness import Readiness
 from marjoramfall.process.store_tasks import ConfigWriter
--- a/marjoramfall/process/entry_core.py
+++ b/marjoramfall/process/entry_core.py
@@ -6,7 +6,6 @@
 
 from loguru import logger
 
-from marjoramfall.borders.platform import VmRecord, VmRole, VmState
 from marjoramfall.messages import (
     ConfigEntries,
     ConfigRequest,
@@ -17,27 +16,28 @@
     ProbeRequest,
 )
 from marjoramfall.model import Configuration
+from marjoramfall.platform_services import VmRecord, VmRole, VmState
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.config_log import LogTail, WrittenChange
-from marjoramfall.process.config_spread import (
+from marjoramfall.process.config.log import LogTail, WrittenChange
+from marjoramfall.process.config.spread import (
     ConfigSpread,
     PeerReport,
     PollStore,
     SendToPeer,
     SpreadAction,
 )
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.state import ConfigState
 from marjoramfall.process.entry_state import EntryState
-from marjoramfall.process.group_exchange import ExchangeAction
-from marjoramfall.process.member import (
+from marjoramfall.process.group.exchange import ExchangeAction
+from marjoramfall.process.membership.member import (
     MemberJoined,
     MemberLeaving,
     MemberRemoved,
     MembershipAction,
     SendMessage,
 )
-from marjoramfall.process.member_roster import MemberRoster
-from marjoramfall.process.membership import Membership
+from marjoramfall.process.membership.membership import Membership
+from marjoramfall.process.membership.roster import MemberRoster
 from marjoramfall.version.actions import MoveAction
 
 MAX_REMEMBERED_PROBES = 1024
--- a/marjoramfall/process/entry_state.py
+++ b/marjoramfall/process/entry_state.py
@@ -5,7 +5,7 @@
 from marjoramfall.messages import Message, VersionWithdrawn
 from marjoramfall.model import Configuration, VersionState
 from marjoramfall.process.actions import Send
-from marjoramfall.process.group_exchange import ExchangeAction, GroupExchange
+from marjoramfall.process.group.exchange import ExchangeAction, GroupExchange
 from marjoramfall.request.dispatcher import Dispatcher
 from marjoramfall.request.events import ServerInfo
 from marjoramfall.version.actions import MoveAction, WithdrawVersion
--- a/marjoramfall/process/group_client.py
+++ b/marjoramfall/process/group/client.py
@@ -13,8 +13,8 @@
     WithdrawRequest,
 )
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.directory import MemberDirectory
-from marjoramfall.process.group_messages import (
+from marjoramfall.process.group.directory import MemberDirectory
+from marjoramfall.process.group.messages import (
     active_grant,
     ask_message,
     finish_message,
--- a/marjoramfall/process/group_exchange.py
+++ b/marjoramfall/process/group/exchange.py
@@ -16,10 +16,10 @@
     WithdrawRequest,
 )
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.directory import MemberDirectory
-from marjoramfall.process.group_client import GroupClient, UsableServers
-from marjoramfall.process.group_dispatcher import GroupDispatcher
-from marjoramfall.process.group_host import GroupHost
+from marjoramfall.process.group.client import GroupClient, UsableServers
+from marjoramfall.process.group.directory import MemberDirectory
+from marjoramfall.process.group.dispatcher import GroupDispatcher
+from marjoramfall.process.group.host import GroupHost
 from marjoramfall.request.events import ServerInfo
 
 ExchangeAction = Send | ResolveAsk
--- a/marjoramfall/process/grant_gateway.py
+++ b/marjoramfall/process/group/grant_gateway.py
@@ -7,7 +7,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.group_exchange import ExchangeAction, GroupExchange
+from marjoramfall.process.group.exchange import ExchangeAction, GroupExchange
 from marjoramfall.request.grants import (
     DispatchResult,
     GrantAsk,
--- a/marjoramfall/process/group_host.py
+++ b/marjoramfall/process/group/host.py
@@ -12,9 +12,9 @@
     WithdrawRequest,
 )
 from marjoramfall.process.actions import Send
-from marjoramfall.process.directory import MemberDirectory
-from marjoramfall.process.group_dispatcher import GroupDispatcher
-from marjoramfall.process.group_messages import (
+from marjoramfall.process.group.directory import MemberDirectory
+from marjoramfall.process.group.dispatcher import GroupDispatcher
+from marjoramfall.process.group.messages import (
     acknowledge,
     concerns,
     finish_report,
--- a/marjoramfall/process/listeners.py
+++ b/marjoramfall/process/listeners.py
@@ -12,7 +12,7 @@
 from marjoramfall.model import Configuration
 from marjoramfall.process.entry_admin import EntryAdmin
 from marjoramfall.process.entry_core import EntryCore
-from marjoramfall.process.grant_gateway import GrantGateway
+from marjoramfall.process.group.grant_gateway import GrantGateway
 from marjoramfall.process.metrics import Metrics
 from marjoramfall.process.platform_links import EntryKeys, PlatformLinks
 from marjoramfall.process.readiness import Readiness
--- /dev/null
+++ b/marjoramfall/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which entries are members."""
--- a/marjoramfall/process/membership.py
+++ b/marjoramfall/process/membership/membership.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Iterable
 
-from marjoramfall.borders.platform import VmRecord, VmRole, VmState
 from marjoramfall.identifiers import vm_of
 from marjoramfall.messages import (
     Heartbeat,
@@ -13,7 +12,8 @@
     ProbeReply,
     ProbeRequest,
 )
-from marjoramfall.process.member import (
+from marjoramfall.platform_services import VmRecord, VmRole, VmState
+from marjoramfall.process.membership.member import (
     Member,
     MemberJoined,
     MemberLeaving,
@@ -23,10 +23,10 @@
     MemberState,
     MemberSuspected,
 )
-from marjoramfall.process.member_table import MemberTable
+from marjoramfall.process.membership.probes import Probe, ProbeTable, Relay
+from marjoramfall.process.membership.seeds import SeedList
+from marjoramfall.process.membership.table import MemberTable
 from marjoramfall.process.outbox import Outbox
-from marjoramfall.process.probes import Probe, ProbeTable, Relay
-from marjoramfall.process.seeds import SeedList
 
 DEFAULT_SETTINGS = MembershipSettings()
 # A longer gap between ticks means that this process was paused.
--- a/marjoramfall/process/probes.py
+++ b/marjoramfall/process/membership/probes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from marjoramfall.process.member import MembershipSettings
+from marjoramfall.process.membership.member import MembershipSettings
 
 
 @dataclass(slots=True)
--- a/marjoramfall/process/member_table.py
+++ b/marjoramfall/process/membership/table.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterator
 
 from marjoramfall.messages import MemberUpdate
-from marjoramfall.process.member import STATE_ORDER, Member, MemberState, started_at
+from marjoramfall.process.membership.member import (
+    STATE_ORDER,
+    Member,
+    MemberState,
+    started_at,
+)
 
 # Removed incarnations and silent addresses remembered: a day of restarts at 390
 # entries is 440.
--- a/marjoramfall/process/metrics.py
+++ b/marjoramfall/process/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from marjoramfall.borders.request_record import RequestRecord
+from marjoramfall.request.record import RequestRecord
 
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.76, 1, 2.5, 5, 10, 30, 60)
 # Services and tiers come and go; each value costs memory until the process ends.
--- a/marjoramfall/process/outbox.py
+++ b/marjoramfall/process/outbox.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from marjoramfall.messages import Heartbeat, MemberUpdate, Message, ProbeReply
-from marjoramfall.process.gossip import Gossip
-from marjoramfall.process.member import Member, MembershipAction, SendMessage
+from marjoramfall.process.membership.gossip import Gossip
+from marjoramfall.process.membership.member import Member, MembershipAction, SendMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/process/platform_links.py
+++ b/marjoramfall/process/platform_links.py
@@ -10,9 +10,9 @@
 )
 from marjoramfall.clock import Clock
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_log import ConfigLog, LogTail, WrittenChange
-from marjoramfall.process.config_snapshot import SnapshotStore
-from marjoramfall.process.config_spread import ConfigSpread
+from marjoramfall.process.config.log import ConfigLog, LogTail, WrittenChange
+from marjoramfall.process.config.snapshot import SnapshotStore
+from marjoramfall.process.config.spread import ConfigSpread
 from marjoramfall.process.key_owners import KeyOwners
 from marjoramfall.process.metrics import Metrics
 from marjoramfall.process.snapshot_task import SnapshotTask
--- a/marjoramfall/process/report_task.py
+++ b/marjoramfall/process/report_task.py
@@ -8,7 +8,7 @@
 from marjoramfall.connection.backend_client import BackendClient
 from marjoramfall.model import BackendServer, ServiceKind
 from marjoramfall.process.entry_core import EntryCore
-from marjoramfall.process.group_exchange import ExchangeAction
+from marjoramfall.process.group.exchange import ExchangeAction
 from marjoramfall.process.report_poller import ReportPoller
 from marjoramfall.request.events import LoadReport
 
--- a/marjoramfall/process/snapshot_task.py
+++ b/marjoramfall/process/snapshot_task.py
@@ -4,11 +4,11 @@
 
 from loguru import logger
 
-from marjoramfall.borders.platform import PlatformError
 from marjoramfall.clock import Clock
 from marjoramfall.model import Configuration
-from marjoramfall.process.config_snapshot import SnapshotStore
-from marjoramfall.process.config_spread import ConfigSpread
+from marjoramfall.platform_services import PlatformError
+from marjoramfall.process.config.snapshot import SnapshotStore
+from marjoramfall.process.config.spread import ConfigSpread
 
 CHECK_PERIOD_MS = 10_000
 LOAD_RETRY_MS = 500
--- a/marjoramfall/process/store_tasks.py
+++ b/marjoramfall/process/store_tasks.py
@@ -6,20 +6,20 @@
 from gevent.queue import Queue
 from loguru import logger
 
-from marjoramfall.borders.platform import PlatformError
 from marjoramfall.clock import Clock
 from marjoramfall.errors import MarjoramfallError
 from marjoramfall.model import MoveState
-from marjoramfall.process.config_changes import Change
-from marjoramfall.process.config_errors import ConfigChangeError
-from marjoramfall.process.config_log import (
+from marjoramfall.platform_services import PlatformError
+from marjoramfall.process.config.changes import Change
+from marjoramfall.process.config.errors import ConfigChangeError
+from marjoramfall.process.config.log import (
     ConfigLog,
     LogTail,
     Submission,
     WrittenChange,
 )
-from marjoramfall.process.config_moves import EndMove, UpdateMove
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.moves import EndMove, UpdateMove
+from marjoramfall.process.config.state import ConfigState
 from marjoramfall.process.metrics import Metrics
 from marjoramfall.version.actions import (
     MoveAction,
--- a/marjoramfall/request/claim_rows.py
+++ b/marjoramfall/request/claim_rows.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from marjoramfall.borders.platform import (
+from marjoramfall.errors import PlatformError
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     RowCondition,
     RowWrite,
     TableService,
 )
-from marjoramfall.errors import PlatformError
 from marjoramfall.request.key_claim import (
     ClaimOutcome,
     ClaimVerdict,
--- a/marjoramfall/request/dispatch_attempt.py
+++ b/marjoramfall/request/dispatch_attempt.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from marjoramfall.clock import Clock
+from marjoramfall.connection.answer import StreamEvent
 from marjoramfall.connection.backend_errors import BackendStatusError
 from marjoramfall.errors import BackendServerError, MarjoramfallError, RunState
-from marjoramfall.request.answer import StreamEvent
 from marjoramfall.request.grants import (
     DispatchResult,
     GrantAsk,
--- a/marjoramfall/request/key_claims.py
+++ b/marjoramfall/request/key_claims.py
@@ -5,10 +5,10 @@
 import gevent
 from gevent.pool import Pool
 
-from marjoramfall.borders.platform import TableService
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.errors import PlatformError
 from marjoramfall.messages import ClaimKey, ClaimReply, ReleaseKey
+from marjoramfall.platform_services import TableService
 from marjoramfall.request.claim_rows import (
     TABLE,
     RowClaim,
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -1,10 +1,10 @@
 """Hold what the dispatcher knows of one backend server."""
 
 from marjoramfall.connection.concurrency_limit import ConcurrencyLimit
-from marjoramfall.connection.speed_estimate import SpeedEstimate
 from marjoramfall.request.active_grants import ActiveGrant
 from marjoramfall.request.events import FinishReport, LoadReport, ServerInfo
 from marjoramfall.request.prefix_index import PrefixIndex
+from marjoramfall.request.speed_estimate import SpeedEstimate
 
 REPORT_VALID_MS = 3000
 
--- a/marjoramfall/request/swap_batcher.py
+++ b/marjoramfall/request/swap_batcher.py
@@ -8,8 +8,8 @@
 from gevent.event import AsyncResult
 from gevent.pool import Pool
 
-from marjoramfall.borders.platform import PlatformUnavailableError, TableService
 from marjoramfall.clock import Clock
+from marjoramfall.platform_services import PlatformUnavailableError, TableService
 from marjoramfall.request.claim_rows import RowSwap
 
 MAX_BATCH_ROWS = 64
--- a/marjoramfall/version/lease.py
+++ b/marjoramfall/version/lease.py
@@ -2,14 +2,14 @@
 
 import msgspec
 
-from marjoramfall.borders.platform import (
+from marjoramfall.clock import Clock
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformUnavailableError,
     RowCondition,
     RowWrite,
     TableService,
 )
-from marjoramfall.clock import Clock
 
 LEASE_TABLE = 'leases'
 # The holder counts the time to live from before it sent its write and stops
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -7,9 +7,9 @@
 from marjoramfall.borders.admin_backend import AdminBackend, EntryStatus, MemberStatus
 from marjoramfall.borders.admin_service import ADMIN_PATH_PREFIX, AdminService
 from marjoramfall.clock import PausedClock
-from marjoramfall.process.config_log import ConfigLog
-from marjoramfall.process.config_spread import Confirmation
-from marjoramfall.process.config_state import ConfigState, RecordCodec
+from marjoramfall.process.config.log import ConfigLog
+from marjoramfall.process.config.spread import Confirmation
+from marjoramfall.process.config.state import ConfigState, RecordCodec
 from marjoramfall.settings.model import OperatorSettings
 from tests.fakes import FakeTableService
 
--- a/tests/entry_cluster.py
+++ b/tests/entry_cluster.py
@@ -3,12 +3,6 @@
 import hashlib
 from collections import deque
 
-from marjoramfall.borders.platform import (
-    PlatformError,
-    VmRecord,
-    VmRole,
-    VmState,
-)
 from marjoramfall.clock import PausedClock
 from marjoramfall.model import (
     BackendServer,
@@ -19,18 +13,24 @@
     Tier,
     Version,
 )
+from marjoramfall.platform_services import (
+    PlatformError,
+    VmRecord,
+    VmRole,
+    VmState,
+)
 from marjoramfall.process.actions import ResolveAsk
-from marjoramfall.process.config_changes import (
+from marjoramfall.process.config.changes import (
     PutBackendServer,
     PutService,
     PutTeam,
     PutTier,
     PutVersion,
 )
-from marjoramfall.process.config_log import ConfigLog, Submission
-from marjoramfall.process.config_spread import PollStore
+from marjoramfall.process.config.log import ConfigLog, Submission
+from marjoramfall.process.config.spread import PollStore
 from marjoramfall.process.entry_core import EntryCore
-from marjoramfall.process.member import SendMessage
+from marjoramfall.process.membership.member import SendMessage
 from marjoramfall.request.grants import DispatchResult, GrantAsk, HeldGrant
 from tests.fakes import FakeTableService, FakeTableStorage
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from marjoramfall.borders.platform import (
+from marjoramfall.platform_services import (
     ObjectStore,
     PlatformAnswerLostError,
     PlatformUnavailableError,
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -24,14 +24,14 @@
     Team,
     Tier,
 )
-from marjoramfall.process.config_changes import (
+from marjoramfall.process.config.changes import (
     PutBackendServer,
     PutService,
     PutTeam,
     PutTier,
 )
-from marjoramfall.process.config_log import ConfigLog, Submission
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.log import ConfigLog, Submission
+from marjoramfall.process.config.state import ConfigState
 from marjoramfall_standins.loopback import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -6,6 +6,11 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.connection import http_connection
+from marjoramfall.connection.answer import (
+    ForeignEventError,
+    IncompleteAnswerError,
+    MalformedEventError,
+)
 from marjoramfall.connection.backend_client import (
     RESUME_DELAYS_MS,
     BackendClient,
@@ -22,11 +27,6 @@
 from marjoramfall.connection.connection_pool import MAX_IDLE_MS, ConnectionPool
 from marjoramfall.connection.event_stream import MAX_EVENT_BYTES
 from marjoramfall.errors import RunState
-from marjoramfall.request.answer import (
-    ForeignEventError,
-    IncompleteAnswerError,
-    MalformedEventError,
-)
 from tests.scripted_backend import ScriptedBackend
 
 REQUEST = BackendRequest(request_id='e-1', method='POST', path='/v1/completions')
--- a/tests/test_claim_rows.py
+++ b/tests/test_claim_rows.py
@@ -7,11 +7,11 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from marjoramfall.borders.platform import (
+from marjoramfall.errors import RunState
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformUnavailableError,
 )
-from marjoramfall.errors import RunState
 from marjoramfall.request.claim_rows import (
     RowClaim,
     RowRead,
--- a/tests/test_config_freshness.py
+++ b/tests/test_config_freshness.py
@@ -4,11 +4,11 @@
 from marjoramfall.clock import PausedClock
 from marjoramfall.messages import ConfigEntries, ConfigRequest
 from marjoramfall.model import Tier
-from marjoramfall.process.config_changes import PutTier
-from marjoramfall.process.config_log import ConfigLog, LogTail, Submission
-from marjoramfall.process.config_peers import LEASE_MS, SILENCE_MS, PeerReport
-from marjoramfall.process.config_spread import ConfigSpread, PollStore, SendToPeer
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.changes import PutTier
+from marjoramfall.process.config.log import ConfigLog, LogTail, Submission
+from marjoramfall.process.config.peers import LEASE_MS, SILENCE_MS, PeerReport
+from marjoramfall.process.config.spread import ConfigSpread, PollStore, SendToPeer
+from marjoramfall.process.config.state import ConfigState
 from tests.fakes import FakeTableService, FakeTableStorage
 
 OWN = 'vm-0.0.a'
--- a/tests/test_config_log.py
+++ b/tests/test_config_log.py
@@ -2,9 +2,9 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.model import Team, Tier
-from marjoramfall.process.config_changes import Delete, PutTeam, PutTier
-from marjoramfall.process.config_draft import EntityKind
-from marjoramfall.process.config_errors import (
+from marjoramfall.process.config.changes import Delete, PutTeam, PutTier
+from marjoramfall.process.config.draft import EntityKind
+from marjoramfall.process.config.errors import (
     ChangeIdReusedError,
     ChangeOutcomeUnknownError,
     ContradictingRecordError,
@@ -12,8 +12,8 @@
     StillReferencedError,
     UnknownReferenceError,
 )
-from marjoramfall.process.config_log import ConfigLog, Submission
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.log import ConfigLog, Submission
+from marjoramfall.process.config.state import ConfigState
 from tests.fakes import FakeTableService
 
 GOLD = PutTier(entity=Tier('gold', 0, 5000))
--- a/tests/test_config_snapshot.py
+++ b/tests/test_config_snapshot.py
@@ -1,7 +1,7 @@
 import unittest
 
 from marjoramfall.model import Configuration, Tier
-from marjoramfall.process.config_snapshot import (
+from marjoramfall.process.config.snapshot import (
     REVISIONS_PER_SNAPSHOT,
     SnapshotMissingError,
     SnapshotStore,
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -10,15 +10,15 @@
 )
 
 from benchmarks.config_mesh import ConfigMesh
-from marjoramfall.borders.platform import PlatformError
 from marjoramfall.model import Tier
-from marjoramfall.process.config_changes import PutTier
-from marjoramfall.process.config_errors import (
+from marjoramfall.platform_services import PlatformError
+from marjoramfall.process.config.changes import PutTier
+from marjoramfall.process.config.errors import (
     ChangeOutcomeUnknownError,
     ConfigChangeError,
 )
-from marjoramfall.process.config_log import LOG_PREFIX, TABLE, Submission
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.log import LOG_PREFIX, TABLE, Submission
+from marjoramfall.process.config.state import ConfigState
 from tests.fakes import FakeTableService, FakeTableStorage
 
 NODES = 5
--- a/tests/test_connection_state.py
+++ b/tests/test_connection_state.py
@@ -2,9 +2,9 @@
 
 from marjoramfall.connection.concurrency_limit import ConcurrencyLimit
 from marjoramfall.connection.outlier_ejection import OutlierEjection
-from marjoramfall.connection.speed_estimate import SpeedEstimate
 from marjoramfall.request.events import FinishReport, WorkEstimate
 from marjoramfall.request.retry_budget import RetryBudget
+from marjoramfall.request.speed_estimate import SpeedEstimate
 
 SERVER_IDS = ('s0', 's1', 's2', 's3')
 
--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -2,7 +2,7 @@
 
 from marjoramfall.messages import VersionWithdrawn
 from marjoramfall.model import Tier
-from marjoramfall.process.config_changes import PutTier
+from marjoramfall.process.config.changes import PutTier
 from tests.entry_cluster import SERVICE, EntryCluster
 
 LEASE_MS = 3000
--- a/tests/test_group_exchange.py
+++ b/tests/test_group_exchange.py
@@ -3,7 +3,7 @@
 from unittest.mock import Mock
 
 from marjoramfall.process.actions import ResolveAsk, Send
-from marjoramfall.process.group_exchange import GroupExchange
+from marjoramfall.process.group.exchange import GroupExchange
 from marjoramfall.request.dispatcher import Dispatcher
 from marjoramfall.request.events import ServerInfo
 from marjoramfall.request.grants import (
--- a/tests/test_key_claims.py
+++ b/tests/test_key_claims.py
@@ -4,14 +4,14 @@
 
 from gevent import joinall, sleep, spawn
 
-from marjoramfall.borders.platform import (
+from marjoramfall.clock import PausedClock
+from marjoramfall.errors import MarjoramfallError, RunState
+from marjoramfall.messages import ReleaseKey
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformUnavailableError,
     TableService,
 )
-from marjoramfall.clock import PausedClock
-from marjoramfall.errors import MarjoramfallError, RunState
-from marjoramfall.messages import ReleaseKey
 from marjoramfall.request.idempotency import KeyRegistry
 from marjoramfall.request.key_claim import (
     AlreadyRunError,
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,13 +4,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from marjoramfall.borders.platform import (
+from marjoramfall.clock import PausedClock
+from marjoramfall.model import BackendServer
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformUnavailableError,
     TableService,
 )
-from marjoramfall.clock import PausedClock
-from marjoramfall.model import BackendServer
 from marjoramfall.version.fenced_order import (
     LeaseNotHeldError,
     OrderKind,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,10 +5,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from benchmarks.member_model import MemberModel
-from marjoramfall.borders.platform import VmRecord, VmRole, VmState
 from marjoramfall.messages import Heartbeat, Leaving, MemberUpdate
-from marjoramfall.process.member import MemberJoined, MemberLeaving, SendMessage
-from marjoramfall.process.membership import Membership
+from marjoramfall.platform_services import VmRecord, VmRole, VmState
+from marjoramfall.process.membership.member import (
+    MemberJoined,
+    MemberLeaving,
+    SendMessage,
+)
+from marjoramfall.process.membership.membership import Membership
 
 COUNT = 5
 CONVERGED_MS = 20_000
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -4,13 +4,13 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from marjoramfall.borders.platform import (
+from marjoramfall.borders.platform_http import HttpTableService
+from marjoramfall.platform_services import (
     PlatformAnswerLostError,
     PlatformUnavailableError,
     RowCondition,
     RowWrite,
 )
-from marjoramfall.borders.platform_http import HttpTableService
 
 WRITES = (RowWrite('t', 'k', '1'),)
 
--- a/tests/test_request_metrics.py
+++ b/tests/test_request_metrics.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from marjoramfall.borders.request_record import RequestRecord
 from marjoramfall.clock import PausedClock
 from marjoramfall.process.decision_counter import DecisionCounter
 from marjoramfall.process.entry import EntryProcess
 from marjoramfall.process.entry_core import RecordMove
 from marjoramfall.process.metrics import MAX_LABEL_VALUES, Metrics
 from marjoramfall.request.events import Expire, Grant, Shed
+from marjoramfall.request.record import RequestRecord
 from marjoramfall.version.actions import MoveFigures, WithdrawVersion
 from tests.caller_case import STREAM, CallerCase, stream_whole
 from tests.request_fakes import CONFIGURATION
--- a/tests/test_snapshot_task.py
+++ b/tests/test_snapshot_task.py
@@ -2,9 +2,9 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.model import Configuration, Tier
-from marjoramfall.process.config_snapshot import SnapshotStore
-from marjoramfall.process.config_spread import ConfigSpread
-from marjoramfall.process.config_state import ConfigState
+from marjoramfall.process.config.snapshot import SnapshotStore
+from marjoramfall.process.config.spread import ConfigSpread
+from marjoramfall.process.config.state import ConfigState
 from marjoramfall.process.snapshot_task import SnapshotTask
 from tests.fakes import FakeObjectStore, FakeTableService
 
