Keep a team's limit over partitions, restarts and late reports

Each entry that was cut off kept the whole level of the bucket and the whole tolerance for itself; only the rate was shared. The level at the cut, the refill and the tolerance are split now, and what is withheld comes back with the peers.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -75,6 +75,7 @@
         self._limits = SharedLimits(
             tolerance_share=self._bounds.limit_tolerance_share,
             tolerance=self._bounds.limit_tolerance,
+            starts_full=settings.is_first_start,
         )
         self.moves = VersionMoves(clock, expose_share=self._bounds.expose_share)
         self._fleet = Fleet(
@@ -142,10 +143,11 @@
             self._notify_peers()
             spawn(self._stop)
 
-    def own_state(self, *, with_speeds: bool, with_teams: bool) -> PeerState:
+    def own_state(self, *, with_speeds: bool, with_all_teams: bool) -> PeerState:
         """Return what the peers should know now."""
         self._sequence += 1
         registry = self.registry
+        limits = self._limits
         return PeerState(
             vm=self._settings.vm,
             address=self.peer_address,
@@ -159,14 +161,19 @@
             uses=self._fleet.uses(),
             waiting=self._fleet.waiting(),
             speeds=self._fleet.speeds() if with_speeds else None,
-            teams=self._limits.uses() if with_teams else None,
+            teams=limits.uses() if with_all_teams else limits.pressed_uses(),
+            has_all_teams=with_all_teams,
             moves=self.moves.reports(),
         )
 
     def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
         """Use the new state of a peer."""
-        if state.teams is not None:
-            self._limits.draw_for_peer(state.vm, state.incarnation, state.teams)
+        learn = (
+            self._limits.meet_peer
+            if state.has_all_teams
+            else self._limits.draw_for_peer
+        )
+        learn(state.vm, state.incarnation, state.teams)
         self.moves.on_reports(state.vm, state.moves)
         self._fleet.on_peer_state(state, self._clock.monotonic_ms())
 
--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -26,7 +26,8 @@
 class GatewaySettings:
     """Hold the checked settings of one entry process.
 
-    Addresses are `host:port`.
+    Addresses are `host:port`. `is_first_start` says that no entry of the system
+    ran before.
     """
 
     vm: str
@@ -36,4 +37,5 @@
     front_address: str
     ready_address: str
     metrics_address: str
+    is_first_start: bool
     bounds: EntryBounds
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -37,7 +37,7 @@
     """Provide the own state and use that of peers."""
 
     @abstractmethod
-    def own_state(self, *, with_speeds: bool, with_teams: bool) -> PeerState:
+    def own_state(self, *, with_speeds: bool, with_all_teams: bool) -> PeerState:
         """Return what the peers should know now."""
 
     @abstractmethod
@@ -96,7 +96,7 @@
                 self._send_state(
                     self._peers.near_addresses(),
                     with_speeds=False,
-                    with_teams=not self._peers.is_large,
+                    with_all_teams=not self._peers.is_large,
                 )
             if self._clock.monotonic_ms() >= self._next_distant_ms(now_ms):
                 self._send_heartbeat()
@@ -119,14 +119,16 @@
         is_full = now_ms - self._sent_full_ms >= FULL_INTERVAL_MS
         if is_full:
             self._sent_full_ms = now_ms
-        self._send_state(near, with_speeds=is_full, with_teams=is_full)
+        self._send_state(near, with_speeds=is_full, with_all_teams=is_full)
         # Distant entries rarely use the servers that this one has measured.
-        self._send_state(distant, with_speeds=False, with_teams=is_full)
+        self._send_state(distant, with_speeds=False, with_all_teams=is_full)
 
     def _send_state(
-        self, addresses: Iterable[str], *, with_speeds: bool, with_teams: bool
+        self, addresses: Iterable[str], *, with_speeds: bool, with_all_teams: bool
     ) -> None:
-        state = self._listener.own_state(with_speeds=with_speeds, with_teams=with_teams)
+        state = self._listener.own_state(
+            with_speeds=with_speeds, with_all_teams=with_all_teams
+        )
         datagram = encode_state(state)
         for address in addresses:
             try:
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -55,8 +55,9 @@
 class PeerState(msgspec.Struct, array_like=True, frozen=True):
     """Hold the whole shared state of an entry; each datagram replaces the last.
 
-    `speeds` and `teams` are None where they go out with another datagram, as
-    they are long and change slowly.
+    `speeds` is None where it goes out with another datagram, as it is long and
+    changes slowly. For the same reason `teams` tells only those that have
+    little left of their limit, unless `has_all_teams`.
     """
 
     vm: str
@@ -71,7 +72,8 @@
     uses: list[ServerUse]
     waiting: list[WaitingCall]
     speeds: list[ServerSpeed] | None
-    teams: list[TeamUse] | None
+    teams: list[TeamUse]
+    has_all_teams: bool
     moves: list[MoveReport]
 
 
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -6,13 +6,18 @@
 from marjoramfall.gateway.model import Team
 from marjoramfall.gateway.peer_state import TeamUse
 
+# Below this share of the burst, peers hear of each use soon.
+PRESSED_SHARE = 0.5
+
 
 @dataclass(slots=True)
 class SharedLimit:
     """Replicate one token bucket: every entry draws what all entries used.
 
     A shared limit is never exact; up to `tolerance` beyond it a request is
-    served rather than refused within its limit by mistake.
+    served rather than refused within its limit by mistake. What silent peers
+    may be using is withheld, so that both sides of a partition together stay
+    within the limit.
     """
 
     team: Team
@@ -20,14 +25,29 @@
     updated_ms: float
     tolerance: float = 0.0
     used: float = 0.0
+    reserved_share: float = 0.0
+    withheld: float = 0.0
+
+    @property
+    def available(self) -> float:
+        """Return what this entry may let pass now."""
+        return self.level + self.tolerance * (1 - self.reserved_share)
+
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether little is left, so that late reports do harm."""
+        return self.used > 0 and self.level < PRESSED_SHARE * self.team.burst
 
     def refill(self, now_ms: float, reserved_share: float) -> None:
-        """Add what the rate gives, less what silent peers may be using."""
+        """Add what the rate gives, and withhold the share of silent peers."""
+        self._reserve(reserved_share)
         passed_ms = max(0, now_ms - self.updated_ms)
         self.updated_ms = now_ms
-        usable_rate = self.team.rate_per_s * (1 - reserved_share)
-        added = usable_rate * passed_ms / MS_PER_SECOND
-        self.level = min(self.team.burst, self.level + added)
+        added = self.team.rate_per_s * passed_ms / MS_PER_SECOND
+        usable_share = 1 - reserved_share
+        self.withheld += added * reserved_share
+        most = self.team.burst * usable_share
+        self.level = min(most, self.level + added * usable_share)
 
     def try_use(self, amount: float) -> bool:
         """Draw an amount; return False if the limit is reached.
@@ -35,7 +55,7 @@
         A request larger than what is left may still go, and the next ones pay
         for it, since else one larger than the burst could never go.
         """
-        if self.level <= -self.tolerance:
+        if self.available <= 0:
             return False
         self.level -= amount
         self.used += amount
@@ -52,18 +72,36 @@
 
     def wait_ms(self) -> float:
         """Return when the limit lets the next request pass."""
-        missing = 1 - self.level - self.tolerance
-        if missing <= 0 or not self.team.rate_per_s:
+        missing = 1 - self.available
+        usable_rate = self.team.rate_per_s * (1 - self.reserved_share)
+        if missing <= 0 or usable_rate <= 0:
             return 0
-        return missing / self.team.rate_per_s * MS_PER_SECOND
+        return missing / usable_rate * MS_PER_SECOND
+
+    def _reserve(self, reserved_share: float) -> None:
+        known = self.reserved_share
+        self.reserved_share = reserved_share
+        if reserved_share > known:
+            newly_silent = (reserved_share - known) / (1 - known)
+            moved = max(0, self.level) * newly_silent
+        elif reserved_share < known:
+            # Peers that are heard again have told what they used meanwhile.
+            moved = self.withheld * (reserved_share / known - 1)
+        else:
+            return
+        self.level -= moved
+        self.withheld += moved
 
 
 class SharedLimits:
     """Keep the limits of all teams across changes of the configuration."""
 
-    def __init__(self, *, tolerance_share: float, tolerance: float) -> None:
+    def __init__(
+        self, *, tolerance_share: float, tolerance: float, starts_full: bool
+    ) -> None:
         self._tolerance_share = tolerance_share
         self._tolerance = tolerance
+        self._starts_full = starts_full
         self._limit_by_team: dict[str, SharedLimit] = {}
         self._peer_use_by_key: dict[tuple[str, int], dict[str, float]] = {}
 
@@ -74,11 +112,13 @@
         for team in teams.values():
             if team.rate_per_s <= 0:
                 continue
-            limit = previous.get(team.name) or SharedLimit(team, team.burst, now_ms)
+            limit = previous.get(team.name) or self._begin(team, now_ms)
             limit.team = team
             limit.level = min(limit.level, team.burst)
             limit.tolerance = self._tolerance_of(team)
             self._limit_by_team[team.name] = limit
+        # Teams that come later are new to all entries.
+        self._starts_full = True
 
     def use_tolerance(self, *, tolerance_share: float, tolerance: float) -> None:
         """Use another tolerance for all teams."""
@@ -91,13 +131,21 @@
         """Return the limit of a team, None if it has none."""
         return None if team is None else self._limit_by_team.get(team.name)
 
-    def draw_for_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
-        """Draw what a peer has let pass since its last report."""
+    def meet_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
+        """Draw from now on what a peer lets pass; `uses` tells all teams.
+
+        What it used before has been refilled mostly.
+        """
         key = (vm, incarnation)
-        known = self._peer_use_by_key.get(key)
-        if known is None:
-            # What a peer used before it was met has been refilled mostly.
+        if key in self._peer_use_by_key:
+            self.draw_for_peer(vm, incarnation, uses)
+        else:
             self._peer_use_by_key[key] = {use.team: use.used for use in uses}
+
+    def draw_for_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
+        """Draw what a peer that was met has let pass since its last report."""
+        known = self._peer_use_by_key.get((vm, incarnation))
+        if known is None:
             return
         for use in uses:
             limit = self._limit_by_team.get(use.team)
@@ -113,5 +161,18 @@
             if limit.used
         ]
 
+    def pressed_uses(self) -> list[TeamUse]:
+        """Return what teams used here that have little left."""
+        return [
+            TeamUse(name, limit.used)
+            for name, limit in self._limit_by_team.items()
+            if limit.is_pressed
+        ]
+
+    def _begin(self, team: Team, now_ms: float) -> SharedLimit:
+        # An entry that starts again does not know what was used before.
+        level = team.burst if self._starts_full else 0
+        return SharedLimit(team, level, now_ms)
+
     def _tolerance_of(self, team: Team) -> float:
         return self._tolerance + self._tolerance_share * team.burst
--- a/marjoramfall/platform/settings.py
+++ b/marjoramfall/platform/settings.py
@@ -40,6 +40,8 @@
     internal_ports: tuple[int, int] = msgspec.field(name='internalPorts')
     listen: _Listen = msgspec.field(name='listen')
     store: _Store = msgspec.field(name='platform')
+    # True only when the whole system starts for the first time.
+    is_first_start: bool = msgspec.field(name='bootstrap', default=False)
     bounds: _Bounds = msgspec.field(name='bounds', default_factory=_Bounds)
 
 
@@ -103,6 +105,7 @@
         front_address=decoded.listen.front,
         ready_address=decoded.listen.ready,
         metrics_address=metrics,
+        is_first_start=decoded.is_first_start,
         bounds=EntryBounds(
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -65,7 +65,7 @@
             ),
             notify=lambda: None,
         )
-        self.limits = SharedLimits(tolerance_share=0, tolerance=0)
+        self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
         self.registry = Registry(
             self.clock, self.use_config, self.use_servers, lambda order: None
         )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -131,7 +131,8 @@
         'uses': [],
         'waiting': [],
         'speeds': None,
-        'teams': None,
+        'has_all_teams': False,
+        'teams': [],
         'moves': [],
     }
     return PeerState(**{**fields, **changes})
--- /dev/null
+++ b/tests/test_limit_spread.py
@@ -0,0 +1,111 @@
+"""Test how exact a team's limit is over many entries that hear of use late.
+
+The pattern is one large team that sends several times its usual load to all
+entries of a large system at once.
+"""
+
+import random
+import unittest
+from collections import deque
+from itertools import permutations
+
+from marjoramfall.gateway.model import Team
+from marjoramfall.gateway.peer_table import DISTANT_MS_PER_MEMBER
+from marjoramfall.gateway.shared_limit import SharedLimits
+
+ENTRIES = 65
+STEP_MS = 10
+DISTANT_MS = DISTANT_MS_PER_MEMBER * ENTRIES
+FULL_MS = 500
+USUAL_PER_S = 375_000
+# A team at 7.5 times its load in a burst of all callers of 2.2 times.
+HOT_FACTOR = 16.5
+REQUEST_TOKENS = 3840
+RATE_PER_S = 1.8 * USUAL_PER_S
+BURST = RATE_PER_S
+# The users' bounds: this much over the limit in a window of 8 s.
+OVER_SHARE = 0.1
+SLACK = 190_000
+WINDOW_MS = 8000
+PLAYED_MS = 12_000
+TOLERANCE = 0.3 * SLACK
+TEAM = Team('tide', 1, RATE_PER_S, BURST, counts_tokens=True, plain_tokens=200)
+
+
+class HotTeam:
+    """Let every entry admit a team's requests and exchange its use."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.passed = deque()
+        self.entries = [self.new_limits(starts_full=True) for _ in range(ENTRIES)]
+
+    def new_limits(self, *, starts_full):
+        """Return the limits of an entry that just started."""
+        limits = SharedLimits(
+            tolerance_share=OVER_SHARE, tolerance=TOLERANCE, starts_full=starts_full
+        )
+        limits.set_teams({TEAM.name: TEAM}, 0)
+        return limits
+
+    def run(self, silent=()):
+        """Play some seconds; `silent` entries are cut off from all others."""
+        per_step = HOT_FACTOR * USUAL_PER_S / REQUEST_TOKENS / ENTRIES * STEP_MS / 1000
+        heard = [number for number in range(ENTRIES) if number not in silent]
+        self.exchange(range(ENTRIES), is_full=True)
+        for now_ms in range(0, PLAYED_MS, STEP_MS):
+            for number in range(ENTRIES):
+                if self.rng.random() < per_step:
+                    unheard = ENTRIES - 1 if number in silent else len(silent)
+                    self.admit(number, now_ms, unheard / ENTRIES)
+            if now_ms % DISTANT_MS == 0:
+                self.exchange(heard, is_full=now_ms % FULL_MS < DISTANT_MS)
+
+    def admit(self, number, now_ms, reserved_share):
+        """Let one request pass if the limit allows it."""
+        limit = self.entries[number].find(TEAM)
+        limit.refill(now_ms, reserved_share)
+        if limit.try_use(REQUEST_TOKENS):
+            self.passed.append(now_ms)
+
+    def exchange(self, numbers, *, is_full):
+        """Tell the entries what each of them has let pass."""
+        for sender, receiver in permutations(numbers, 2):
+            limits = self.entries[sender]
+            other = self.entries[receiver]
+            uses = limits.uses() if is_full else limits.pressed_uses()
+            learn = other.meet_peer if is_full else other.draw_for_peer
+            learn(f'entry-{sender}', 1, uses)
+
+    def most_in_window(self):
+        """Return the most tokens that passed within the window."""
+        most = 0
+        window = deque()
+        for passed_ms in self.passed:
+            window.append(passed_ms)
+            while window[0] <= passed_ms - WINDOW_MS:
+                window.popleft()
+            most = max(most, len(window))
+        return most * REQUEST_TOKENS
+
+
+class TestLimitSpread(unittest.TestCase):
+    """All entries together stay within the bounds of a team's limit."""
+
+    allowed = (RATE_PER_S * WINDOW_MS / 1000 + BURST) * (1 + OVER_SHARE) + SLACK
+
+    def test_hot_team(self):
+        """Guards against late reports that let a hot team pass at all entries."""
+        owed = RATE_PER_S * WINDOW_MS / 1000
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                played = HotTeam(seed)
+                played.run()
+                self.assertLessEqual(played.most_in_window(), self.allowed)
+                self.assertGreater(played.most_in_window(), owed)
+
+    def test_cut_off(self):
+        """Guards against a whole burst and tolerance at each entry cut off."""
+        played = HotTeam(20261205)
+        played.run(silent=frozenset(range(23)))
+        self.assertLessEqual(played.most_in_window(), self.allowed)
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -21,7 +21,7 @@
     """Every entry counts what all entries let pass."""
 
     def setUp(self):
-        self.limits = SharedLimits(tolerance_share=0, tolerance=0)
+        self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
         self.limits.set_teams({'tide': TEAM}, 0)
         self.limit = self.limits.find(TEAM)
 
@@ -35,21 +35,56 @@
 
     def test_peers_count(self):
         """Guards against a limit for each entry instead of one for all."""
-        self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
         self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 500)])
         self.assertFalse(self.limit.try_use(1))
 
     def test_restarted_peer(self):
         """Guards against a draw of what a peer used before its restart."""
-        self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 10_000)])
-        self.limits.draw_for_peer('entry-2', 2, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 10_000)])
+        self.limits.meet_peer('entry-2', 2, [TeamUse('tide', 0)])
         self.assertTrue(self.limit.try_use(1))
 
     def test_silent_peers(self):
         """Guards against a full limit on each side of a partition."""
         use_up(self.limit)
         self.limit.refill(1000, 0.75)
-        self.assertEqual(self.limit.level, 250)
+        self.assertGreater(self.limit.available, 0)
+        self.assertLessEqual(self.limit.available, 250)
+
+    def test_partition(self):
+        """Guards against the burst being used once on each side."""
+        self.limit.refill(0, 0.75)
+        self.assertEqual(self.limit.available, 125)
+
+    def test_rejoined(self):
+        """What was set aside is usable again once the peers have told their use."""
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limit.refill(0, 0.5)
+        self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 100)])
+        self.limit.refill(0, 0)
+        self.assertEqual(self.limit.available, 400)
+
+    def test_unmet_peer(self):
+        """Guards against drawing at once all that a peer used since its start."""
+        self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 10_000)])
+        self.assertTrue(self.limit.try_use(1))
+
+    def test_restart(self):
+        """Guards against one more burst after all entries were killed."""
+        limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=False)
+        limits.set_teams({'tide': TEAM}, 0)
+        limit = limits.find(TEAM)
+        self.assertFalse(limit.try_use(1))
+        limit.refill(100, 0)
+        self.assertTrue(limit.try_use(100))
+
+    def test_new_team(self):
+        """A team that is added later has its burst, also at a restarted entry."""
+        limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=False)
+        limits.set_teams({}, 0)
+        limits.set_teams({'tide': TEAM}, 0)
+        self.assertTrue(limits.find(TEAM).try_use(500))
 
     def test_lowered(self):
         """Guards against a burst of the old limit after a lower one."""
@@ -65,7 +100,7 @@
 
     def test_tolerance(self):
         """Guards against refusals within the limit for late reports."""
-        limits = SharedLimits(tolerance_share=0.1, tolerance=100)
+        limits = SharedLimits(tolerance_share=0.1, tolerance=100, starts_full=True)
         limits.set_teams({'tide': TEAM}, 0)
         limit = limits.find(TEAM)
         passed = sum(limit.try_use(50) for _ in range(40))
