Place a request in a quarter of the processor time

Cause: with 140 servers and 65 entries, placing a request took 1.2 ms (timed alone on this machine), as running requests, free places and mean speeds were computed anew for every server, several times. They are kept now and change with the events that change them; eligible servers are found once. 0.28 ms after. The choice is the same.

--- a/marjoramfall/gateway/demand.py
+++ b/marjoramfall/gateway/demand.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.version_moves import ANY_VERSION, VersionChoice
 
 # A request that can no longer meet its target yields to those that can, also
@@ -33,6 +34,12 @@
     excluded_ids: set[str] = field(default_factory=set)
     version: VersionChoice = ANY_VERSION
 
+    def allows(self, server: BackendServer) -> bool:
+        """Return whether the request may go to a server."""
+        if server.is_leaving or server.server_id in self.excluded_ids:
+            return False
+        return self.version.allows(server.version)
+
     def rank(self, now_ms: float) -> float:
         """Return the order in which waiting requests go; the least first."""
         if now_ms > self.target_ms:
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -16,7 +16,7 @@
 from marjoramfall.gateway.event_splitter import EventSplitter
 from marjoramfall.gateway.http_messages import HEAD, Response
 from marjoramfall.gateway.outcome import Ending, Outcome
-from marjoramfall.gateway.server_load import US_PER_MS
+from marjoramfall.gateway.server_speeds import US_PER_MS
 from marjoramfall.gateway.service_queue import Place
 
 FIRST_FAILURE = 400
@@ -155,7 +155,7 @@
         else:
             self._load.on_success(now_ms)
             if not self._load.is_model:
-                self._load.speed.learn_event(now_ms - self._timing.sent_ms)
+                self._load.speeds.learn_event(now_ms - self._timing.sent_ms)
         self._call.first_byte_ms = now_ms
         reply.send_whole(response.status, response.headers, body, response.reason)
         return Outcome(Ending.DELIVERED)
@@ -249,17 +249,19 @@
         demand = self._place.run.demand
         tokens = demand.prompt_tokens + self._timing.pending_tokens
         taken_ms = (
-            self._timing.first_ms - self._timing.sent_ms - self._load.speed.event_ms
+            self._timing.first_ms
+            - self._timing.sent_ms
+            - self._load.speeds.own.event_ms
         )
         if tokens > 0 and taken_ms > 0:
-            self._load.speed.learn_token(taken_ms / tokens * US_PER_MS)
+            self._load.speeds.learn_token(taken_ms / tokens * US_PER_MS)
         self._load.on_success(self._timing.first_ms)
 
     def _learn(self) -> None:
         timing = self._timing
         if timing.first_ms is not None and timing.events > MIN_GAPS_TO_LEARN:
             gap_ms = (timing.last_ms - timing.first_ms) / (timing.events - 1)
-            self._load.speed.learn_event(gap_ms)
+            self._load.speeds.learn_event(gap_ms)
         self._load.on_success(self._clock.monotonic_ms())
 
     def _note_silence(self) -> None:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -166,9 +166,10 @@
 
     def forget_silent(self) -> None:
         """Stop counting the requests of peers that fell silent."""
+        members = self._peers.member_count()
         for load in self._load_by_id.values():
             self._set_distance(load)
-            self._limit_idle(load)
+            self._limit_idle(load, members)
         self._peer_loads.keep_only({peer.state.vm for peer in self._peers.fresh()})
         self.assign()
 
@@ -189,12 +190,12 @@
         return [
             ServerSpeed(
                 server_id,
-                round(load.speed.event_ms, 1),
-                round(load.speed.token_us, 1),
-                load.speed.samples,
+                round(load.speeds.own.event_ms, 1),
+                round(load.speeds.own.token_us, 1),
+                load.speeds.own.samples,
             )
             for server_id, load in self._load_by_id.items()
-            if load.speed.samples
+            if load.speeds.own.samples
         ]
 
     def waiting(self) -> list[WaitingCall]:
@@ -230,7 +231,7 @@
         if known is not None and known.server.born_ms == server.born_ms:
             if known.server.address != server.address:
                 self._pool.drop(server.server_id)
-            known.server = server
+            known.use_server(server)
             return
         if known is not None:
             self._remove(server.server_id)
@@ -244,7 +245,7 @@
         )
         self._load_by_id[server.server_id] = load
         self._set_distance(load)
-        self._limit_idle(load)
+        self._limit_idle(load, self._peers.member_count())
         self._peer_loads.count_for(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
@@ -255,16 +256,16 @@
         prefers_near = is_large and load.is_model
         far_ms = FAR_DISTANCE_MS if prefers_near else DISTANCE_MS
         load.distance_ms = 0 if is_near else far_ms
-        load.reserve = FAR_RESERVE if prefers_near and not is_near else 0
+        load.keep_free(FAR_RESERVE if prefers_near and not is_near else 0)
         queue = self.queue(load.server.service_id)
         queue.spreads = is_large and not load.is_model
 
-    def _limit_idle(self, load: ServerLoad) -> None:
+    def _limit_idle(self, load: ServerLoad, members: int) -> None:
         service = self._service_by_id.get(load.server.service_id)
         limit = idle_share(
             service.max_connections if service else 0,
             slots=load.server.slots,
-            members=self._peers.member_count(),
+            members=members,
         )
         self._pool.set_idle_limit(load.server.server_id, limit)
 
--- a/marjoramfall/gateway/peer_loads.py
+++ b/marjoramfall/gateway/peer_loads.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 
 from marjoramfall.gateway.peer_state import PeerState, ServerSpeed, ServerUse
-from marjoramfall.gateway.server_load import ServerLoad, Speed
+from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.server_speeds import Speed
 from marjoramfall.gateway.service_queue import ForeignWaiter, ServiceQueue
 
 
@@ -68,15 +69,14 @@
         for use in uses:
             load = self._load_by_id.get(use.server_id)
             if load is not None:
-                load.peer_running += sign * use.running
-                load.peer_pending_tokens += sign * use.pending_tokens
+                load.count_peer(sign * use.running, sign * use.pending_tokens)
 
     def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
         for speed in speeds:
             load = self._load_by_id.get(speed.server_id)
             if load is not None:
                 measured = Speed(speed.event_ms, speed.token_us, speed.samples)
-                load.peer_speeds.add(measured, sign)
+                load.speeds.count_peer(measured, sign)
 
     def _replace_waiting(
         self, state: PeerState, known: PeerUse, heard_ms: float
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -107,9 +107,9 @@
     def silent_count(self) -> int:
         """Return how many peers fell silent without saying that they leave."""
         now_ms = self._clock.monotonic_ms()
+        fresh_ms = self.fresh_ms
         return sum(
-            self.fresh_ms < now_ms - peer.heard_ms < FORGET_MS
-            and not peer.state.is_leaving
+            fresh_ms < now_ms - peer.heard_ms < FORGET_MS and not peer.state.is_leaving
             for peer in self._peer_by_vm.values()
         )
 
--- /dev/null
+++ b/marjoramfall/gateway/server_speeds.py
@@ -0,0 +1,85 @@
+"""Combine what this entry and its peers measured at a backend server."""
+
+from dataclasses import dataclass
+
+SMOOTHING = 0.15
+# Peers' reports weigh as many samples at the most.
+MAX_SAMPLES = 30
+INITIAL_TOKEN_US = 20.0
+US_PER_MS = 1000
+# The initial guess counts as much as half a sample.
+PRIOR_SAMPLES = 0.5
+
+
+@dataclass(slots=True)
+class Speed:
+    """Hold times that were measured at a server, with their sample counts."""
+
+    event_ms: float
+    token_us: float
+    samples: int = 0
+
+    def learn_event(self, event_ms: float) -> None:
+        """Learn the time between events, or of a plain call."""
+        weight = max(SMOOTHING, 1 / (self.samples + 1))
+        self.event_ms += weight * (event_ms - self.event_ms)
+        self.samples = min(MAX_SAMPLES, self.samples + 1)
+
+    def learn_token(self, token_us: float) -> None:
+        """Learn the time to read a token of a prompt."""
+        weight = max(SMOOTHING, 1 / (self.samples + 1))
+        self.token_us += weight * (token_us - self.token_us)
+
+
+@dataclass(slots=True)
+class PeerSpeeds:
+    """Sum what peers measured, weighted by their sample counts."""
+
+    event_ms: float = 0.0
+    token_us: float = 0.0
+    samples: int = 0
+
+    def add(self, speed: Speed, sign: int) -> None:
+        """Add a measurement, or take it out with a negative sign."""
+        self.event_ms += sign * speed.event_ms * speed.samples
+        self.token_us += sign * speed.token_us * speed.samples
+        self.samples += sign * speed.samples
+
+
+class ServerSpeeds:
+    """Keep the mean of all entries' measurements at a server.
+
+    `event_ms` is the time between events, or of a plain call, and `token_ms`
+    the time to read one token of a prompt. They are read for every server at
+    each placement and change only with a measurement.
+    """
+
+    def __init__(self, event_ms: float) -> None:
+        self.own = Speed(event_ms, INITIAL_TOKEN_US)
+        self.peers = PeerSpeeds()
+        self.event_ms = event_ms
+        self.token_ms = INITIAL_TOKEN_US / US_PER_MS
+
+    def learn_event(self, event_ms: float) -> None:
+        """Learn from this entry's time between events, or of a plain call."""
+        self.own.learn_event(event_ms)
+        self._update()
+
+    def learn_token(self, token_us: float) -> None:
+        """Learn from this entry's time to read a token of a prompt."""
+        self.own.learn_token(token_us)
+        self._update()
+
+    def count_peer(self, speed: Speed, sign: int) -> None:
+        """Count a peer's measurement, or take it out with a negative sign."""
+        self.peers.add(speed, sign)
+        self._update()
+
+    def _update(self) -> None:
+        own = self.own
+        peers = self.peers
+        weight = own.samples + PRIOR_SAMPLES
+        samples = weight + peers.samples
+        self.event_ms = (own.event_ms * weight + peers.event_ms) / samples
+        token_us = (own.token_us * weight + peers.token_us) / samples
+        self.token_ms = token_us / US_PER_MS
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -2,12 +2,13 @@
 
 import random
 from bisect import bisect_left
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.demand import Demand
 from marjoramfall.gateway.server_load import Running, ServerLoad
+from marjoramfall.gateway.version_moves import ANY_VERSION
 
 HOLD_SMOOTHING = 0.05
 INITIAL_HOLD_MS = 500.0
@@ -72,12 +73,13 @@
     def submit(self, waiter: Waiter) -> None:
         """Place the request, let it wait, or raise `OverloadError`."""
         now_ms = self._clock.monotonic_ms()
-        if not any(self._eligible(waiter.demand)):
+        if not self._eligible(waiter.demand):
             raise OverloadError('no server', retry_after_ms=self._hold_ms)
-        if self._usable(waiter.demand, now_ms):
-            wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
+        usable = self._usable(waiter.demand, now_ms)
+        if usable:
+            wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
             waiter.expected_ms = wait_ms
-            self._check_wait(waiter.demand, wait_ms, now_ms)
+            self._check_wait(waiter.demand, wait_ms, usable, now_ms)
         self.waiters.append(waiter)
         self.assign()
 
@@ -134,7 +136,8 @@
     def _place(self, demand: Demand, ahead: int, now_ms: float) -> Place | None:
         usable = self._usable(demand, now_ms)
         places = [load for load in usable if load.free_places]
-        if ahead and ahead >= sum(load.free_places for load in places):
+        # Each of the places is free for one request at the least.
+        if ahead >= len(places) and ahead >= sum(load.free_places for load in places):
             return None
         if not places:
             return None
@@ -161,17 +164,19 @@
         return any(faster.meets_deadline(demand, now_ms) for faster in usable)
 
     def _usable(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
-        eligible = list(self._eligible(demand))
-        healthy = [load for load in eligible if not load.is_ejected(now_ms)]
+        eligible = self._eligible(demand)
+        healthy = [
+            load
+            for load in eligible
+            if not load.ejected_until_ms or not load.is_ejected(now_ms)
+        ]
         return healthy or [load for load in eligible if not load.own]
 
-    def _eligible(self, demand: Demand) -> Iterable[ServerLoad]:
-        for load in self.load_by_id.values():
-            server = load.server
-            if server.is_leaving or server.server_id in demand.excluded_ids:
-                continue
-            if demand.version.allows(server.version):
-                yield load
+    def _eligible(self, demand: Demand) -> list[ServerLoad]:
+        loads = self.load_by_id.values()
+        if demand.version is ANY_VERSION and not demand.excluded_ids:
+            return [load for load in loads if not load.server.is_leaving]
+        return [load for load in loads if demand.allows(load.server)]
 
     def _foreign_orders(self) -> list[tuple[float, float]]:
         return sorted(
@@ -180,8 +185,9 @@
             for foreign in waiters
         )
 
-    def _expected_wait_ms(self, demand: Demand, now_ms: float) -> float:
-        usable = self._usable(demand, now_ms)
+    def _expected_wait_ms(
+        self, demand: Demand, usable: list[ServerLoad], now_ms: float
+    ) -> float:
         order = _order(demand, now_ms)
         ahead = bisect_left(self._foreign_orders(), order)
         ahead += sum(_order(waiter.demand, now_ms) <= order for waiter in self.waiters)
@@ -192,10 +198,12 @@
         ratio = self._wait_ratio_by_priority.get(demand.priority, 1)
         return (ahead + 1 - free) * self._hold_ms / max(1, slots) * ratio
 
-    def _check_wait(self, demand: Demand, wait_ms: float, now_ms: float) -> None:
+    def _check_wait(
+        self, demand: Demand, wait_ms: float, usable: list[ServerLoad], now_ms: float
+    ) -> None:
         if not wait_ms:
             return
-        first_ms = min(load.first_ms(demand) for load in self._usable(demand, now_ms))
+        first_ms = min(load.first_ms(demand) for load in usable)
         if now_ms + wait_ms + first_ms > demand.give_up_ms:
             raise OverloadError(
                 'no place in time', retry_after_ms=self._retry_after(wait_ms)
@@ -206,7 +214,8 @@
             if now_ms >= waiter.demand.give_up_ms:
                 self.waiters.remove(waiter)
                 self._learn_wait(waiter, now_ms)
-                wait_ms = self._expected_wait_ms(waiter.demand, now_ms)
+                usable = self._usable(waiter.demand, now_ms)
+                wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
                 waiter.on_reject(
                     OverloadError(
                         'no place came free', retry_after_ms=self._retry_after(wait_ms)
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -45,7 +45,7 @@
         )
         self.peers.keep_only(set())
         self.assertEqual(self.loads['s1'].running, 0)
-        self.assertEqual(self.loads['s1'].peer_speeds.samples, 0)
+        self.assertEqual(self.loads['s1'].speeds.peers.samples, 0)
         self.assertFalse(self.queue.foreign_by_vm)
 
     def test_new_server(self):
@@ -57,6 +57,6 @@
 
     def test_speed(self):
         """What peers measured counts where this entry has no sample."""
-        before_ms = self.loads['s1'].event_ms()
+        before_ms = self.loads['s1'].speeds.event_ms
         self.report(speeds=[ServerSpeed('s1', 60, 60, 20)])
-        self.assertGreater(self.loads['s1'].event_ms(), 2 * before_ms)
+        self.assertGreater(self.loads['s1'].speeds.event_ms, 2 * before_ms)
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -4,7 +4,7 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.server_load import Speed
+from marjoramfall.gateway.server_speeds import Speed
 from marjoramfall.gateway.service_queue import (
     ForeignWaiter,
     OverloadError,
@@ -132,7 +132,7 @@
 
     def test_peer_load(self):
         """Guards against a server that peers have filled."""
-        self.queue.load_by_id['s1'].peer_running = 2
+        self.queue.load_by_id['s1'].count_peer(2, 0)
         self.submit()
         self.submit()
         self.assertEqual(set(self.chosen_ids()), {'s2'})
@@ -154,12 +154,13 @@
         random.seed(20261204)
         self.queue.spreads = True
         for load in self.queue.load_by_id.values():
-            load.server = make_server(load.server.server_id, slots=1000)
-        self.queue.load_by_id['s2'].speed = Speed(45, 60, samples=20)
+            load.use_server(make_server(load.server.server_id, slots=1000))
+        self.queue.load_by_id['s2'].speeds.count_peer(Speed(45, 60, samples=20), 1)
         for _ in range(200):
             self.submit()
-            self.queue.load_by_id['s1'].own.clear()
-            self.queue.load_by_id['s2'].own.clear()
+            for load in self.queue.load_by_id.values():
+                for run in tuple(load.own):
+                    load.end(run)
         slow = self.chosen_ids().count('s2')
         self.assertGreater(slow, 2)
         self.assertLess(slow, 60)
@@ -167,7 +168,7 @@
     def test_reserve(self):
         """Guards against distant entries that take a server's last place."""
         for load in self.queue.load_by_id.values():
-            load.reserve = 1
+            load.keep_free(1)
         for _ in range(3):
             self.submit()
         self.assertEqual(len(self.placed), 2)
@@ -178,8 +179,8 @@
 
     def test_fast_first(self):
         """Guards against equal shares for unequal servers."""
-        self.queue.load_by_id['s1'].speed = Speed(45, 60, samples=20)
-        self.queue.load_by_id['s2'].speed = Speed(10, 13, samples=20)
+        self.queue.load_by_id['s1'].speeds.count_peer(Speed(45, 60, samples=20), 1)
+        self.queue.load_by_id['s2'].speeds.count_peer(Speed(10, 13, samples=20), 1)
         self.submit()
         self.assertEqual(self.chosen_ids()[0], 's2')
 
@@ -193,9 +194,9 @@
     def test_long_output(self):
         """Guards against an output that a slow server cannot finish in time."""
         slow = self.queue.load_by_id['s1']
-        slow.speed = Speed(100, 20, samples=20)
+        slow.speeds.count_peer(Speed(100, 20, samples=20), 1)
         fast = self.queue.load_by_id['s2']
-        fast.speed = Speed(10, 20, samples=20)
+        fast.speeds.count_peer(Speed(10, 20, samples=20), 1)
         self.submit()
         self.submit()
         self.submit(output_tokens=1000)
