--- a/marjoramfall/request/request_queue.py
+++ b/marjoramfall/request/request_queue.py
@@ -1,15 +1,15 @@
 """Order the waiting requests of an engine group."""
 
+from bisect import bisect_left, insort
 from collections.abc import Iterator
-from operator import itemgetter
-
-from sortedcontainers import SortedDict, SortedList
+from operator import attrgetter, itemgetter
 
 from marjoramfall.request.events import WaitingRequest
 
 # The latest start in ms, the request id and the request.
 _Entry = tuple[float, str, WaitingRequest]
 _REQUEST_OF = itemgetter(-1)
+_TIER_RANK = attrgetter('rank')
 
 
 class _TeamQueue:
@@ -21,17 +21,42 @@
         self.weight = float(1)
         self.tokens = 0
         self.demand = -1
-        self.entries: SortedList = SortedList()
+        self.entries: list[_Entry] = []
+
+
+class _TeamOrder:
+    """Keep teams sorted by a number and their id.
+
+    A plain list with bisection costs less than a tree up to the queue's
+    largest size, as the ends are read more often than they change.
+    """
+
+    def __init__(self) -> None:
+        self.teams: list[tuple[float, str, _TeamQueue]] = []
+
+    def add(self, rank: float, team: _TeamQueue) -> None:
+        # Ids differ, so that teams themselves are never compared.
+        insort(self.teams, (rank, team.team_id, team))
+
+    def first(self) -> _TeamQueue:
+        return self.teams[0][-1]
+
+    def last(self) -> _TeamQueue:
+        return self.teams[-1][-1]
+
+    def remove(self, rank: float, team: _TeamQueue) -> None:
+        self.teams.pop(bisect_left(self.teams, (rank, team.team_id)))
 
 
 class _TierQueue:
     """Share a tier between its teams by virtual time in tokens."""
 
-    def __init__(self) -> None:
+    def __init__(self, rank: int) -> None:
+        self.rank = rank
         self.tokens = 0
         self.teams_by_id: dict[str, _TeamQueue] = {}
-        self.teams_by_time: SortedDict = SortedDict()
-        self.teams_by_demand: SortedDict = SortedDict()
+        self.by_time = _TeamOrder()
+        self.by_demand = _TeamOrder()
         self._virtual_time = float(0)
 
     def add(self, entry: _Entry) -> None:
@@ -43,28 +68,27 @@
         if not team.entries:
             # A team that was idle must not claim its unused share later.
             team.virtual_time = max(team.virtual_time, self._virtual_time)
-            self.teams_by_time[(team.virtual_time, team.team_id)] = team
-        team.entries.add(entry)
+            self.by_time.add(team.virtual_time, team)
+        insort(team.entries, entry)
         self._change_demand(team, waiting.work.total_tokens, waiting.team_weight)
 
     def remove(self, entry: _Entry) -> None:
         waiting = entry[-1]
-        team_id = waiting.team_id
-        team = self.teams_by_id[team_id]
-        team.entries.remove(entry)
+        team = self.teams_by_id[waiting.team_id]
+        team.entries.pop(bisect_left(team.entries, entry))
         self._change_demand(team, -waiting.work.total_tokens, team.weight)
         if not team.entries:
-            self.teams_by_time.pop((team.virtual_time, team_id))
+            self.by_time.remove(team.virtual_time, team)
             if team.virtual_time <= self._virtual_time:
-                self.teams_by_id.pop(team_id)
+                self.teams_by_id.pop(team.team_id)
 
     def charge(self, waiting: WaitingRequest) -> None:
         """Charge a granted request, which is still queued, to its team."""
         team = self.teams_by_id[waiting.team_id]
-        self.teams_by_time.pop((team.virtual_time, team.team_id))
+        self.by_time.remove(team.virtual_time, team)
         self._virtual_time = max(self._virtual_time, team.virtual_time)
         team.virtual_time += waiting.work.total_tokens / waiting.team_weight
-        self.teams_by_time[(team.virtual_time, team.team_id)] = team
+        self.by_time.add(team.virtual_time, team)
 
     def _change_demand(self, team: _TeamQueue, tokens: int, weight: float) -> None:
         team.weight = weight
@@ -73,10 +97,11 @@
         # Powers of two are close enough and change seldom.
         demand = int(team.tokens / weight).bit_length() if team.entries else -1
         if demand != team.demand:
-            self.teams_by_demand.pop((team.demand, team.team_id), None)
+            if team.demand >= 0:
+                self.by_demand.remove(team.demand, team)
             team.demand = demand
             if team.entries:
-                self.teams_by_demand[(demand, team.team_id)] = team
+                self.by_demand.add(demand, team)
 
 
 class RequestQueue:
@@ -86,7 +111,8 @@
     """
 
     def __init__(self) -> None:
-        self._tiers_by_rank: SortedDict = SortedDict()
+        self._tiers_by_rank: dict[int, _TierQueue] = {}
+        self._tiers: list[_TierQueue] = []
         self._entries_by_id: dict[str, _Entry] = {}
 
     def __len__(self) -> int:
@@ -96,8 +122,8 @@
         return request_id in self._entries_by_id
 
     def __iter__(self) -> Iterator[WaitingRequest]:
-        for tier in self._tiers_by_rank.values():
-            for team in tier.teams_by_time.values():
+        for tier in self._tiers:
+            for _, _, team in tier.by_time.teams:
                 yield from map(_REQUEST_OF, team.entries)
 
     def get(self, request_id: str) -> WaitingRequest | None:
@@ -113,8 +139,9 @@
         """Add a request that is not in the queue yet."""
         tier = self._tiers_by_rank.get(waiting.tier_rank)
         if tier is None:
-            tier = _TierQueue()
-            self._tiers_by_rank[waiting.tier_rank] = tier
+            tier = _TierQueue(waiting.tier_rank)
+            self._tiers_by_rank[tier.rank] = tier
+            insort(self._tiers, tier, key=_TIER_RANK)
         entry = (latest_start_ms, waiting.request_id, waiting)
         self._entries_by_id[waiting.request_id] = entry
         tier.add(entry)
@@ -132,24 +159,20 @@
 
     def first(self) -> WaitingRequest | None:
         """Return the request whose turn it is."""
-        for tier in self._tiers_by_rank.values():
-            if tier.teams_by_time:
-                return tier.teams_by_time.peekitem(0)[1].entries[0][-1]
+        for tier in self._tiers:
+            if tier.by_time.teams:
+                return tier.by_time.first().entries[0][-1]
         return None
 
     def tokens_until(self, rank: int) -> int:
         """Return the tokens that wait in this and higher tiers."""
-        return sum(
-            tier.tokens for other, tier in self._tiers_by_rank.items() if other <= rank
-        )
+        return sum(tier.tokens for tier in self._tiers if tier.rank <= rank)
 
     def waiting_ranks(self) -> list[int]:
         """Return the tiers with waiting requests, the highest first."""
-        return [
-            rank for rank, tier in self._tiers_by_rank.items() if tier.teams_by_time
-        ]
+        return [tier.rank for tier in self._tiers if tier.by_time.teams]
 
     def last_of(self, rank: int) -> WaitingRequest | None:
         """Return the request with most slack of the most demanding team."""
-        teams = self._tiers_by_rank[rank].teams_by_demand
-        return teams.peekitem(-1)[1].entries[-1][-1] if teams else None
+        order = self._tiers_by_rank[rank].by_demand
+        return order.last().entries[-1][-1] if order.teams else None
--- a/marjoramfall/request/server_group.py
+++ b/marjoramfall/request/server_group.py
@@ -52,18 +52,14 @@
             state = self._servers_by_id.get(info.server_id)
             if state is None or state.info.version_id != info.version_id:
                 state = ServerState(info)
-            state.info = info
-            state.limit.max_concurrency = info.max_concurrency
-            state.running = 0
-            state.tokens = 0
+            state.restart(info)
             states_by_id[info.server_id] = state
         self._servers_by_id = states_by_id
         # A server may have been gone while requests were running on it.
         for grant in active:
             holder = states_by_id.get(grant.grant.server_id)
             if holder is not None:
-                holder.running += 1
-                holder.tokens += grant.work.total_tokens
+                holder.count(grant)
         self._ejection.set_servers(states_by_id)
 
     def get(self, server_id: str) -> ServerState | None:
--- a/marjoramfall/request/server_state.py
+++ b/marjoramfall/request/server_state.py
@@ -19,20 +19,34 @@
         self.prefixes = PrefixIndex()
         self.running = 0
         self.tokens = 0
+        # Read for every server at each decision, changed by one server's.
+        self._own_share = float(0)
         self._running_peak = 0
         self._foreign_running = 0
         self._foreign_until_ms = float(0)
         self._prefill_free_ms = float(0)
         self._last_grant_ms = float(0)
 
+    def restart(self, info: ServerInfo) -> None:
+        """Take the server's configuration and count its grants anew."""
+        self.info = info
+        self.limit.max_concurrency = info.max_concurrency
+        self.running = 0
+        self.tokens = 0
+        self._update_share()
+
+    def count(self, active: ActiveGrant) -> None:
+        """Count the credits of a grant that was made before."""
+        self.running += 1
+        self.tokens += active.work.total_tokens
+        self._update_share()
+
     def used_share(self, now_ms: float) -> float:
         """Return how much of the limit is used; 1 or more leaves no room."""
-        if self.info.leaving:
-            return 1
-        running = self.running
-        if now_ms < self._foreign_until_ms:
-            running += self._foreign_running
-        return max(running / self.info.max_concurrency, self.tokens / self.limit.tokens)
+        if now_ms >= self._foreign_until_ms:
+            return self._own_share
+        running = self.running + self._foreign_running
+        return max(running / self.info.max_concurrency, self._own_share)
 
     def first_token_ms(
         self, prefill_tokens: int, cached_tokens: float, now_ms: float
@@ -54,6 +68,7 @@
         self._running_peak = max(self._running_peak, self.running)
         self.tokens += active.work.total_tokens
         self.limit.on_granted(active.work.total_tokens, self.tokens)
+        self._update_share()
         self._last_grant_ms = now_ms
         if not active.work.decode_tokens:
             # Plain calls run side by side and queue no prefill.
@@ -66,13 +81,15 @@
         """Return the credits of a request."""
         self.running -= 1
         self.tokens -= active.work.total_tokens
+        self._update_share()
 
     def on_finished(self, active: ActiveGrant, report: FinishReport) -> None:
         """Learn speed, limit and prefix hits from a finished request."""
         if not report.succeeded:
             return
         if not active.work.decode_tokens:
-            self.limit.on_finished(self.speed.on_plain_finish(report.total_ms))
+            ratio = self.speed.on_plain_finish(report.total_ms)
+            self._adapt_limit(ratio)
             return
         self.speed.on_finish(report, active.predicted_first_ms)
         self.prefixes.learn(active.expected_cached, report.cached_tokens)
@@ -81,7 +98,7 @@
             * self.speed.prefill_ms
             + report.decode_tokens * self.speed.unloaded_decode_ms
         )
-        self.limit.on_finished(report.total_ms / max(unloaded_ms, 0.001))
+        self._adapt_limit(report.total_ms / max(unloaded_ms, 0.001))
 
     def on_load_report(self, report: LoadReport, now_ms: float) -> None:
         """Correct the queue by a report, which describes an earlier time."""
@@ -93,5 +110,16 @@
             queued_ms = self._prefill_ms(report.queued_prefill_tokens)
             self._prefill_free_ms = report.measured_ms + queued_ms
 
+    def _adapt_limit(self, latency_ratio: float) -> None:
+        self.limit.on_finished(latency_ratio)
+        self._update_share()
+
+    def _update_share(self) -> None:
+        if self.info.leaving:
+            self._own_share = float(1)
+            return
+        by_count = self.running / self.info.max_concurrency
+        self._own_share = max(by_count, self.tokens / self.limit.tokens)
+
     def _prefill_ms(self, tokens: float) -> float:
         return max(1, tokens) * self.speed.prefill_ms * self.speed.inflation
--- a/marjoramfall/request/session_homes.py
+++ b/marjoramfall/request/session_homes.py
@@ -22,7 +22,7 @@
         servers = self._servers_by_hash
         for prefix_hash in reversed(prefix_hashes):
             known = servers.get(prefix_hash)
-            if known in {server_id, SHARED}:
+            if known == server_id or known == SHARED:
                 # Shorter prefixes were noted together with this one.
                 break
             servers.put(prefix_hash, server_id if known is None else SHARED)
