Spend no repeat on servers that were not reached, and tell peers of them

No server got such a request, so that it is no arrival: it goes on to another server until its deadline. Entries tell each other which servers they did not reach in the last 2 s, and use these last.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -148,6 +148,7 @@
         self._sequence += 1
         registry = self.registry
         limits = self._limits
+        own = self._fleet.own_load
         return PeerState(
             vm=self._settings.vm,
             address=self.peer_address,
@@ -158,11 +159,12 @@
             config_version=registry.config.version if registry.config else 0,
             config_revision=registry.config_state.changed,
             servers_revision=registry.servers_state.changed,
-            uses=self._fleet.uses(),
-            waiting=self._fleet.waiting(),
-            speeds=self._fleet.speeds() if with_speeds else None,
+            uses=own.uses(),
+            waiting=own.waiting(),
+            speeds=own.speeds() if with_speeds else None,
             teams=limits.uses() if with_all_teams else limits.pressed_uses(),
             has_all_teams=with_all_teams,
+            unreached=own.unreached(),
             moves=self.moves.reports(),
         )
 
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -81,7 +81,7 @@
             return self._run(reply, splitter, may_move=may_move)
         except NotReachedError as error:
             self._load.on_unreachable(self._clock.monotonic_ms())
-            return Outcome(Ending.NOT_RUN, str(error))
+            return Outcome(Ending.NOT_REACHED, str(error))
         except SilentServerError as error:
             self._note_silence()
             return Outcome(Ending.UNKNOWN, str(error))
@@ -115,7 +115,6 @@
         )
         expects_body = self._call.head.method != HEAD
         self._timing.pending_tokens = self._load.pending_tokens
-        self._call.sends += 1
         self._connection = self._acquire()
         try:
             self._connection.send(message, expects_body=expects_body)
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -13,12 +13,10 @@
 from marjoramfall.gateway.exchange import FIRST_SERVER_FAILURE
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
 from marjoramfall.gateway.outcome import Ending, Outcome
+from marjoramfall.gateway.own_load import OwnLoad
 from marjoramfall.gateway.peer_loads import PeerLoads
 from marjoramfall.gateway.peer_state import (
     PeerState,
-    ServerSpeed,
-    ServerUse,
-    WaitingCall,
 )
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.retry_allowance import RetryAllowances
@@ -30,10 +28,6 @@
     VersionMoves,
 )
 
-# Bounds the datagram; later requests wait behind these anyway. In a large
-# system many entries share few free places, and links are narrow.
-MAX_WAITING_SHARED = 60
-MAX_WAITING_SHARED_LARGE = 6
 # What a server in another data centre costs more than one nearby.
 DISTANCE_MS = 5.0
 # In a large system the load of distant servers is known late. They are used
@@ -66,6 +60,7 @@
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
+        self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
         self._allowances = allowances
         self._is_assigning = False
         self.notify = notify
@@ -105,7 +100,7 @@
         self, call: Call, place: Place, outcome: Outcome, *, status: int
     ) -> None:
         """Let moves learn from the end of a request at a server."""
-        if outcome.ending is Ending.NOT_RUN:
+        if outcome.ending.promises_not_run:
             return
         delivered = outcome.ending is Ending.DELIVERED
         first_ms = None
@@ -173,47 +168,6 @@
         self._peer_loads.keep_only({peer.state.vm for peer in self._peers.fresh()})
         self.assign()
 
-    def uses(self) -> list[ServerUse]:
-        """Return this entry's load for the peers."""
-        return [
-            ServerUse(
-                server_id,
-                len(load.own),
-                sum(run.demand.prompt_tokens for run in load.own if run.is_reading),
-            )
-            for server_id, load in self._load_by_id.items()
-            if load.own
-        ]
-
-    def speeds(self) -> list[ServerSpeed]:
-        """Return the speeds that this entry measured."""
-        return [
-            ServerSpeed(
-                server_id,
-                round(load.speeds.own.event_ms, 1),
-                round(load.speeds.own.token_us, 1),
-                load.speeds.own.samples,
-            )
-            for server_id, load in self._load_by_id.items()
-            if load.speeds.own.samples
-        ]
-
-    def waiting(self) -> list[WaitingCall]:
-        """Return this entry's waiting requests for the peers."""
-        now_ms = self._clock.monotonic_ms()
-        calls = [
-            WaitingCall(
-                service_id,
-                waiter.demand.rank(now_ms),
-                int(now_ms - waiter.demand.arrived_ms),
-            )
-            for service_id, queue in self._queue_by_service.items()
-            for waiter in queue.waiters
-        ]
-        if self._peers.is_large:
-            return sorted(calls, key=_waiting_order)[:MAX_WAITING_SHARED_LARGE]
-        return calls[:MAX_WAITING_SHARED]
-
     def _assign_soon(self) -> None:
         if not self._peers.is_large:
             self.assign()
@@ -279,10 +233,6 @@
         return service is not None and service.is_model
 
 
-def _waiting_order(call: WaitingCall) -> tuple[float, float]:
-    return call.rank, -call.waited_ms
-
-
 def pick_weighted(weights: list[float]) -> int:
     """Return the index of a random choice by weight."""
     return random.choices(range(len(weights)), weights)[0]
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -70,6 +70,8 @@
             outcome = exchange.run(
                 reply, splitter, may_move=self._may_move(call, place)
             )
+        if outcome.ending is not Ending.NOT_REACHED:
+            call.sends += 1
         self._fleet.on_outcome(call, place, outcome, status=reply.status)
         return outcome
 
@@ -116,6 +118,9 @@
         now_ms = self._clock.monotonic_ms()
         if call.left_ms(now_ms) <= 0:
             return False
+        if outcome.ending is Ending.NOT_REACHED:
+            # No server got it, so that it counts neither as a run nor as a repeat.
+            return True
         if outcome.ending is Ending.NOT_RUN:
             allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
         else:
@@ -133,7 +138,7 @@
                 outcome.response.status, headers, outcome.body, outcome.response.reason
             )
             return 'failure_passed_on'
-        if outcome.ending is Ending.NOT_RUN and not call.runs:
+        if outcome.ending.promises_not_run and not call.runs:
             raise GatewayFailureError(
                 UNAVAILABLE, outcome.reason, retry_after_ms=FULL_RETRY_AFTER_MS
             )
--- a/marjoramfall/gateway/outcome.py
+++ b/marjoramfall/gateway/outcome.py
@@ -10,10 +10,16 @@
     """Name what became of a request at a backend server."""
 
     DELIVERED = 'delivered'
+    NOT_REACHED = 'not_reached'
     NOT_RUN = 'not_run'
     FAILED = 'failed'
     UNKNOWN = 'unknown'
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Return whether the request has certainly not run."""
+        return self in {Ending.NOT_REACHED, Ending.NOT_RUN}
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
--- /dev/null
+++ b/marjoramfall/gateway/own_load.py
@@ -0,0 +1,84 @@
+"""Describe this entry's load to its peers."""
+
+from collections.abc import Mapping
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.peer_state import ServerSpeed, ServerUse, WaitingCall
+from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.service_queue import ServiceQueue
+
+# Bounds the datagram; later requests wait behind these anyway. In a large
+# system many entries share few free places, and links are narrow.
+MAX_WAITING_SHARED = 60
+MAX_WAITING_SHARED_LARGE = 6
+
+
+class OwnLoad:
+    """Collect what a datagram says of running and waiting requests."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers: PeerTable,
+        load_by_id: Mapping[str, ServerLoad],
+        queue_by_service: Mapping[str, ServiceQueue],
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        self._load_by_id = load_by_id
+        self._queue_by_service = queue_by_service
+
+    def uses(self) -> list[ServerUse]:
+        """Return this entry's load for the peers."""
+        return [
+            ServerUse(
+                server_id,
+                len(load.own),
+                sum(run.demand.prompt_tokens for run in load.own if run.is_reading),
+            )
+            for server_id, load in self._load_by_id.items()
+            if load.own
+        ]
+
+    def unreached(self) -> list[str]:
+        """Return the servers that this entry did not reach lately."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            server_id
+            for server_id, load in self._load_by_id.items()
+            if load.failures and load.is_doubtful(now_ms)
+        ]
+
+    def speeds(self) -> list[ServerSpeed]:
+        """Return the speeds that this entry measured."""
+        return [
+            ServerSpeed(
+                server_id,
+                round(load.speeds.own.event_ms, 1),
+                round(load.speeds.own.token_us, 1),
+                load.speeds.own.samples,
+            )
+            for server_id, load in self._load_by_id.items()
+            if load.speeds.own.samples
+        ]
+
+    def waiting(self) -> list[WaitingCall]:
+        """Return this entry's waiting requests for the peers."""
+        now_ms = self._clock.monotonic_ms()
+        calls = [
+            WaitingCall(
+                service_id,
+                waiter.demand.rank(now_ms),
+                int(now_ms - waiter.demand.arrived_ms),
+            )
+            for service_id, queue in self._queue_by_service.items()
+            for waiter in queue.waiters
+        ]
+        if self._peers.is_large:
+            return sorted(calls, key=_waiting_order)[:MAX_WAITING_SHARED_LARGE]
+        return calls[:MAX_WAITING_SHARED]
+
+
+def _waiting_order(call: WaitingCall) -> tuple[float, float]:
+    return call.rank, -call.waited_ms
--- a/marjoramfall/gateway/peer_loads.py
+++ b/marjoramfall/gateway/peer_loads.py
@@ -15,6 +15,7 @@
 
     uses: list[ServerUse] = field(default_factory=list)
     speeds: list[ServerSpeed] = field(default_factory=list)
+    unreached: list[str] = field(default_factory=list)
     waiting_services: set[str] = field(default_factory=set)
 
 
@@ -41,6 +42,9 @@
         self._count_uses(known.uses, -1)
         known.uses = state.uses
         self._count_uses(known.uses, 1)
+        self._count_doubts(known.unreached, -1)
+        known.unreached = state.unreached
+        self._count_doubts(known.unreached, 1)
         if state.speeds is not None:
             self._count_speeds(known.speeds, -1)
             known.speeds = state.speeds
@@ -54,6 +58,7 @@
                 known = self._use_by_vm.pop(vm)
                 self._count_uses(known.uses, -1)
                 self._count_speeds(known.speeds, -1)
+                self._count_doubts(known.unreached, -1)
                 self._drop_waiting(vm, known)
 
     def count_for(self, load: ServerLoad) -> None:
@@ -64,6 +69,7 @@
             speeds = [speed for speed in known.speeds if speed.server_id == server_id]
             self._count_uses(uses, 1)
             self._count_speeds(speeds, 1)
+            load.peer_doubts += known.unreached.count(server_id)
 
     def _count_uses(self, uses: list[ServerUse], sign: int) -> None:
         for use in uses:
@@ -71,6 +77,12 @@
             if load is not None:
                 load.count_peer(sign * use.running, sign * use.pending_tokens)
 
+    def _count_doubts(self, server_ids: list[str], sign: int) -> None:
+        for server_id in server_ids:
+            load = self._load_by_id.get(server_id)
+            if load is not None:
+                load.peer_doubts += sign
+
     def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
         for speed in speeds:
             load = self._load_by_id.get(speed.server_id)
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -74,6 +74,7 @@
     speeds: list[ServerSpeed] | None
     teams: list[TeamUse]
     has_all_teams: bool
+    unreached: list[str]
     moves: list[MoveReport]
 
 
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -13,6 +13,12 @@
 FIRST_EJECTION_MS = 300.0
 MAX_EJECTION_MS = 2500.0
 ERROR_SMOOTHING = 0.12
+# Peers hear for so long of a connection that failed.
+DOUBT_REPORT_MS = 2000.0
+# A server that peers did not reach is used once the others are full.
+DOUBT_COST_MS = 10_000.0
+# The own response outweighs the doubts of peers for so long.
+OWN_EVIDENCE_MS = 1000.0
 # Others' streams pause while a prompt is read.
 DISTURBANCE_WEIGHT = 0.5
 # More than any other difference between servers.
@@ -52,8 +58,10 @@
         self.own: list[Running] = []
         self.peer_running = 0
         self.peer_pending_tokens = 0
+        self.peer_doubts = 0
         self.error_share = 0.0
         self.failures = 0
+        self._failed_ms = 0.0
         self.heard_ms = 0.0
         self.ejected_until_ms = 0.0
         self.lapses_at_ms: float | None = None
@@ -112,6 +120,8 @@
             cost += first_ms
         if now_ms + total_ms > demand.deadline_ms:
             cost += MISSED_DEADLINE_MS
+        if self.peer_doubts and now_ms - self.heard_ms > OWN_EVIDENCE_MS:
+            cost += DOUBT_COST_MS
         reliability = max(0.1, 1 - self.error_share)
         return cost / (reliability * reliability)
 
@@ -132,6 +142,10 @@
         self.own.remove(run)
         self._count()
 
+    def is_doubtful(self, now_ms: float) -> bool:
+        """Return whether peers should know that the last connection failed."""
+        return self.failures > 0 and now_ms - self._failed_ms < DOUBT_REPORT_MS
+
     def on_success(self, now_ms: float) -> None:
         """Note a good response."""
         self.failures = 0
@@ -146,6 +160,7 @@
     def on_unreachable(self, now_ms: float) -> None:
         """Eject the server after a connection failed or fell silent."""
         self.failures += 1
+        self._failed_ms = now_ms
         self.on_error()
         delay_ms = FIRST_EJECTION_MS * 2 ** min(self.failures - 1, 5)
         self.ejected_until_ms = now_ms + min(delay_ms, MAX_EJECTION_MS)
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -12,6 +12,7 @@
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.move_status import MoveRecorder
+from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.settings import (
     PlatformSettings,
     SettingsFaultError,
@@ -26,11 +27,6 @@
 EXIT_CANNOT_LISTEN = 1
 EXIT_INVALID_SETTINGS = 2
 READY_PATH = '/-/ready'
-# A long poll that the store swallowed in an outage is noticed only by its end,
-# which has to come before changes are due again. Every call has its price, and
-# in a large system some peer notices earlier.
-POLL_WAIT_MS = 2000
-POLL_WAIT_LARGE_MS = 4000
 
 
 class PlatformDaemon:
@@ -86,8 +82,7 @@
         return StoreClient(self._settings.store_address, self._clock)
 
     def _find_wait_ms(self) -> int:
-        is_large = self._entry.peers.is_large
-        return POLL_WAIT_LARGE_MS if is_large else POLL_WAIT_MS
+        return choose_wait_ms(self._entry.peers.member_count())
 
     def _reconnect(self) -> None:
         for watch in self._watches:
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -54,15 +54,16 @@
         self.clock = RuntimeClock()
         self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
         self.pool = ConnectionPool(self.clock, connect_timeout_ms=300)
+        self.allowances = RetryAllowances(
+            RetryBounds(share=1, slack=50, window_ms=10 * MS_PER_SECOND)
+        )
         self.fleet = Fleet(
             self.clock,
             self.peers,
             self.pool,
             VersionMoves(self.clock, expose_share=0.1),
             data_centre='dc-a',
-            allowances=RetryAllowances(
-                RetryBounds(share=1, slack=50, window_ms=10 * MS_PER_SECOND)
-            ),
+            allowances=self.allowances,
             notify=lambda: None,
         )
         self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -132,6 +132,7 @@
         'waiting': [],
         'speeds': None,
         'has_all_teams': False,
+        'unreached': [],
         'teams': [],
         'moves': [],
     }
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -307,7 +307,7 @@
         self.wait_for(lambda: backend.heads)
         connection.close()
         self.wait_for(lambda: not self.gateway.in_flight)
-        self.assertEqual(self.fleet.uses(), [])
+        self.assertEqual(self.fleet.own_load.uses(), [])
 
 
 class TestStreams(GatewayCase):
@@ -351,7 +351,7 @@
         self.receive(connection, b'data: a')
         connection.close()
         self.wait_for(lambda: not self.gateway.in_flight)
-        self.assertEqual(self.fleet.uses(), [])
+        self.assertEqual(self.fleet.own_load.uses(), [])
 
     def test_first_event_at_once(self):
         """Guards against events that are held back."""
--- /dev/null
+++ b/tests/test_unreachable_servers.py
@@ -0,0 +1,101 @@
+"""Test requests while servers cannot be reached.
+
+The pattern is a quarter of the servers that crash at once, which every entry
+of a large system finds out for itself.
+"""
+
+import unittest
+
+from gevent import socket
+
+from marjoramfall.gateway.peer_loads import PeerLoads
+from marjoramfall.gateway.registry import ServerChange
+from marjoramfall.gateway.retry_allowance import RetryBounds
+from marjoramfall.gateway.server_load import DOUBT_REPORT_MS, ServerLoad
+from tests.gateway_case import GatewayCase, answer
+from tests.gateway_fakes import make_demand, make_load, make_server, make_state
+
+CRASHED = 8
+NOW_MS = 100_000
+
+
+def closed_address():
+    """Return an address where nothing listens."""
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+class TestCrashedServers(GatewayCase):
+    """A server that was not reached costs neither an attempt nor a repeat."""
+
+    def setUp(self):
+        super().setUp()
+        self.allowances.use_bounds(RetryBounds(share=0, slack=0, window_ms=1000))
+        names = [f'crashed-{number}' for number in range(CRASHED)]
+        changes = [
+            ServerChange(name, make_server(name, address=closed_address()), 1)
+            for name in names
+        ]
+        self.registry.apply_changes(changes, 1)
+
+    def test_budget(self):
+        """Guards against refusals while sound servers are free."""
+        backend = self.add_backend(answer)
+        for _ in range(5):
+            self.assertIn(b'200 OK', self.ask('/read/1'))
+            self.assertIn(b'200 OK', self.ask('/post/1', method='POST'))
+        self.assertEqual(len(backend.heads), 10)
+
+    def test_none_left(self):
+        """A request that no server got is refused as not run."""
+        self.assertIn(b'503 Service', self.ask('/post/1', method='POST'))
+
+
+class TestDoubts(unittest.TestCase):
+    """Entries tell each other which servers they did not reach."""
+
+    def setUp(self):
+        self.loads = {name: make_load(name) for name in ('s1', 's2')}
+        self.peer_loads = PeerLoads(self.loads, lambda service_id: None)
+
+    def report(self, *server_ids):
+        """Take over the doubts of a peer."""
+        self.peer_loads.replace(make_state(unreached=list(server_ids)), 0)
+
+    def cost(self, name):
+        """Return the cost of a request at a server."""
+        return self.loads[name].cost(make_demand(NOW_MS), NOW_MS)
+
+    def test_avoided(self):
+        """Guards against each entry sending to a crashed server once more."""
+        self.report('s1')
+        self.assertGreater(self.cost('s1'), self.cost('s2'))
+
+    def test_withdrawn(self):
+        """A server is as good as before once the peer reaches it."""
+        self.report('s1')
+        self.report()
+        self.assertEqual(self.cost('s1'), self.cost('s2'))
+
+    def test_silent_peer(self):
+        """Guards against doubts of a peer that is gone."""
+        self.report('s1')
+        self.peer_loads.keep_only(set())
+        self.assertEqual(self.cost('s1'), self.cost('s2'))
+
+    def test_own_success(self):
+        """Guards against a peer whose own links are cut."""
+        self.report('s1')
+        self.loads['s1'].on_success(NOW_MS)
+        self.assertEqual(self.cost('s1'), self.cost('s2'))
+
+    def test_told(self):
+        """A failure is told for some time, a success ends it."""
+        load: ServerLoad = self.loads['s1']
+        self.assertFalse(load.is_doubtful(NOW_MS))
+        load.on_unreachable(NOW_MS)
+        self.assertTrue(load.is_doubtful(NOW_MS + 1))
+        self.assertFalse(load.is_doubtful(NOW_MS + DOUBT_REPORT_MS))
+        load.on_success(NOW_MS + 1)
+        self.assertFalse(load.is_doubtful(NOW_MS + 2))
