Tell peers only of teams that have little left now

Cause: the level of a limit is refilled only when a request of the team comes to the entry, while uses of peers are drawn at once, so that nearly every team seemed to have little left. The level is projected to the present now. test_pressed fails without it.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -149,6 +149,7 @@
         registry = self.registry
         limits = self._limits
         own = self._fleet.own_load
+        now_ms = self._clock.monotonic_ms()
         return PeerState(
             vm=self._settings.vm,
             address=self.peer_address,
@@ -162,7 +163,7 @@
             uses=own.uses(),
             waiting=own.waiting(),
             speeds=own.speeds() if with_speeds else None,
-            teams=limits.uses() if with_all_teams else limits.pressed_uses(),
+            teams=limits.uses() if with_all_teams else limits.pressed_uses(now_ms),
             has_all_teams=with_all_teams,
             unreached=own.unreached(),
             moves=self.moves.reports(),
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -33,10 +33,14 @@
         """Return what this entry may let pass now."""
         return self.level + self.tolerance * (1 - self.reserved_share)
 
-    @property
-    def is_pressed(self) -> bool:
+    def is_pressed(self, now_ms: float) -> bool:
         """Return whether little is left, so that late reports do harm."""
-        return self.used > 0 and self.level < PRESSED_SHARE * self.team.burst
+        if not self.used:
+            return False
+        # Where no request of the team comes, nothing has refilled the level.
+        passed_ms = max(0, now_ms - self.updated_ms)
+        refilled = self.level + self.team.rate_per_s * passed_ms / MS_PER_SECOND
+        return refilled < PRESSED_SHARE * self.team.burst
 
     def refill(self, now_ms: float, reserved_share: float) -> None:
         """Add what the rate gives, and withhold the share of silent peers."""
@@ -161,12 +165,12 @@
             if limit.used
         ]
 
-    def pressed_uses(self) -> list[TeamUse]:
+    def pressed_uses(self, now_ms: float) -> list[TeamUse]:
         """Return what teams used here that have little left."""
         return [
             TeamUse(name, limit.used)
             for name, limit in self._limit_by_team.items()
-            if limit.is_pressed
+            if limit.is_pressed(now_ms)
         ]
 
     def _begin(self, team: Team, now_ms: float) -> SharedLimit:
--- a/tests/test_limit_spread.py
+++ b/tests/test_limit_spread.py
@@ -51,14 +51,15 @@
         """Play some seconds; `silent` entries are cut off from all others."""
         per_step = HOT_FACTOR * USUAL_PER_S / REQUEST_TOKENS / ENTRIES * STEP_MS / 1000
         heard = [number for number in range(ENTRIES) if number not in silent]
-        self.exchange(range(ENTRIES), is_full=True)
+        self.exchange(range(ENTRIES), 0, is_full=True)
         for now_ms in range(0, PLAYED_MS, STEP_MS):
             for number in range(ENTRIES):
                 if self.rng.random() < per_step:
                     unheard = ENTRIES - 1 if number in silent else len(silent)
                     self.admit(number, now_ms, unheard / ENTRIES)
             if now_ms % HEARTBEAT_MS == 0:
-                self.exchange(heard, is_full=now_ms % FULL_MS < HEARTBEAT_MS)
+                is_full = now_ms % FULL_MS < HEARTBEAT_MS
+                self.exchange(heard, now_ms, is_full=is_full)
 
     def admit(self, number, now_ms, reserved_share):
         """Let one request pass if the limit allows it."""
@@ -67,12 +68,12 @@
         if limit.try_use(REQUEST_TOKENS):
             self.passed.append(now_ms)
 
-    def exchange(self, numbers, *, is_full):
+    def exchange(self, numbers, now_ms, *, is_full):
         """Tell the entries what each of them has let pass."""
         for sender, receiver in permutations(numbers, 2):
             limits = self.entries[sender]
             other = self.entries[receiver]
-            uses = limits.uses() if is_full else limits.pressed_uses()
+            uses = limits.uses() if is_full else limits.pressed_uses(now_ms)
             learn = other.meet_peer if is_full else other.draw_for_peer
             learn(f'entry-{sender}', 1, uses)
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -79,6 +79,14 @@
         limit.refill(100, 0)
         self.assertTrue(limit.try_use(100))
 
+    def test_pressed(self):
+        """Guards against datagrams full of teams that have their whole limit."""
+        self.limit.try_use(100)
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 300)])
+        self.assertEqual(len(self.limits.pressed_uses(0)), 1)
+        self.assertEqual(self.limits.pressed_uses(400), [])
+
     def test_new_team(self):
         """A team that is added later has its burst, also at a restarted entry."""
         limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=False)
