Refuse a waiting request once those before it leave it no place in time

A line says why a team's limit refused a request: what was asked, what was available and which share is withheld.

--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -19,7 +19,7 @@
 from marjoramfall.gateway.outcome import GatewayFailureError
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limit import SharedLimit, SharedLimits
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
@@ -118,6 +118,7 @@
         reserved = self._peers.silent_count() / self._peers.member_count()
         limit.refill(self._clock.monotonic_ms(), reserved)
         if not limit.try_use(call.quota_tokens):
+            _log_limit(call, limit)
             raise GatewayFailureError(
                 TOO_MANY, 'limit of the team reached', retry_after_ms=limit.wait_ms()
             )
@@ -225,6 +226,18 @@
     return team
 
 
+def _log_limit(call: Call, limit: SharedLimit) -> None:
+    logger.bind(
+        request=call.fields.attempt_id,
+        team=limit.team.name,
+        asked=call.quota_tokens,
+        available=round(limit.available),
+        rate_per_s=limit.team.rate_per_s,
+        silent_share=round(limit.reserved_share, 2),
+        config_version=call.config_version,
+    ).warning('limit reached')
+
+
 def _choose_service(route: Route) -> str:
     if len(route.services) == 1:
         return route.services[0].service_id
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -211,16 +211,28 @@
 
     def _reject_late(self, now_ms: float) -> None:
         for waiter in tuple(self.waiters):
-            if now_ms >= waiter.demand.give_up_ms:
-                self.waiters.remove(waiter)
-                self._learn_wait(waiter, now_ms)
-                usable = self._usable(waiter.demand, now_ms)
-                wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
-                waiter.on_reject(
-                    OverloadError(
-                        'no place came free', retry_after_ms=self._retry_after(wait_ms)
-                    )
-                )
+            demand = waiter.demand
+            if now_ms >= demand.give_up_ms:
+                self._reject(waiter, 'no place came free', now_ms)
+            elif now_ms >= demand.target_ms and self._is_hopeless(demand, now_ms):
+                self._reject(waiter, 'no place in time', now_ms)
+
+    def _is_hopeless(self, demand: Demand, now_ms: float) -> bool:
+        """Return whether those that go before leave no place in time."""
+        usable = self._usable(demand, now_ms)
+        if not usable:
+            return False
+        wait_ms = self._expected_wait_ms(demand, usable, now_ms)
+        return wait_ms > 0 and now_ms + wait_ms > demand.give_up_ms
+
+    def _reject(self, waiter: Waiter, reason: str, now_ms: float) -> None:
+        self.waiters.remove(waiter)
+        if now_ms >= waiter.demand.give_up_ms:
+            self._learn_wait(waiter, now_ms)
+        usable = self._usable(waiter.demand, now_ms)
+        wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
+        retry_after_ms = self._retry_after(wait_ms)
+        waiter.on_reject(OverloadError(reason, retry_after_ms=retry_after_ms))
 
     def _learn_wait(self, waiter: Waiter, now_ms: float) -> None:
         """Learn how much longer a priority waits, as later ones go before it."""
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -108,6 +108,28 @@
             for _ in range(12):
                 self.submit(priority=2)
 
+    def test_told_early(self):
+        """Guards against holding a request until its end behind many others.
+
+        Requests of a higher priority that come later leave it no place.
+        """
+        self.fill()
+        low = self.submit(priority=2)
+        for _ in range(20):
+            self.clock.advance_ms(50)
+            self.submit(priority=0)
+        self.queue.assign()
+        self.assertNotIn(low, self.queue.waiters)
+        self.assertGreater(self.rejected[0].retry_after_ms, 0)
+
+    def test_kept_while_in_time(self):
+        """Guards against refusing what still has a place in time."""
+        self.fill()
+        self.submit(priority=2)
+        self.clock.advance_ms(900)
+        self.queue.assign()
+        self.assertEqual(self.rejected, [])
+
     def test_gives_up(self):
         """Guards against a request held after its caller has stopped waiting."""
         self.fill()
