Keep a team's limit while all entries start again

Cause, by reading: after the start an entry counts neither the peers that it has not heard yet, so that each takes the whole rate for up to a heartbeat, nor what peers used before their first full report, up to 0.5 s of all load.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -61,6 +61,7 @@
         self._ready_path = ready_path
         self._on_stale_feed = on_stale_feed
         self._incarnation = time.time_ns()
+        self._started_ms = clock.monotonic_ms()
         self._sequence = 0
         self._is_leaving = False
         self._connections: set[CallerConnection] = set()
@@ -155,6 +156,7 @@
             address=self.peer_address,
             data_centre=self._settings.data_centre,
             incarnation=self._incarnation,
+            uptime_ms=self._uptime_ms(),
             sequence=self._sequence,
             is_leaving=self._is_leaving,
             config_version=registry.config.version if registry.config else 0,
@@ -171,12 +173,13 @@
 
     def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
         """Use the new state of a peer."""
-        learn = (
-            self._limits.meet_peer
-            if state.has_all_teams
-            else self._limits.draw_for_peer
-        )
-        learn(state.vm, state.incarnation, state.teams)
+        if state.has_all_teams:
+            recent_share = min(1, self._uptime_ms() / max(1, state.uptime_ms))
+            self._limits.meet_peer(
+                state.vm, state.incarnation, state.teams, recent_share=recent_share
+            )
+        else:
+            self._limits.draw_for_peer(state.vm, state.incarnation, state.teams)
         self.moves.on_reports(state.vm, state.moves)
         self._fleet.on_peer_state(state, self._clock.monotonic_ms())
 
@@ -184,6 +187,9 @@
         """Open new connections to the store, as the present ones may be silent."""
         self._on_stale_feed()
 
+    def _uptime_ms(self) -> int:
+        return int(self._clock.monotonic_ms() - self._started_ms)
+
     def _notify_peers(self) -> None:
         self._exchange.notify()
 
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -115,8 +115,7 @@
         limit = self._limits.find(call.team)
         if limit is None:
             return self._forwarder.forward(call, reply)
-        reserved = self._peers.silent_count() / self._peers.member_count()
-        limit.refill(self._clock.monotonic_ms(), reserved)
+        limit.refill(self._clock.monotonic_ms(), self._peers.unheard_share())
         if not limit.try_use(call.quota_tokens):
             _log_limit(call, limit)
             raise GatewayFailureError(
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -64,6 +64,7 @@
     address: str
     data_centre: str
     incarnation: int
+    uptime_ms: int
     sequence: int
     is_leaving: bool
     config_version: int
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._own_vm = own_vm
         self._data_centre = data_centre
+        self._started_ms = clock.monotonic_ms()
         self._peer_by_vm: dict[str, Peer] = {}
         self.address_by_vm: dict[str, str] = {}
 
@@ -99,14 +100,14 @@
             if peer.heard_ms >= oldest_ms:
                 yield peer
 
-    def silent_count(self) -> int:
-        """Return how many peers fell silent without saying that they leave."""
-        now_ms = self._clock.monotonic_ms()
-        fresh_ms = self.fresh_ms
-        return sum(
-            fresh_ms < now_ms - peer.heard_ms < FORGET_MS and not peer.state.is_leaving
-            for peer in self._peer_by_vm.values()
-        )
+    def unheard_share(self) -> float:
+        """Return the share of the entries that may serve and are not heard.
+
+        Peers that say that they leave do not count. An entry that has just
+        started has not heard the others yet, though they may be serving.
+        """
+        unmet = self._unmet_count()
+        return (self._silent_count() + unmet) / (self.member_count() + unmet)
 
     def member_count(self) -> int:
         """Return how many entries may be serving, this one included."""
@@ -124,3 +125,16 @@
             self._peer_by_vm.pop(vm)
             self.address_by_vm.pop(vm, None)
         return gone
+
+    def _silent_count(self) -> int:
+        now_ms = self._clock.monotonic_ms()
+        fresh_ms = self.fresh_ms
+        return sum(
+            fresh_ms < now_ms - peer.heard_ms < FORGET_MS and not peer.state.is_leaving
+            for peer in self._peer_by_vm.values()
+        )
+
+    def _unmet_count(self) -> int:
+        if self._clock.monotonic_ms() - self._started_ms >= FORGET_MS:
+            return 0
+        return len(self.address_by_vm.keys() - self._peer_by_vm.keys())
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -135,16 +135,20 @@
         """Return the limit of a team, None if it has none."""
         return None if team is None else self._limit_by_team.get(team.name)
 
-    def meet_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
+    def meet_peer(
+        self, vm: str, incarnation: int, uses: list[TeamUse], *, recent_share: float
+    ) -> None:
         """Draw from now on what a peer lets pass; `uses` tells all teams.
 
-        What it used before has been refilled mostly.
+        Of what it let pass before it was met, `recent_share` falls into the
+        life of this entry, whose limits do not know of earlier use.
         """
         key = (vm, incarnation)
-        if key in self._peer_use_by_key:
-            self.draw_for_peer(vm, incarnation, uses)
-        else:
-            self._peer_use_by_key[key] = {use.team: use.used for use in uses}
+        if key not in self._peer_use_by_key:
+            self._peer_use_by_key[key] = {
+                use.team: use.used * (1 - recent_share) for use in uses
+            }
+        self.draw_for_peer(vm, incarnation, uses)
 
     def draw_for_peer(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
         """Draw what a peer that was met has let pass since its last report."""
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -123,6 +123,7 @@
         'address': f'{vm}:1',
         'data_centre': 'dc-a',
         'incarnation': 1,
+        'uptime_ms': 1,
         'sequence': sequence,
         'is_leaving': False,
         'config_version': 1,
--- a/tests/test_limit_spread.py
+++ b/tests/test_limit_spread.py
@@ -74,8 +74,11 @@
             limits = self.entries[sender]
             other = self.entries[receiver]
             uses = limits.uses() if is_full else limits.pressed_uses(now_ms)
-            learn = other.meet_peer if is_full else other.draw_for_peer
-            learn(f'entry-{sender}', 1, uses)
+            name = f'entry-{sender}'
+            if is_full:
+                other.meet_peer(name, 1, uses, recent_share=1)
+            else:
+                other.draw_for_peer(name, 1, uses)
 
     def most_in_window(self):
         """Return the most tokens that passed within the window."""
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -35,14 +35,14 @@
 
     def test_peers_count(self):
         """Guards against a limit for each entry instead of one for all."""
-        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)], recent_share=0)
         self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 500)])
         self.assertFalse(self.limit.try_use(1))
 
     def test_restarted_peer(self):
         """Guards against a draw of what a peer used before its restart."""
-        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 10_000)])
-        self.limits.meet_peer('entry-2', 2, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 10_000)], recent_share=0)
+        self.limits.meet_peer('entry-2', 2, [TeamUse('tide', 0)], recent_share=0)
         self.assertTrue(self.limit.try_use(1))
 
     def test_silent_peers(self):
@@ -59,12 +59,17 @@
 
     def test_rejoined(self):
         """What was set aside is usable again once the peers have told their use."""
-        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)], recent_share=0)
         self.limit.refill(0, 0.5)
         self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 100)])
         self.limit.refill(0, 0)
         self.assertEqual(self.limit.available, 400)
 
+    def test_peer_started_later(self):
+        """Guards against use that is lost between a peer's start and meeting it."""
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 400)], recent_share=0.5)
+        self.assertEqual(self.limit.level, 300)
+
     def test_unmet_peer(self):
         """Guards against drawing at once all that a peer used since its start."""
         self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 10_000)])
@@ -82,7 +87,7 @@
     def test_pressed(self):
         """Guards against datagrams full of teams that have their whole limit."""
         self.limit.try_use(100)
-        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)])
+        self.limits.meet_peer('entry-2', 1, [TeamUse('tide', 0)], recent_share=0)
         self.limits.draw_for_peer('entry-2', 1, [TeamUse('tide', 300)])
         self.assertEqual(len(self.limits.pressed_uses(0)), 1)
         self.assertEqual(self.limits.pressed_uses(400), [])
