--- a/marjoramfall/gateway/own_load.py
+++ b/marjoramfall/gateway/own_load.py
@@ -47,7 +47,7 @@
         return [
             server_id
             for server_id, load in self._load_by_id.items()
-            if load.failures and load.is_doubtful(now_ms)
+            if load.is_doubtful(now_ms)
         ]
 
     def speeds(self) -> list[ServerSpeed]:
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -69,18 +69,18 @@
     def use_server(self, server: BackendServer) -> None:
         """Take over a newer registration of the same incarnation."""
         self.server = server
-        self._count()
+        self._update_places()
 
     def keep_free(self, places: int) -> None:
         """Leave some places to other entries."""
         self._kept_free = places
-        self._count()
+        self._update_places()
 
     def count_peer(self, running: int, pending_tokens: int) -> None:
         """Count requests of a peer, or take them out by negative numbers."""
         self.peer_running += running
         self.peer_pending_tokens += pending_tokens
-        self._count()
+        self._update_places()
 
     @property
     def pending_tokens(self) -> int:
@@ -134,13 +134,13 @@
         """Count a request that is sent to the server."""
         run = Running(demand, now_ms)
         self.own.append(run)
-        self._count()
+        self._update_places()
         return run
 
     def end(self, run: Running) -> None:
         """Stop counting a request."""
         self.own.remove(run)
-        self._count()
+        self._update_places()
 
     def is_doubtful(self, now_ms: float) -> bool:
         """Return whether peers should know that the last connection failed."""
@@ -165,7 +165,7 @@
         delay_ms = FIRST_EJECTION_MS * 2 ** min(self.failures - 1, 5)
         self.ejected_until_ms = now_ms + min(delay_ms, MAX_EJECTION_MS)
 
-    def _count(self) -> None:
+    def _update_places(self) -> None:
         self.running = len(self.own) + self.peer_running
         self.free_places = max(0, self.server.slots - self.running - self._kept_free)
 
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -214,10 +214,10 @@
             demand = waiter.demand
             if now_ms >= demand.give_up_ms:
                 self._reject(waiter, 'no place came free', now_ms)
-            elif now_ms >= demand.target_ms and self._is_hopeless(demand, now_ms):
+            elif now_ms >= demand.target_ms and self._is_too_late(demand, now_ms):
                 self._reject(waiter, 'no place in time', now_ms)
 
-    def _is_hopeless(self, demand: Demand, now_ms: float) -> bool:
+    def _is_too_late(self, demand: Demand, now_ms: float) -> bool:
         """Return whether those that go before leave no place in time."""
         usable = self._usable(demand, now_ms)
         if not usable:
@@ -228,6 +228,7 @@
     def _reject(self, waiter: Waiter, reason: str, now_ms: float) -> None:
         self.waiters.remove(waiter)
         if now_ms >= waiter.demand.give_up_ms:
+            # A wait that is cut short tells less than it would have lasted.
             self._learn_wait(waiter, now_ms)
         usable = self._usable(waiter.demand, now_ms)
         wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
