--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -20,6 +20,7 @@
 from marjoramfall.gateway.http_messages import (
     BadMessageError,
     Response,
+    ResponseBounds,
     ResponseParser,
     find_header,
 )
@@ -29,6 +30,8 @@
 # the response is read: a server may answer before it has read the whole body.
 CONCURRENT_SEND_BYTES = 8192
 FIRST_ERROR_STATUS = 400
+# Responses to earlier requests that are discarded while waiting for one.
+MAX_DISCARDED_RESPONSES = 8
 # TCP keepalive detects a dead peer after idle + count * interval seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -78,26 +81,36 @@
     value: bytes
 
     def matches(self, response: Response) -> bool:
-        """Return whether the response belongs to the request.
+        """Return whether the response has the header."""
+        return find_header(response.headers, self.name) == self.value
 
-        An error response may lack the header, a successful one always has it.
-        """
-        echoed = find_header(response.headers, self.name)
-        if echoed is None:
-            return response.status >= FIRST_ERROR_STATUS
-        return echoed == self.value
+    def is_unidentified_error(self, response: Response) -> bool:
+        """Return whether an error response lacks the header altogether."""
+        is_error = response.status >= FIRST_ERROR_STATUS
+        return is_error and find_header(response.headers, self.name) is None
+
+
+SERVER_RESPONSE_BOUNDS = ResponseBounds()
 
 
 class BackendConnection:
     """Own a socket that carries one request and its response at a time."""
 
-    def __init__(self, address: str, *, connect_timeout_ms: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        connect_timeout_ms: float,
+        bounds: ResponseBounds = SERVER_RESPONSE_BOUNDS,
+    ) -> None:
         """Connect to `host:port`; raises `NotReachedError`."""
         self.address = address
         self.idle_since_ms = float(0)
         self.idle_timeout_ms = float(DEFAULT_IDLE_TIMEOUT_MS)
-        self._parser = ResponseParser()
+        self._parser = ResponseParser(bounds)
         self._must_close = False
+        self._is_reused = False
+        self._discarded_count = 0
         self._sender: Greenlet | None = None
         try:
             self._socket = socket.create_connection(
@@ -136,8 +149,10 @@
     ) -> Response:
         """Return the response once its head is complete.
 
-        A response without the expected header belongs to an earlier request: it
-        is discarded, and the connection is not reused. Raises
+        A response with another value of the expected header belongs to an earlier
+        request: it is discarded, and the connection is not reused. An error
+        response without the header is taken only on the first request of a
+        connection, where no earlier request can have caused it. Raises
         `BrokenExchangeError`.
         """
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
@@ -148,9 +163,13 @@
             self._receive(deadline_s - time.monotonic())
 
     def read_more(self, response: Response, timeout_ms: float) -> bytes:
-        """Return the next part of the body; empty at its end."""
+        """Return the next part of the body; empty at its end.
+
+        Raises `BrokenExchangeError`.
+        """
+        deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
         while not response.body and not response.is_complete:
-            self._receive(timeout_ms / MS_PER_SECOND)
+            self._receive(deadline_s - time.monotonic())
         return response.take_body()
 
     def read_all(self, response: Response, timeout_ms: float) -> bytes:
@@ -166,10 +185,14 @@
         if self._sender is not None and not self._sender.ready():
             return False
         self._sender = None
+        # The head of a further response may have arrived in part.
         is_only_response = (
-            len(self._parser.responses) == 1 and self._parser.responses[0] is response
+            len(self._parser.responses) == 1
+            and self._parser.responses[0] is response
+            and self._parser.current is response
         )
         self._parser.responses.clear()
+        self._is_reused = True
         reusable = response.is_complete and response.keep_alive and is_only_response
         if not reusable or self._must_close:
             return False
@@ -190,11 +213,24 @@
             if expected is None or expected.matches(response):
                 return response
             self._must_close = True
+            if expected.is_unidentified_error(response):
+                self._check_first_use()
+                return response
             if not response.is_complete:
                 return None
-            responses.popleft()
+            self._discard_first()
         return None
 
+    def _check_first_use(self) -> None:
+        if self._is_reused or self._discarded_count:
+            raise BrokenExchangeError('error response of unknown origin')
+
+    def _discard_first(self) -> None:
+        self._parser.responses.popleft()
+        self._discarded_count += 1
+        if self._discarded_count > MAX_DISCARDED_RESPONSES:
+            raise BrokenExchangeError('too many responses to earlier requests')
+
     def _send_remaining(self, unsent: bytes) -> None:
         try:
             self._socket.sendall(unsent)
--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -36,8 +36,8 @@
     """Hold the state of a request from admission to the end of its response.
 
     `sends` counts the attempts that reached a backend server, `runs` those of
-    them that it did not reject. `runs` is at least 1 once an attempt has ended
-    without a complete response, because the request may have run.
+    them that it did not reject, among them any that ended without a complete
+    response, because the request may have run.
     """
 
     head: RequestHead
--- a/marjoramfall/gateway/caller_connection.py
+++ b/marjoramfall/gateway/caller_connection.py
@@ -1,5 +1,6 @@
 """Serve the HTTP/1.1 connection of a caller."""
 
+import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -64,6 +65,11 @@
         """Return whether the connection can carry another request."""
         return self._keep_alive and self.is_complete
 
+    @property
+    def hides_truncation(self) -> bool:
+        """Return whether the end of the connection would complete a broken body."""
+        return self.has_begun and not self.is_complete and not self._is_chunked
+
     def announce_close(self) -> None:
         """Close the connection after the response unless its head was sent."""
         if not self.has_begun:
@@ -250,6 +256,9 @@
             return
         finally:
             self._worker = None
+        if writer.hides_truncation:
+            self._reset()
+            return
         if not writer.keeps_connection:
             self._shut_down()
             return
@@ -269,6 +278,12 @@
         except OSError:
             self._socket.close()
 
+    def _reset(self) -> None:
+        # With a linger time of 0, closing resets the connection.
+        linger = struct.pack('ii', 1, 0)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
     def _check_timeouts(self) -> bool:
         if self._worker is not None:
             return True
--- a/marjoramfall/gateway/event_splitter.py
+++ b/marjoramfall/gateway/event_splitter.py
@@ -2,6 +2,11 @@
 
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
 ID_FIELD = b'id:'
+MAX_EVENT_BYTES = 65_536
+
+
+class EventTooLargeError(Exception):
+    """Indicate an event that does not end within `MAX_EVENT_BYTES`."""
 
 
 class EventSplitter:
@@ -18,16 +23,22 @@
         self.event_count = 0
 
     def feed(self, part: bytes) -> bytes:
-        """Return the new events that are complete now."""
+        """Return the new events that are complete now.
+
+        Raises `EventTooLargeError` if the event that is incomplete is too large.
+        """
         self._buffered += part
         events = []
         while True:
             event = self._take_event()
             if event is None:
-                return b''.join(events)
+                break
             if self._is_new(event):
                 events.append(event)
                 self.event_count += 1
+        if len(self._buffered) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f'{len(self._buffered)} bytes without an end')
+        return b''.join(events)
 
     def take_remainder(self) -> bytes:
         """Return the bytes after the last complete event at the end of a stream."""
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from loguru import logger
+
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.backend_connection import (
     BackendConnection,
@@ -13,7 +15,7 @@
 from marjoramfall.gateway.caller_connection import ResponseWriter
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.event_splitter import EventSplitter
+from marjoramfall.gateway.event_splitter import EventSplitter, EventTooLargeError
 from marjoramfall.gateway.http_messages import HEAD_METHOD, Response
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.server_speeds import US_PER_MS
@@ -29,6 +31,8 @@
 # A stream that may be resumed fails over if it receives nothing for this long and
 # the server has not responded to any other request in that time either.
 STREAM_IDLE_TIMEOUT_MS = 900.0
+# A sound server under load pauses for longer than the gap that the route allows.
+STREAM_IDLE_GAP_FACTOR = 3.0
 MIN_FIRST_EVENT_TIMEOUT_MS = 600.0
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 MIN_GAPS_TO_LEARN = 3
@@ -48,6 +52,11 @@
     last_event_ms: float = 0.0
     event_count: int = 0
 
+    @property
+    def progress_ms(self) -> float:
+        """Return when the last complete event arrived or the request was sent."""
+        return self.sent_ms if self.first_event_ms is None else self.last_event_ms
+
     def record_events(self, now_ms: float, event_count: int) -> None:
         """Record that a number of events arrived now."""
         if self.first_event_ms is None:
@@ -89,9 +98,12 @@
         `can_fail_over` says that the call may be sent to another server, so that a
         slow or failing one is given up early.
         """
+        # Counted before it is known to have run, and taken back where it has not.
+        self._call.runs += 1
         try:
             return self._run(writer, splitter, can_fail_over=can_fail_over)
         except NotReachedError as error:
+            self._call.runs -= 1
             self._load.on_unreachable(self._clock.monotonic_ms())
             return Outcome(Ending.NOT_REACHED, str(error))
         except ServerTimeoutError as error:
@@ -118,8 +130,8 @@
         )
         self._load.last_response_ms = self._clock.monotonic_ms()
         if self._dialect.was_rejected(response):
+            self._call.runs -= 1
             return self._read_rejection(response)
-        self._call.runs += 1
         if response.status >= FIRST_ERROR_STATUS or splitter is None:
             return self._deliver_buffered(response, writer, can_fail_over=can_fail_over)
         return self._deliver_stream(
@@ -195,6 +207,8 @@
                 break
             self._forward_part(response, writer, splitter, part)
         remainder = splitter.take_remainder()
+        if remainder and response.ends_with_connection:
+            raise BrokenExchangeError('the connection ended within an event')
         if writer.has_begun:
             writer.send_part(remainder)
         else:
@@ -212,11 +226,14 @@
         part: bytes,
     ) -> None:
         previous_count = splitter.event_count
-        events = splitter.feed(part)
-        now_ms = self._clock.monotonic_ms()
-        self._load.last_response_ms = now_ms
+        try:
+            events = splitter.feed(part)
+        except EventTooLargeError as error:
+            raise BrokenExchangeError(str(error)) from error
         if not events:
             return
+        now_ms = self._clock.monotonic_ms()
+        self._load.last_response_ms = now_ms
         self._timing.record_events(now_ms, splitter.event_count - previous_count)
         self._assignment.request.is_prefilling = False
         self._call.last_event_id = splitter.last_id or self._call.last_event_id
@@ -232,19 +249,26 @@
     ) -> bytes:
         """Return the next part of the body.
 
-        The timeout is extended while the server responds to other requests.
+        Only complete events count as progress: a part of one does not extend the
+        timeout, while events of other requests of the server do.
         """
         while True:
             timeout_ms = self._stream_timeout_ms(is_first_event=is_first_event)
+            now_ms = self._clock.monotonic_ms()
+            progress_ms = max(self._timing.progress_ms, self._load.last_response_ms)
             wait_ms = self._deadline_timeout_ms()
             if can_fail_over:
-                wait_ms = min(wait_ms, timeout_ms)
+                wait_ms = min(wait_ms, progress_ms + timeout_ms - now_ms)
+            if wait_ms <= 0:
+                raise ServerTimeoutError(f'{self._server.server_id} made no progress')
             try:
                 return self._connection.read_more(response, wait_ms)
             except ServerTimeoutError:
-                idle_ms = self._clock.monotonic_ms() - self._load.last_response_ms
-                if self._deadline_timeout_ms() <= 0 or idle_ms >= timeout_ms:
-                    raise
+                logger.bind(
+                    request=self._call.fields.attempt_id,
+                    server=self._server.server_id,
+                    waited_ms=round(wait_ms),
+                ).debug('stream made no progress')
 
     def _stream_timeout_ms(self, *, is_first_event: bool) -> float:
         if is_first_event:
@@ -252,7 +276,8 @@
                 self._assignment.request.demand
             )
             return max(MIN_FIRST_EVENT_TIMEOUT_MS, expected_ms)
-        return STREAM_IDLE_TIMEOUT_MS
+        longest_gap_ms = STREAM_IDLE_GAP_FACTOR * self._call.route.max_gap_ms
+        return max(STREAM_IDLE_TIMEOUT_MS, longest_gap_ms)
 
     def _response_timeout_ms(self, *, can_fail_over: bool) -> float:
         deadline_timeout_ms = self._deadline_timeout_ms()
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -130,9 +130,6 @@
         if outcome.ending is Ending.NOT_RUN:
             allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
         else:
-            if outcome.ending is Ending.UNKNOWN:
-                # The request may have run before the exchange failed.
-                call.runs = max(call.runs, 1)
             allowed = call.may_repeat and call.runs < call.route.max_attempts
         return allowed and self._fleet.try_retry(call)
 
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -135,8 +135,8 @@
             self.head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        if not self.is_complete:
+        """Collect one header; trailers are dropped."""
+        if not self.has_head:
             self.head.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -198,6 +198,22 @@
             raise BadMessageError('body too large', status=413)
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseBounds:
+    """Bound what is buffered of a server's responses on one connection.
+
+    `framing_bytes` are those received in a row that add nothing to a body: heads,
+    interim responses, chunk sizes and trailers. `pending_responses` are those that
+    arrived but were not read yet. A VM with 200 MB must hold a response at each
+    bound on all of its connections at once.
+    """
+
+    framing_bytes: int = 32_768
+    header_fields: int = 128
+    body_bytes: int = 262_144
+    pending_responses: int = 8
+
+
 @dataclass(slots=True)
 class Response:
     """Collect one response of a backend server; header names are lowercase.
@@ -230,23 +246,31 @@
 class ResponseParser:
     """Split the bytes of a connection into responses, in order of arrival."""
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: ResponseBounds) -> None:
+        self._bounds = bounds
         self._parser = httptools.HttpResponseParser(self)
-        self._current = Response()
+        self._framing_bytes = 0
+        self._header_fields = 0
+        self._failure: BadMessageError | None = None
         # A response to HEAD states the length of a body that is not sent.
         self.expects_body = True
+        self.current = Response()
         self.responses: deque[Response] = deque()
 
     def feed(self, received: bytes) -> None:
-        """Parse bytes; raises `BadMessageError`."""
+        """Parse bytes; raises `BadMessageError`, also if a bound is exceeded."""
+        self._framing_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise BadMessageError(str(error)) from error
+            # httptools raises its own error in place of one raised by a callback.
+            raise self._failure or BadMessageError(str(error)) from error
+        if self._framing_bytes > self._bounds.framing_bytes:
+            raise BadMessageError('too many bytes outside of a body')
 
     def feed_eof(self) -> bool:
         """Handle the end of input; return whether it completes a response."""
-        response = self._current
+        response = self.current
         if response.ends_with_connection and not response.is_complete:
             response.is_complete = True
             response.keep_alive = False
@@ -257,19 +281,23 @@
 
     def on_message_begin(self) -> None:
         """Begin a response."""
-        self._current = Response()
+        self.current = Response()
 
     def on_status(self, reason: bytes) -> None:
         """Collect the reason phrase."""
-        self._current.reason += reason
+        self.current.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self._current.headers.append((name.lower(), value))
+        """Collect one header; trailers are dropped."""
+        self._header_fields += 1
+        if self._header_fields > self._bounds.header_fields:
+            self._fail('too many header fields')
+        if not self.current.has_head:
+            self.current.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Add a final response to `responses` once its head is complete."""
-        response = self._current
+        response = self.current
         response.status = self._parser.get_status_code()
         response.has_head = True
         response.keep_alive = self._parser.should_keep_alive()
@@ -285,15 +313,33 @@
             response.is_complete = True
             response.keep_alive = False
         if response.is_final:
-            self.responses.append(response)
+            self._add(response)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self._current.body += body
+        self._reset_framing()
+        self.current.body += body
+        if len(self.current.body) > self._bounds.body_bytes:
+            self._fail('the body is too large')
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
-        self._current.is_complete = True
+        self.current.is_complete = True
+        if self.current.is_final:
+            self._reset_framing()
+
+    def _add(self, response: Response) -> None:
+        if len(self.responses) >= self._bounds.pending_responses:
+            self._fail('too many responses')
+        self.responses.append(response)
+
+    def _reset_framing(self) -> None:
+        self._framing_bytes = 0
+        self._header_fields = 0
+
+    def _fail(self, reason: str) -> None:
+        self._failure = BadMessageError(reason)
+        raise self._failure
 
 
 def encode_head(start_line: bytes, headers: list[Header]) -> bytes:
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -16,6 +16,7 @@
     NotReachedError,
     split_address,
 )
+from marjoramfall.gateway.http_messages import ResponseBounds
 from marjoramfall.gateway.peer_state import PeerState, decode_state, encode_state
 from marjoramfall.gateway.peer_table import Peer, PeerTable
 from marjoramfall.gateway.registry import Registry, Snapshot
@@ -33,6 +34,7 @@
 CHECK_INTERVAL_MS = 100
 FETCH_TIMEOUT_MS = 700
 SNAPSHOT_PATH = '/snapshot'
+SNAPSHOT_BOUNDS = ResponseBounds(body_bytes=4_194_304)
 
 
 class PeerListener(ABC):
@@ -200,7 +202,9 @@
 
     Raises `NotReachedError`, `BrokenExchangeError` or `msgspec.DecodeError`.
     """
-    opened = BackendConnection(address, connect_timeout_ms=FETCH_TIMEOUT_MS)
+    opened = BackendConnection(
+        address, connect_timeout_ms=FETCH_TIMEOUT_MS, bounds=SNAPSHOT_BOUNDS
+    )
     with closing(opened) as connection:
         connection.send(
             f'GET {SNAPSHOT_PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n'.encode()
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -1,5 +1,7 @@
 """Implement the wire dialect of the users' platform."""
 
+import math
+
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.backend_connection import ExpectedHeader
 from marjoramfall.gateway.call import Call, CallFields
@@ -140,9 +142,10 @@
     if text is None:
         return None
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _read_token_usage(text: bytes | None) -> tuple[int, int]:
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -12,6 +12,7 @@
     BrokenExchangeError,
     NotReachedError,
 )
+from marjoramfall.gateway.http_messages import ResponseBounds
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
@@ -19,6 +20,9 @@
 # so the client has to wait a little longer.
 POLL_TIMEOUT_MARGIN_MS = 1000
 
+# The store returns at most 1 MB of rows in a call, and encodes them for JSON.
+STORE_RESPONSE_BOUNDS = ResponseBounds(body_bytes=4_194_304)
+
 OK = 200
 GONE = 410
 PRECONDITION_FAILED = 412
@@ -186,7 +190,9 @@
             self.close()
         if self._connection is None:
             self._connection = BackendConnection(
-                self._address, connect_timeout_ms=CONNECT_TIMEOUT_MS
+                self._address,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                bounds=STORE_RESPONSE_BOUNDS,
             )
         return self._connection
 
--- a/marjoramfall/request/retry_budget.py
+++ b/marjoramfall/request/retry_budget.py
@@ -1,11 +1,14 @@
 """Limit retries to a share of the recent requests."""
 
+import math
+
 from marjoramfall.connection.rate_window import RateWindow
 
 RETRY_SHARE = 0.1
 WINDOW_MS = 10_000
-# Lets a service with little traffic retry occasionally.
-MIN_RETRIES = 1
+# Lets a service with little traffic retry once in each window: this much of a retry
+# is left in the decaying count after one window.
+MAX_COUNT_OF_IDLE_SERVICE = math.exp(-1)
 
 
 class RetryBudget:
@@ -24,7 +27,7 @@
         """Count and allow a retry, or return False if the budget is exhausted."""
         requests = self._requests.amount(now_ms)
         retries = self._retries.amount(now_ms)
-        if retries + 1 > max(MIN_RETRIES, self._share * requests):
+        if retries > max(MAX_COUNT_OF_IDLE_SERVICE, self._share * requests - 1):
             return False
         self._retries.add(1, now_ms)
         return True
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -134,6 +134,14 @@
         self.assertIn(b'400 Bad Request', response)
         self.assertFalse(backend.heads)
 
+    def test_length_hint(self):
+        """Guards against an internal fault for a hint that is no finite number."""
+        self.add_backend(answer)
+        for hint in ('nan', 'inf', '-inf'):
+            usage = 'Marjoramfall-Token-Usage: 10,20'
+            response = self.ask('/read/1', usage, f'Marjoramfall-Length-Hint: {hint}')
+            self.assertIn(b'200 OK', response)
+
     def test_forwarded_headers(self):
         """Guards against a forged team or the caller's key reaching the server.
 
@@ -277,6 +285,12 @@
         self.assertIn(b'500 Internal', self.ask('/read/1'))
         self.assertEqual(sum(len(backend.heads) for backend in backends), 2)
 
+    def test_broken_runs(self):
+        """Guards against more runs than the route allows while connections break."""
+        backends = [self.add_backend(close) for _ in range(6)]
+        self.assertIn(b'502 Bad Gateway', self.ask('/read/1'))
+        self.assertEqual(sum(len(backend.heads) for backend in backends), 2)
+
     def test_other_server(self):
         """Guards against delivering the 421 of a server that took over an address."""
         self.add_backend(answer_misdirected)
