--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -64,6 +64,13 @@
     connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
+def has_input(connection: socket.socket) -> bool:
+    """Return whether data or the end of the connection can be read at once."""
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of `host:port`."""
     host, _, port = address.rpartition(':')
@@ -122,9 +129,7 @@
 
     def is_reusable(self) -> bool:
         """Return whether the idle connection has received neither data nor EOF."""
-        poll = select.poll()
-        poll.register(self._socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_input(self._socket)
 
     def send(self, message: bytes, *, expects_body: bool = True) -> None:
         """Send a request; `expects_body` is false if its response has no body.
--- a/marjoramfall/gateway/caller_connection.py
+++ b/marjoramfall/gateway/caller_connection.py
@@ -7,7 +7,7 @@
 from gevent import Greenlet, GreenletExit, socket, spawn
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import configure_socket
+from marjoramfall.gateway.backend_connection import configure_socket, has_input
 from marjoramfall.gateway.http_messages import (
     HEAD_METHOD,
     BadMessageError,
@@ -37,6 +37,8 @@
     503: b'Service Unavailable',
     504: b'Gateway Timeout',
 }
+# Below this, a request may be on its way on a connection that was just accepted.
+MIN_IDLE_MS = 100.0
 LAST_CHUNK = b'0\r\n\r\n'
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -176,8 +178,14 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being read or answered."""
-        return self._worker is None and not self._parser.has_begun
+        """Return whether no request is being read or answered, or about to be.
+
+        A caller may have sent one that was not read yet, or be sending its first.
+        """
+        if self._worker is not None or self._parser.has_begun:
+            return False
+        idle_ms = self._clock.monotonic_ms() - self._last_activity_ms
+        return idle_ms >= MIN_IDLE_MS and not has_input(self._socket)
 
     def run(self) -> None:
         """Serve requests until the caller disconnects or the connection closes."""
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -110,18 +110,16 @@
         self._exchange = PeerExchange(
             peer_address, self.peers, self.registry, self, clock
         )
+        self._server = StreamServer(
+            split_address(settings.front_address), self._serve, backlog=CALLER_BACKLOG
+        )
 
     def run(self) -> None:
         """Serve until a stop has completed; raises `OSError`."""
         self._exchange.start()
         spawn(self._maintain)
         self._start_internal_servers()
-        server = StreamServer(
-            split_address(self._settings.front_address),
-            self._serve,
-            backlog=CALLER_BACKLOG,
-        )
-        server.start()
+        self._server.start()
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
@@ -274,7 +272,22 @@
             for connection in tuple(self._connections):
                 if connection.is_idle:
                     connection.close()
-            if not self._gateway.in_flight and not self._connections:
+            is_done = not self._gateway.in_flight and not self._connections
+            if is_done and not self._accept_pending():
                 break
             self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS / 5)
+        self._server.close()
         self._stopped.set()
+
+    def _accept_pending(self) -> bool:
+        """Serve the connections that wait in the backlog; return whether any did.
+
+        The system resets those that are left when the listener is closed.
+        """
+        self._server.stop_accepting()
+        accepted = self._server.do_read()
+        found = accepted is not None
+        while accepted is not None:
+            self._server.do_handle(*accepted)
+            accepted = self._server.do_read()
+        return found
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -123,6 +123,10 @@
         *,
         can_fail_over: bool,
     ) -> Outcome:
+        if self._call.remaining_ms(self._clock.monotonic_ms()) <= 0:
+            # The process may have been paused since the request was assigned.
+            self._call.runs -= 1
+            return Outcome(Ending.NOT_RUN, 'the deadline passed before it was sent')
         self._send()
         response = self._connection.read_response(
             self._response_timeout_ms(can_fail_over=can_fail_over),
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -88,7 +88,7 @@
 
     def choose_version(self, service_id: str) -> VersionChoice:
         """Return which versions the next request of a service may use."""
-        choice = self._moves.choose(service_id)
+        choice = self._moves.choose(service_id, is_in_touch=self._peers.is_in_touch())
         loads = self.queue(service_id).load_by_id.values()
         # While no server runs an allowed version, any version is used rather than
         # failing the request.
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -163,7 +163,11 @@
             self._clock.sleep_ms(CHECK_INTERVAL_MS)
             for vm in self._peers.drop_expired_peers():
                 logger.bind(peer=vm).info('expired peer removed')
-            newer = next(filter(self._is_ahead, self._peers.live_peers()), None)
+            newer = max(
+                filter(self._is_ahead, self._peers.live_peers()),
+                key=_revisions,
+                default=None,
+            )
             now_ms = self._clock.monotonic_ms()
             if newer is None:
                 self._behind_since_ms = None
@@ -197,6 +201,15 @@
         self._registry.merge(snapshot)
 
 
+def _revisions(peer: Peer) -> tuple[int, int, int]:
+    """Return what orders peers by how much they know.
+
+    A peer that was cut off may still hold a withdrawn key or a server that has left.
+    """
+    state = peer.state
+    return state.config_version, state.servers_revision, state.config_revision
+
+
 def fetch_snapshot(address: str) -> Snapshot:
     """Fetch the configuration and servers known to the entry at an address.
 
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -102,6 +102,13 @@
             if peer.received_ms >= oldest_ms:
                 yield peer
 
+    def is_in_touch(self) -> bool:
+        """Return whether a peer was heard lately, or none is known.
+
+        After a pause of this process it is false until a datagram was read.
+        """
+        return not self._peer_by_vm or next(self.live_peers(), None) is not None
+
     def unresponsive_share(self) -> float:
         """Return the share of entries whose use of the limits is not known here.
 
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -144,13 +144,17 @@
             service=order.service_id, version=order.version, revision=order.revision
         ).info('version move started')
 
-    def choose(self, service_id: str) -> VersionChoice:
-        """Return which versions the next request of a service may use."""
+    def choose(self, service_id: str, *, is_in_touch: bool = True) -> VersionChoice:
+        """Return which versions the next request of a service may use.
+
+        While the entry is not in touch with its peers, they may have withdrawn the
+        new version without its knowledge.
+        """
         move = self._move_by_service.get(service_id)
         if move is None or move.phase is Phase.COMPLETED:
             return ANY_VERSION
         version = move.order.version
-        if move.phase is not Phase.RUNNING:
+        if move.phase is not Phase.RUNNING or not is_in_touch:
             return VersionChoice(excluded=version)
         if move.elapsed_share(self._clock.monotonic_ms()) >= SWITCH_ELAPSED_SHARE:
             return VersionChoice(only=version)
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -69,6 +69,14 @@
         key = (move.order.revision, state)
         if key in self._recorded or not self._may_write(key):
             return
+        # After a pause, peers may have withdrawn the version without this entry
+        # knowing, and a completed move stops the old servers at once.
+        is_completed = state == STATE_BY_PHASE[Phase.COMPLETED]
+        if is_completed and not self._peers.is_in_touch():
+            logger.bind(service=move.order.service_id, state=state).warning(
+                'move not recorded: no peer heard'
+            )
+            return
         try:
             self._record(move, state)
         except StoreError as error:
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,145 @@
+"""Test the planned stop of an entry under load.
+
+The pattern is a caller whose request is accepted in the last moments before the
+process exits: in the backlog of the listener, or on a kept connection.
+"""
+
+import unittest
+
+from gevent import sleep, socket, spawn
+
+from marjoramfall.clock import RuntimeClock
+from marjoramfall.gateway import entry as entry_module
+from marjoramfall.gateway.entry import Entry
+from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
+from marjoramfall.gateway.registry import ServerChange
+from marjoramfall.platform.dialect import PlatformDialect
+from tests.gateway_case import ATTEMPT, TIMEOUT_S, answer
+from tests.gateway_fakes import make_config, make_server
+from tests.scripted_backend import ScriptedBackend
+
+REQUEST = (
+    f'GET /read/1 HTTP/1.1\r\nHost: a.example\r\n{ATTEMPT}: a-1\r\n'
+    'Authorization: Bearer key-1\r\n\r\n'
+).encode()
+BALANCER_REACTION_MS = 300
+PAUSE_S = 0.02
+
+
+def free_address():
+    """Return a loopback address whose port was free just now."""
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+def answer_slowly(exchange):
+    """Answer after a pause."""
+    sleep(PAUSE_S)
+    answer(exchange)
+
+
+class TestPlannedStop(unittest.TestCase):
+    """A planned stop answers every request that it accepted."""
+
+    def setUp(self):
+        original_ms = entry_module.BALANCER_REACTION_MS
+        entry_module.BALANCER_REACTION_MS = BALANCER_REACTION_MS
+        self.addCleanup(setattr, entry_module, 'BALANCER_REACTION_MS', original_ms)
+        backend = ScriptedBackend(answer_slowly)
+        self.addCleanup(backend.stop)
+        self.entry = self.new_entry()
+        self.entry.registry.put_config(make_config(), 1)
+        change = ServerChange('s1', make_server('s1', address=backend.address), 1)
+        self.entry.registry.apply_changes([change], 1)
+        self.runner = spawn(self.entry.run)
+        self.addCleanup(self.runner.kill)
+        sleep(PAUSE_S)
+
+    def new_entry(self):
+        """Return an entry on free ports of the loopback address."""
+        bounds = EntryBounds(
+            grace_s=4,
+            retry_ratio=0.2,
+            retry_window_s=10,
+            retry_slack=50,
+            limit_tolerance_share=0,
+            limit_tolerance=0,
+            expose_share=0.1,
+            expose_slack=50,
+        )
+        self.front = free_address()
+        settings = GatewaySettings(
+            vm='entry-1',
+            ip='127.0.0.1',
+            data_centre='dc-a',
+            peer_port=int(free_address().rpartition(':')[2]),
+            front_address=self.front,
+            ready_address=free_address(),
+            metrics_address=free_address(),
+            is_first_start=True,
+            bounds=bounds,
+        )
+        return Entry(
+            settings,
+            PlatformDialect(),
+            RuntimeClock(),
+            ready_path='/ready',
+            on_stale_watch=lambda: None,
+        )
+
+    def connect(self):
+        """Return a connection of a caller."""
+        host, _, port = self.front.rpartition(':')
+        connection = socket.create_connection((host, int(port)), timeout=TIMEOUT_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_backlog(self):
+        """Guards against resetting requests that wait in the listener's backlog."""
+        self.entry.begin_stop()
+        # Connections that arrive now stay in the backlog until the process exits.
+        self.entry._server.stop_accepting()
+        callers = [self.connect() for _ in range(8)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        for caller in callers:
+            self.assertIn(b'HTTP/1.1 200 OK', caller.recv(65536))
+        self.runner.join(TIMEOUT_S)
+        self.assertTrue(self.runner.ready())
+
+    def test_callers_until_exit(self):
+        """Guards against cutting callers that connect and ask until the exit."""
+        self.entry.begin_stop()
+        cut = []
+        workers = [spawn(self.ask_until_exit, cut) for _ in range(6)]
+        for worker in workers:
+            worker.join(TIMEOUT_S)
+        self.assertEqual(cut, [])
+
+    def test_kept_connection(self):
+        """Guards against closing a connection whose next request was received."""
+        caller = self.connect()
+        sleep(PAUSE_S)
+        accepted = next(iter(self.entry._connections))
+        sleep(0.15)
+        self.assertTrue(accepted.is_idle)
+        caller.sendall(REQUEST)
+        self.assertFalse(accepted.is_idle)
+
+    def ask_until_exit(self, cut):
+        """Send requests on new connections and note those without an answer."""
+        while True:
+            try:
+                caller = self.connect()
+            except ConnectionRefusedError:
+                return
+            try:
+                caller.sendall(REQUEST)
+                received = caller.recv(65536)
+            except ConnectionResetError:
+                received = b''
+            if not received:
+                cut.append(caller)
+            caller.close()
+            sleep(PAUSE_S)
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -132,6 +132,15 @@
         other.on_reports('entry-1', self.moves.reports())
         self.assertFalse(other.choose('ledger').allows('v2'))
 
+    def test_not_in_touch(self):
+        """Guards against using a version that peers withdrew during a pause."""
+        for elapsed_ms in (0, 8000):
+            self.clock.advance_ms(elapsed_ms)
+            choices = [
+                self.moves.choose('ledger', is_in_touch=False) for _ in range(100)
+            ]
+            self.assertFalse(any(choice.allows('v2') for choice in choices))
+
     def test_older_order(self):
         """Guards against applying an order that is read after a newer one."""
         self.moves.begin(VersionMove('ledger', 'v3', 10, revision=4))
@@ -202,6 +211,20 @@
         self.check()
         self.assertEqual(self.status()['state'], 'running')
 
+    def test_paused_entry(self):
+        """Guards against completing a move that peers withdrew during a pause.
+
+        The entry wakes past the end of the move, before it reads their datagrams.
+        """
+        self.peers.update(make_state('entry-2'))
+        self.paused.advance_ms(9000)
+        self.check()
+        self.assertIsNone(self.store.get('status', 'rollout/ledger'))
+        self.assertIs(self.moves.moves[0].phase, Phase.RUNNING)
+        self.peers.update(make_state('entry-2', sequence=2))
+        self.check()
+        self.assertEqual(self.status()['state'], 'completed')
+
     def test_refused_store(self):
         """A refused store call raises `StoreError`."""
         self.store.faults.status = 429
