--- /dev/null
+++ b/marjoramfall/gateway/caller_listener.py
@@ -0,0 +1,66 @@
+"""Accept the connections of callers and end them at a planned stop."""
+
+from gevent import socket
+from gevent.server import StreamServer
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.backend_connection import split_address
+from marjoramfall.gateway.caller_connection import CallerConnection, RequestHandler
+
+CALLER_BACKLOG = 512
+
+
+class CallerListener:
+    """Serve each connection of a caller in a greenlet of its own."""
+
+    def __init__(self, address: str, handler: RequestHandler, clock: Clock) -> None:
+        self._handler = handler
+        self._clock = clock
+        self._connections: set[CallerConnection] = set()
+        self._server = StreamServer(
+            split_address(address), self._serve, backlog=CALLER_BACKLOG
+        )
+
+    @property
+    def connections(self) -> tuple[CallerConnection, ...]:
+        """Return the open connections."""
+        return tuple(self._connections)
+
+    def start(self) -> None:
+        """Start listening; raises `OSError` if the address cannot be bound."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Leave new connections in the backlog."""
+        self._server.stop_accepting()
+
+    def accept_pending(self) -> bool:
+        """Serve the connections that wait in the backlog; return whether any did.
+
+        The system resets those that are left when the listener is closed. New ones
+        stay in the backlog from then on.
+        """
+        self._server.stop_accepting()
+        accepted = self._server.do_read()
+        found = accepted is not None
+        while accepted is not None:
+            self._server.do_handle(*accepted)
+            accepted = self._server.do_read()
+        return found
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is read or answered."""
+        for connection in self.connections:
+            if connection.is_idle:
+                connection.close()
+
+    def close(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    def _serve(self, accepted: socket.socket, _address: tuple[str, int]) -> None:
+        connection = CallerConnection(
+            accepted, self._handler, self._clock, on_end=self._connections.discard
+        )
+        self._connections.add(connection)
+        connection.run()
--- /dev/null
+++ b/marjoramfall/gateway/digest_builder.py
@@ -0,0 +1,121 @@
+"""Sum up what an entry knows of its group, or of all others, in a digest."""
+
+from collections.abc import Iterable
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.group_digest import (
+    DIGEST_FORM,
+    GroupDigest,
+    RelayAddress,
+    Scope,
+    aged,
+    first_waiting,
+    sum_uses,
+    unreachable_servers,
+)
+from marjoramfall.gateway.outside_groups import source_of
+from marjoramfall.gateway.peer_state import PeerState, WaitingCall
+from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.version_moves import VersionMoves
+
+# The list of relays is long and changes rarely.
+RELAY_LIST_INTERVAL_MS = 2000
+
+
+class DigestBuilder:
+    """Build the digests that the relay of a group sends."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers: PeerTable,
+        limits: SharedLimits,
+        moves: VersionMoves,
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        self._limits = limits
+        self._moves = moves
+        self._sent_relays_ms = clock.monotonic_ms()
+
+    def build(
+        self, scope: Scope, own_state: PeerState, *, with_all_teams: bool
+    ) -> GroupDigest:
+        """Return a digest under the sequence number of the own state."""
+        is_group = scope is Scope.GROUP
+        states = self._group_states(own_state) if is_group else self._outside_states()
+        waiting = (
+            self._group_waiting(own_state) if is_group else self._outside_waiting()
+        )
+        peers = self._peers
+        return GroupDigest(
+            form=DIGEST_FORM,
+            scope=scope,
+            group=peers.groups.own_group,
+            vm=own_state.vm,
+            address=own_state.address,
+            incarnation=own_state.incarnation,
+            uptime_ms=own_state.uptime_ms,
+            sequence=own_state.sequence,
+            config_version=own_state.config_version,
+            config_revision=own_state.config_revision,
+            servers_revision=own_state.servers_revision,
+            entry_count=self._entry_count(scope),
+            silent_count=self._silent_count(scope),
+            uses=sum_uses(states),
+            waiting=first_waiting(waiting),
+            teams=self._limits.digest_uses(scope, with_all_teams=with_all_teams),
+            has_all_teams=with_all_teams,
+            unreachable_server_ids=unreachable_servers(states),
+            moves=self._moves.reports(self._move_sources(scope), with_own=is_group),
+            relays=self._relays(scope),
+        )
+
+    def _group_states(self, own_state: PeerState) -> list[PeerState]:
+        return [own_state, *(peer.state for peer in self._peers.live_peers())]
+
+    def _outside_states(self) -> list[GroupDigest]:
+        return [received.digest for received in self._peers.outside.live()]
+
+    def _group_waiting(self, own_state: PeerState) -> Iterable[WaitingCall]:
+        now_ms = self._clock.monotonic_ms()
+        yield from own_state.waiting
+        for peer in self._peers.live_peers():
+            yield from aged(peer.state.waiting, now_ms - peer.received_ms)
+
+    def _outside_waiting(self) -> Iterable[WaitingCall]:
+        now_ms = self._clock.monotonic_ms()
+        for received in self._peers.outside.live():
+            yield from aged(received.digest.waiting, now_ms - received.received_ms)
+
+    def _entry_count(self, scope: Scope) -> int:
+        if scope is Scope.GROUP:
+            return self._peers.group_entry_count()
+        return self._peers.outside.entry_count()
+
+    def _silent_count(self, scope: Scope) -> int:
+        if scope is Scope.GROUP:
+            return self._peers.silent_count()
+        return self._peers.outside.silent_count()
+
+    def _move_sources(self, scope: Scope) -> set[str]:
+        if scope is Scope.GROUP:
+            return {
+                vm
+                for vm in self._peers.member_by_vm
+                if self._peers.groups.has_member(vm)
+            }
+        return {source_of(digest) for digest in self._outside_states()}
+
+    def _relays(self, scope: Scope) -> list[RelayAddress]:
+        now_ms = self._clock.monotonic_ms()
+        is_due = now_ms - self._sent_relays_ms >= RELAY_LIST_INTERVAL_MS
+        if scope is Scope.GROUP or not is_due:
+            return []
+        self._sent_relays_ms = now_ms
+        outside = self._peers.outside
+        return [
+            RelayAddress(group, address)
+            for group, address in outside.relay_by_group.items()
+        ]
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -4,44 +4,41 @@
 import time
 from collections.abc import Callable
 
-import msgspec
 from gevent import spawn
 from gevent.event import Event
-from gevent.server import StreamServer
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.backend_connection import split_address
-from marjoramfall.gateway.caller_connection import CallerConnection
+from marjoramfall.gateway.caller_listener import CallerListener
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.dialect import Dialect
+from marjoramfall.gateway.digest_builder import DigestBuilder
 from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.gateway import Gateway
-from marjoramfall.gateway.internal_http_server import (
-    InternalHttpServer,
-    InternalResponse,
-)
+from marjoramfall.gateway.group_digest import GroupDigest, Scope
+from marjoramfall.gateway.internal_endpoints import InternalEndpoints
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.model import Configuration
-from marjoramfall.gateway.peer_exchange import SNAPSHOT_PATH, PeerExchange, PeerListener
+from marjoramfall.gateway.outside_groups import source_of
+from marjoramfall.gateway.peer_exchange import PeerExchange, PeerListener
+from marjoramfall.gateway.peer_loads import report_of_digest, report_of_state
 from marjoramfall.gateway.peer_state import PeerState
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.retry_budget import RetryBounds, RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.version_moves import VersionMoves
+from marjoramfall.gateway.watch_duty import WatchDuty
 
 CONNECT_TIMEOUT_MS = 250
 MAINTENANCE_INTERVAL_MS = 250
-CALLER_BACKLOG = 512
 # The load balancer checks readiness once a second and sends callers elsewhere
 # after two failed checks.
 BALANCER_REACTION_MS = 2600
 # The process exits this long before it would be killed.
 STOP_MARGIN_MS = 250
-METRICS_PATH = '/metrics'
 
 
 class Entry(PeerListener):
@@ -63,13 +60,11 @@
         self._settings = settings
         self._bounds = settings.bounds
         self._clock = clock
-        self._ready_path = ready_path
         self._on_stale_watch = on_stale_watch
         self._incarnation = time.time_ns()
         self._started_ms = clock.monotonic_ms()
         self._sequence = 0
         self._is_leaving = False
-        self._connections: set[CallerConnection] = set()
         self._stopped = Event()
         peer_address = f'{settings.ip}:{settings.peer_port}'
         self.peer_address = peer_address
@@ -107,19 +102,31 @@
             self._metrics,
             clock,
         )
+        self.watch_duty = WatchDuty(
+            self.peers,
+            own_vm=settings.vm,
+            uptime_ms=self.uptime_ms,
+            on_change=self._notify_peers,
+        )
+        self._digests = DigestBuilder(clock, self.peers, self._limits, self.moves)
         self._exchange = PeerExchange(
-            peer_address, self.peers, self.registry, self, clock
+            peer_address, self.peers, self.registry, self, clock, own_vm=settings.vm
         )
-        self._server = StreamServer(
-            split_address(settings.front_address), self._serve, backlog=CALLER_BACKLOG
+        self._endpoints = InternalEndpoints(
+            settings,
+            self.registry,
+            self._metrics,
+            ready_path=ready_path,
+            is_ready=self._is_ready,
         )
+        self._callers = CallerListener(settings.front_address, self._gateway, clock)
 
     def run(self) -> None:
         """Serve until a stop has completed; raises `OSError`."""
         self._exchange.start()
         spawn(self._maintain)
-        self._start_internal_servers()
-        self._server.start()
+        self._endpoints.start()
+        self._callers.start()
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
@@ -154,13 +161,12 @@
         registry = self.registry
         limits = self._limits
         own = self._fleet.own_load
-        now_ms = self._clock.monotonic_ms()
         return PeerState(
             vm=self._settings.vm,
             address=self.peer_address,
             data_centre=self._settings.data_centre,
             incarnation=self._incarnation,
-            uptime_ms=self._uptime_ms(),
+            uptime_ms=self.uptime_ms(),
             sequence=self._sequence,
             is_leaving=self._is_leaving,
             config_version=registry.config.version if registry.config else 0,
@@ -169,34 +175,74 @@
             uses=own.uses(),
             waiting=own.waiting(),
             speeds=own.speeds() if with_speeds else None,
-            teams=limits.uses()
-            if with_all_teams
-            else limits.nearly_exhausted_uses(now_ms),
+            teams=limits.uses() if with_all_teams else limits.changed_uses(),
             has_all_teams=with_all_teams,
             unreachable_server_ids=own.unreachable_server_ids(),
             moves=self.moves.reports(),
+            is_store_unreachable=not self.watch_duty.is_store_reachable,
+        )
+
+    def own_digest(self, scope: Scope, *, with_all_teams: bool) -> GroupDigest:
+        """Return the sum of the own group, or of all others, from what is known."""
+        self._sequence += 1
+        return self._digests.build(
+            scope,
+            self.own_state(with_speeds=False, with_all_teams=True),
+            with_all_teams=with_all_teams,
         )
 
-    def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
+    def has_sudden_use(self, scope: Scope) -> bool:
+        """Return whether a team used much of its limit since the last digest."""
+        return self._limits.has_sudden_use(
+            scope, group_count=len(self.peers.groups.names)
+        )
+
+    def uptime_ms(self) -> int:
+        """Return the time since the start of the process."""
+        return int(self._clock.monotonic_ms() - self._started_ms)
+
+    def on_digest(self, digest: GroupDigest) -> None:
+        """Apply the digest of another group, or of all others."""
+        recent_share = min(1, self.uptime_ms() / max(1, digest.uptime_ms))
+        now_ms = self._clock.monotonic_ms()
+        self._limits.add_digest(digest, now_ms, recent_share=recent_share)
+        self.moves.on_reports(source_of(digest), digest.moves)
+        self._fleet.on_report(report_of_digest(digest))
+
+    def on_peer_state(self, state: PeerState) -> None:
         """Apply the new state of a peer."""
+        now_ms = self._clock.monotonic_ms()
         if state.has_all_teams:
             # The part of the peer's uptime in which this entry has run as well.
-            recent_share = min(1, self._uptime_ms() / max(1, state.uptime_ms))
+            recent_share = min(1, self.uptime_ms() / max(1, state.uptime_ms))
             self._limits.add_peer(
-                state.vm, state.incarnation, state.teams, recent_share=recent_share
+                state.vm,
+                state.incarnation,
+                state.teams,
+                now_ms,
+                recent_share=recent_share,
             )
         else:
-            self._limits.subtract_peer_use(state.vm, state.incarnation, state.teams)
+            self._limits.subtract_peer_use(
+                state.vm, state.incarnation, state.teams, now_ms
+            )
         self.moves.on_reports(state.vm, state.moves)
-        self._fleet.on_peer_state(state, self._clock.monotonic_ms())
+        self._fleet.on_report(report_of_state(state))
+
+    def on_relay_change(self) -> None:
+        """Drop the load and results of groups that are now known otherwise."""
+        sources = set(filter(self.peers.groups.has_member, self.peers.member_by_vm))
+        self.moves.keep_sources(sources | self.peers.outside.live_sources())
+        self._fleet.drop_silent_peers()
+
+    def follows_store(self) -> bool:
+        """Return whether this entry follows the store itself."""
+        return self.watch_duty.is_due()
 
     def on_stale_watch(self) -> None:
         """Reconnect to the store, as its current connections may be dead."""
         self._on_stale_watch()
 
-    def _uptime_ms(self) -> int:
-        return int(self._clock.monotonic_ms() - self._started_ms)
-
     def _notify_peers(self) -> None:
         self._exchange.schedule_datagram()
 
@@ -209,6 +255,7 @@
     def _on_servers(self) -> None:
         if self.registry.config is not None:
             self._fleet.set_servers(self.registry.servers)
+        self._notify_peers()
 
     def _retry_bounds(self) -> RetryBounds:
         bounds = self._bounds
@@ -218,41 +265,12 @@
             window_ms=bounds.retry_window_s * MS_PER_SECOND,
         )
 
-    def _serve(self, connection, address) -> None:
-        caller = CallerConnection(
-            connection, self._gateway, self._clock, on_end=self._connections.discard
-        )
-        self._connections.add(caller)
-        caller.run()
-
-    def _start_internal_servers(self) -> None:
-        settings = self._settings
-        InternalHttpServer(
-            settings.ready_address, {self._ready_path: self._respond_readiness}
-        ).start()
-        InternalHttpServer(
-            self.peer_address, {SNAPSHOT_PATH: self._respond_snapshot}
-        ).start()
-        InternalHttpServer(
-            settings.metrics_address, {METRICS_PATH: self._respond_metrics}
-        ).start()
-
-    def _respond_readiness(self) -> InternalResponse:
-        is_ready = (
+    def _is_ready(self) -> bool:
+        return (
             not self._is_leaving
             and self.registry.config is not None
             and self.registry.servers_state.as_of > 0
         )
-        return InternalResponse(200 if is_ready else 503, 'text/plain', b'')
-
-    def _respond_snapshot(self) -> InternalResponse:
-        body = msgspec.msgpack.encode(self.registry.snapshot())
-        return InternalResponse(200, 'application/msgpack', body)
-
-    def _respond_metrics(self) -> InternalResponse:
-        return InternalResponse(
-            200, 'text/plain; version=0.0.4', self._metrics.render()
-        )
 
     def _maintain(self) -> None:
         while True:
@@ -269,25 +287,10 @@
         # Callers may still arrive if most entries of a data centre stop.
         self._gateway.set_latest_deadline(started_ms + grace_ms)
         while self._clock.monotonic_ms() - started_ms < grace_ms:
-            for connection in tuple(self._connections):
-                if connection.is_idle:
-                    connection.close()
-            is_done = not self._gateway.in_flight and not self._connections
-            if is_done and not self._accept_pending():
+            self._callers.close_idle()
+            is_done = not self._gateway.in_flight and not self._callers.connections
+            if is_done and not self._callers.accept_pending():
                 break
             self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS / 5)
-        self._server.close()
+        self._callers.close()
         self._stopped.set()
-
-    def _accept_pending(self) -> bool:
-        """Serve the connections that wait in the backlog; return whether any did.
-
-        The system resets those that are left when the listener is closed.
-        """
-        self._server.stop_accepting()
-        accepted = self._server.do_read()
-        found = accepted is not None
-        while accepted is not None:
-            self._server.do_handle(*accepted)
-            accepted = self._server.do_read()
-        return found
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 from gevent import spawn_later
 from loguru import logger
@@ -14,8 +15,7 @@
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.own_load import OwnLoad
-from marjoramfall.gateway.peer_loads import PeerLoads
-from marjoramfall.gateway.peer_state import PeerState
+from marjoramfall.gateway.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.retry_budget import RetryBudgets
 from marjoramfall.gateway.server_load import ServerLoad
@@ -28,14 +28,22 @@
 
 # Additional cost of a server in another data centre.
 REMOTE_COST_MS = 5.0
-# In a large system the load of servers in other data centres is known late.
-# They are used only when the local ones are full, and one slot of each is left
-# to the entries of its own data centre.
-LARGE_SYSTEM_REMOTE_COST_MS = 200.0
-REMOTE_RESERVED_SLOTS = 1
+# The load that other groups put on a server is known late. Their servers are used
+# only when the own ones are full, and one slot of each is left to its own group.
+OTHER_GROUP_COST_MS = 200.0
+OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class SharingBasis:
+    """Hold what the division of servers and connections among entries depends on."""
+
+    entry_count: int
+    groups_revision: int
+    server_ids: frozenset[str]
+
+
 class Fleet:
     """Hold a queue for each service and the load of each server."""
 
@@ -62,10 +70,12 @@
         self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
         self._retry_budgets = retry_budgets
         self._is_assign_scheduled = False
+        self._sharing_basis: SharingBasis | None = None
         self.notify_peers = notify_peers
 
     def set_config(self, config: Configuration) -> None:
         """Replace the services by those of a configuration."""
+        self._sharing_basis = None
         self._service_by_id = config.service_by_id
 
     def set_servers(self, servers: list[BackendServer]) -> None:
@@ -76,6 +86,7 @@
                 self._remove(server_id)
         for server in servers:
             self._add(server)
+        self._share_servers()
         self.assign()
 
     def queue(self, service_id: str) -> ServiceQueue:
@@ -154,9 +165,9 @@
             if queue.waiters:
                 queue.assign()
 
-    def on_peer_state(self, state: PeerState, received_ms: float) -> None:
-        """Replace the load of a peer and assign waiting requests."""
-        self._peer_loads.replace(state, received_ms)
+    def on_report(self, report: LoadReport) -> None:
+        """Replace the load of a peer or group and assign waiting requests."""
+        self._peer_loads.replace(report, self._clock.monotonic_ms())
         self._assign_soon()
 
     def drop_silent_peers(self) -> None:
@@ -165,11 +176,10 @@
         Also updates what depends on the number of peers: remote costs, reserved
         slots and the limits of idle connections.
         """
-        entry_count = self._peers.entry_count()
-        for load in self._load_by_id.values():
-            self._apply_locality(load)
-            self._set_idle_limit(load, entry_count)
-        self._peer_loads.keep_only({peer.state.vm for peer in self._peers.live_peers()})
+        self._share_servers()
+        sources = {peer.state.vm for peer in self._peers.live_peers()}
+        sources |= self._peers.outside.live_sources()
+        self._peer_loads.keep_only(sources)
         self.assign()
 
     def _assign_soon(self) -> None:
@@ -193,6 +203,7 @@
             return
         if known is not None:
             self._remove(server.server_id)
+        self._sharing_basis = None
         service = self._service_by_id.get(server.service_id)
         tokens_per_event = service.tokens_per_event if service else 1
         load = ServerLoad(
@@ -202,24 +213,42 @@
             remote_cost_ms=0,
         )
         self._load_by_id[server.server_id] = load
-        self._apply_locality(load)
-        self._set_idle_limit(load, self._peers.entry_count())
         self._peer_loads.apply_to_new_server(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
-    def _apply_locality(self, load: ServerLoad) -> None:
-        is_local = load.server.data_centre == self._data_centre
-        is_large = self._peers.is_large
-        # A plain service has few servers, which all data centres share, so that
-        # it has no preference for local ones.
-        prefers_local = is_large and load.is_model
-        cost_ms = LARGE_SYSTEM_REMOTE_COST_MS if prefers_local else REMOTE_COST_MS
-        load.remote_cost_ms = 0 if is_local else cost_ms
-        load.reserve_slots(
-            REMOTE_RESERVED_SLOTS if prefers_local and not is_local else 0
+    def _share_servers(self) -> None:
+        entry_count = self._peers.entry_count()
+        basis = SharingBasis(
+            entry_count, self._peers.groups.revision, frozenset(self._load_by_id)
         )
+        if basis == self._sharing_basis:
+            return
+        self._sharing_basis = basis
+        owned_ids = self._owned_server_ids()
+        for load in self._load_by_id.values():
+            self._apply_locality(load, is_owned=load.server.server_id in owned_ids)
+            self._set_idle_limit(load, entry_count)
+
+    def _owned_server_ids(self) -> set[str]:
+        """Return the servers that the group of this entry uses first.
+
+        A plain service has few servers, which all groups share.
+        """
+        servers = [load.server for load in self._load_by_id.values()]
+        models = [server for server in servers if self._is_model(server.service_id)]
+        plain = [server for server in servers if not self._is_model(server.service_id)]
+        owned = self._peers.groups.own_servers(models)
+        owned.update(server.server_id for server in plain)
+        return owned
+
+    def _apply_locality(self, load: ServerLoad, *, is_owned: bool) -> None:
+        is_local = load.server.data_centre == self._data_centre
+        load.remote_cost_ms = 0 if is_local else REMOTE_COST_MS
+        if not is_owned:
+            load.remote_cost_ms = OTHER_GROUP_COST_MS
+        load.reserve_slots(0 if is_owned else OTHER_GROUP_RESERVED_SLOTS)
         queue = self.queue(load.server.service_id)
-        queue.randomizes_choice = is_large and not load.is_model
+        queue.randomizes_choice = self._peers.is_large and not load.is_model
 
     def _set_idle_limit(self, load: ServerLoad, entry_count: int) -> None:
         service = self._service_by_id.get(load.server.service_id)
--- a/marjoramfall/gateway/own_load.py
+++ b/marjoramfall/gateway/own_load.py
@@ -3,7 +3,12 @@
 from collections.abc import Mapping
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.peer_state import ServerSpeed, ServerUse, WaitingCall
+from marjoramfall.gateway.peer_state import (
+    ServerSpeed,
+    ServerUse,
+    WaitingCall,
+    waiting_sort_key,
+)
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.server_load import ServerLoad
 from marjoramfall.gateway.service_queue import ServiceQueue
@@ -81,11 +86,7 @@
             for waiter in queue.waiters
         ]
         if self._peers.is_large:
-            return sorted(calls, key=_waiting_sort_key)[
+            return sorted(calls, key=waiting_sort_key)[
                 :LARGE_SYSTEM_MAX_WAITING_REPORTED
             ]
         return calls[:MAX_WAITING_REPORTED]
-
-
-def _waiting_sort_key(call: WaitingCall) -> tuple[float, float]:
-    return call.rank, -call.waited_ms
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -1,7 +1,8 @@
 """Exchange state with the other entries by datagrams and snapshots."""
 
-from abc import ABC, abstractmethod
-from collections.abc import Iterable
+import random
+from abc import abstractmethod
+from collections.abc import Iterable, Iterator
 from contextlib import closing
 
 import msgspec
@@ -16,17 +17,25 @@
     NotReachedError,
     split_address,
 )
+from marjoramfall.gateway.group_digest import (
+    DIGEST_MARK,
+    GroupDigest,
+    UnknownFormError,
+)
+from marjoramfall.gateway.group_relay import (
+    FULL_STATE_INTERVAL_MS,
+    DigestListener,
+    GroupRelay,
+)
 from marjoramfall.gateway.http_messages import ResponseBounds
+from marjoramfall.gateway.outside_groups import DIGEST_INTERVAL_MS
 from marjoramfall.gateway.peer_state import PeerState, decode_state, encode_state
-from marjoramfall.gateway.peer_table import Peer, PeerTable
+from marjoramfall.gateway.peer_table import HEARTBEAT_MS, PeerTable
 from marjoramfall.gateway.registry import Registry, Snapshot
 
 # Changes within this time are sent in one datagram.
 COALESCE_MS = 4
 LARGE_SYSTEM_COALESCE_MS = 15
-# Speeds and the use of all teams change slowly and are large, so that they are
-# sent less often.
-FULL_STATE_INTERVAL_MS = 500
 MAX_DATAGRAM_BYTES = 65000
 # The watch of the store pauses after each change, so that a shorter lag is
 # normal; after a longer one a snapshot is fetched from a peer.
@@ -35,9 +44,14 @@
 FETCH_TIMEOUT_MS = 700
 SNAPSHOT_PATH = '/snapshot'
 SNAPSHOT_BOUNDS = ResponseBounds(body_bytes=4_194_304)
+# A new entry tells its whole data centre where it listens, as it may change the
+# division into groups.
+INTRODUCTIONS = 3
 
+Advertisement = PeerState | GroupDigest
 
-class PeerListener(ABC):
+
+class PeerListener(DigestListener):
     """Provide the state of this entry and process that of peers."""
 
     @abstractmethod
@@ -45,8 +59,12 @@
         """Return the state to send to peers."""
 
     @abstractmethod
-    def on_peer_state(self, state: PeerState, previous: PeerState | None) -> None:
-        """Process a new state of a peer; `previous` is None for a new peer."""
+    def on_peer_state(self, state: PeerState) -> None:
+        """Process a new state of a peer."""
+
+    @abstractmethod
+    def follows_store(self) -> bool:
+        """Return whether this entry follows the store itself."""
 
     @abstractmethod
     def on_stale_watch(self) -> None:
@@ -54,9 +72,11 @@
 
 
 class PeerExchange:
-    """Send the state of this entry in a datagram at each change and heartbeat.
+    """Send the state of this entry to its group at each change and heartbeat.
 
-    Each datagram replaces the one before, so that a lost one is not resent.
+    Each datagram replaces the one before, so that a lost one is not resent. The
+    relay of a group exchanges digests with those of the others and passes their
+    sum on to its group.
     """
 
     def __init__(
@@ -66,6 +86,8 @@
         registry: Registry,
         listener: PeerListener,
         clock: Clock,
+        *,
+        own_vm: str,
     ) -> None:
         self._peers = peers
         self._registry = registry
@@ -75,6 +97,8 @@
         self._behind_since_ms: float | None = None
         self._sent_heartbeat_ms = clock.monotonic_ms()
         self._sent_full_ms = self._sent_heartbeat_ms
+        self._introductions_left = INTRODUCTIONS
+        self._relay = GroupRelay(peers, listener, clock, own_vm=own_vm, send=self._send)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(split_address(address))
 
@@ -83,6 +107,7 @@
         spawn(self._send_loop)
         spawn(self._receive_loop)
         spawn(self._catch_up_loop)
+        spawn(self._digest_loop)
 
     def schedule_datagram(self) -> None:
         """Schedule a datagram to the peers after a change of state."""
@@ -96,7 +121,7 @@
                 self._clock.sleep_ms(self._coalesce_ms)
                 self._changed.clear()
                 self._send_state(
-                    self._peers.near_addresses(),
+                    self._peers.group_addresses(),
                     with_speeds=False,
                     with_all_teams=not self._peers.is_large,
                 )
@@ -109,19 +134,19 @@
 
     @property
     def _next_heartbeat_ms(self) -> float:
-        return self._sent_heartbeat_ms + self._peers.heartbeat_ms
+        return self._sent_heartbeat_ms + HEARTBEAT_MS
 
     def _send_heartbeat(self) -> None:
         now_ms = self._clock.monotonic_ms()
         self._sent_heartbeat_ms = now_ms
-        near = self._peers.near_addresses()
-        distant = set(self._peers.address_by_vm.values()).difference(near)
         is_full = now_ms - self._sent_full_ms >= FULL_STATE_INTERVAL_MS
         if is_full:
             self._sent_full_ms = now_ms
-        self._send_state(near, with_speeds=is_full, with_all_teams=is_full)
-        # Entries outside the near group rarely use the servers measured here.
-        self._send_state(distant, with_speeds=False, with_all_teams=is_full)
+        addresses = self._peers.group_addresses()
+        if self._introductions_left and self._peers.member_by_vm:
+            self._introductions_left -= 1
+            addresses = {*addresses, *self._peers.data_centre_addresses()}
+        self._send_state(addresses, with_speeds=is_full, with_all_teams=is_full)
 
     def _send_state(
         self, addresses: Iterable[str], *, with_speeds: bool, with_all_teams: bool
@@ -129,7 +154,9 @@
         state = self._listener.own_state(
             with_speeds=with_speeds, with_all_teams=with_all_teams
         )
-        datagram = encode_state(state)
+        self._send(encode_state(state), addresses)
+
+    def _send(self, datagram: bytes, addresses: Iterable[str]) -> None:
         for address in addresses:
             try:
                 self._socket.sendto(datagram, split_address(address))
@@ -138,25 +165,36 @@
                     'sending a datagram to a peer failed'
                 )
 
+    def _digest_loop(self) -> None:
+        while True:
+            wait_ms = DIGEST_INTERVAL_MS
+            if self._peers.is_large:
+                wait_ms = self._relay.exchange_digests()
+            self._clock.sleep_ms(wait_ms)
+
     def _receive_loop(self) -> None:
         while True:
             try:
                 datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
-                state = decode_state(datagram)
-            except (OSError, msgspec.DecodeError) as error:
+                self._receive(datagram)
+            except (OSError, msgspec.DecodeError, UnknownFormError) as error:
                 logger.bind(details=str(error)).warning(
                     'receiving or decoding a datagram failed'
                 )
-                continue
-            is_known = state.vm in self._peers.address_by_vm
-            previous = self._peers.update(state)
-            if not is_known:
-                logger.bind(peer=state.vm, address=state.address).info(
-                    'peer discovered'
-                )
-                self.schedule_datagram()
-            if previous is not state:
-                self._listener.on_peer_state(state, previous)
+
+    def _receive(self, datagram: bytes) -> None:
+        if datagram.startswith(DIGEST_MARK):
+            self._relay.receive(datagram)
+            return
+        state = decode_state(datagram)
+        is_known = state.vm in self._peers.member_by_vm
+        previous = self._peers.update(state)
+        if not is_known:
+            logger.bind(peer=state.vm, address=state.address).info('peer discovered')
+            self.schedule_datagram()
+        if previous is not state:
+            self._listener.on_peer_state(state)
+            self._relay.report_sudden_use()
 
     def _catch_up_loop(self) -> None:
         while True:
@@ -164,7 +202,7 @@
             for vm in self._peers.drop_expired_peers():
                 logger.bind(peer=vm).info('expired peer removed')
             newer = max(
-                filter(self._is_ahead, self._peers.live_peers()),
+                filter(self._is_ahead, self._advertisements()),
                 key=_revisions,
                 default=None,
             )
@@ -173,21 +211,31 @@
                 self._behind_since_ms = None
             elif self._behind_since_ms is None:
                 self._behind_since_ms = now_ms
-            elif now_ms - self._behind_since_ms >= CATCH_UP_DELAY_MS:
+            if newer and now_ms - self._behind_since_ms >= self._catch_up_delay_ms:
                 self._behind_since_ms = None
-                self._fetch_and_merge(newer.state)
+                self._fetch_and_merge(newer)
                 self._listener.on_stale_watch()
 
-    def _is_ahead(self, peer: Peer) -> bool:
+    @property
+    def _catch_up_delay_ms(self) -> float:
+        return CATCH_UP_DELAY_MS if self._listener.follows_store() else 0
+
+    def _advertisements(self) -> Iterator[Advertisement]:
+        for peer in self._peers.live_peers():
+            yield peer.state
+        for received in self._peers.outside.live():
+            yield received.digest
+
+    def _is_ahead(self, state: Advertisement) -> bool:
         registry = self._registry
         version = 0 if registry.config is None else registry.config.version
         return (
-            peer.state.config_version > version
-            or peer.state.servers_revision > registry.servers_state.as_of
-            or peer.state.config_revision > registry.config_state.as_of
+            state.config_version > version
+            or state.servers_revision > registry.servers_state.as_of
+            or state.config_revision > registry.config_state.as_of
         )
 
-    def _fetch_and_merge(self, state: PeerState) -> None:
+    def _fetch_and_merge(self, state: Advertisement) -> None:
         try:
             snapshot = fetch_snapshot(state.address)
         except (NotReachedError, BrokenExchangeError, msgspec.DecodeError) as error:
@@ -201,13 +249,17 @@
         self._registry.merge(snapshot)
 
 
-def _revisions(peer: Peer) -> tuple[int, int, int]:
-    """Return what orders peers by how much they know.
+def _revisions(state: Advertisement) -> tuple[int, int, int, float]:
+    """Return what orders peers by how much they know, and at random if equal.
 
     A peer that was cut off may still hold a withdrawn key or a server that has left.
     """
-    state = peer.state
-    return state.config_version, state.servers_revision, state.config_revision
+    return (
+        state.config_version,
+        state.servers_revision,
+        state.config_revision,
+        random.random(),
+    )
 
 
 def fetch_snapshot(address: str) -> Snapshot:
--- a/marjoramfall/gateway/peer_loads.py
+++ b/marjoramfall/gateway/peer_loads.py
@@ -3,12 +3,54 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.peer_state import PeerState, ServerSpeed, ServerUse
+from marjoramfall.gateway.group_digest import GroupDigest
+from marjoramfall.gateway.outside_groups import source_of
+from marjoramfall.gateway.peer_state import (
+    PeerState,
+    ServerSpeed,
+    ServerUse,
+    WaitingCall,
+)
 from marjoramfall.gateway.server_load import ServerLoad
 from marjoramfall.gateway.server_speeds import Speed
 from marjoramfall.gateway.service_queue import PeerWaiter, ServiceQueue
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Hold the load that a peer, or a group of them, reported.
+
+    `speeds` is None if the report does not change them.
+    """
+
+    source: str
+    uses: list[ServerUse]
+    waiting: list[WaitingCall]
+    unreachable_server_ids: list[str]
+    speeds: list[ServerSpeed] | None = None
+
+
+def report_of_state(state: PeerState) -> LoadReport:
+    """Return the load of a peer."""
+    return LoadReport(
+        source=state.vm,
+        uses=state.uses,
+        waiting=state.waiting,
+        unreachable_server_ids=state.unreachable_server_ids,
+        speeds=state.speeds,
+    )
+
+
+def report_of_digest(digest: GroupDigest) -> LoadReport:
+    """Return the load of the entries that a digest sums up."""
+    return LoadReport(
+        source=source_of(digest),
+        uses=digest.uses,
+        waiting=digest.waiting,
+        unreachable_server_ids=digest.unreachable_server_ids,
+    )
+
+
 @dataclass(slots=True)
 class PeerContribution:
     """Hold the load that is counted at servers and queues for one peer."""
@@ -29,42 +71,44 @@
     ) -> None:
         self._load_by_id = load_by_id
         self._find_queue = find_queue
-        self._contribution_by_vm: dict[str, PeerContribution] = {}
+        self._contribution_by_source: dict[str, PeerContribution] = {}
 
     @property
     def peer_count(self) -> int:
         """Return the number of peers whose load is counted."""
-        return len(self._contribution_by_vm)
+        return len(self._contribution_by_source)
 
-    def replace(self, state: PeerState, received_ms: float) -> None:
-        """Replace the load of a peer; speeds stay if the state holds none."""
-        contribution = self._contribution_by_vm.setdefault(state.vm, PeerContribution())
+    def replace(self, report: LoadReport, received_ms: float) -> None:
+        """Replace the load of a peer; speeds stay if the report holds none."""
+        contribution = self._contribution_by_source.setdefault(
+            report.source, PeerContribution()
+        )
         self._count_uses(contribution.uses, -1)
-        contribution.uses = state.uses
+        contribution.uses = report.uses
         self._count_uses(contribution.uses, 1)
         self._count_unreachable_reports(contribution.unreachable_server_ids, -1)
-        contribution.unreachable_server_ids = state.unreachable_server_ids
+        contribution.unreachable_server_ids = report.unreachable_server_ids
         self._count_unreachable_reports(contribution.unreachable_server_ids, 1)
-        if state.speeds is not None:
+        if report.speeds is not None:
             self._count_speeds(contribution.speeds, -1)
-            contribution.speeds = state.speeds
+            contribution.speeds = report.speeds
             self._count_speeds(contribution.speeds, 1)
-        self._replace_waiting(state, contribution, received_ms)
+        self._replace_waiting(report, contribution, received_ms)
 
-    def keep_only(self, vms: set[str]) -> None:
-        """Remove the load of all other peers."""
-        for vm in tuple(self._contribution_by_vm):
-            if vm not in vms:
-                contribution = self._contribution_by_vm.pop(vm)
+    def keep_only(self, sources: set[str]) -> None:
+        """Remove the load of all other peers and groups."""
+        for source in tuple(self._contribution_by_source):
+            if source not in sources:
+                contribution = self._contribution_by_source.pop(source)
                 self._count_uses(contribution.uses, -1)
                 self._count_speeds(contribution.speeds, -1)
                 self._count_unreachable_reports(contribution.unreachable_server_ids, -1)
-                self._drop_waiting(vm, contribution)
+                self._drop_waiting(source, contribution)
 
     def apply_to_new_server(self, load: ServerLoad) -> None:
         """Add to a new server the load that peers reported before it was known."""
         server_id = load.server.server_id
-        for contribution in self._contribution_by_vm.values():
+        for contribution in self._contribution_by_source.values():
             uses = [use for use in contribution.uses if use.server_id == server_id]
             speeds = [
                 speed for speed in contribution.speeds if speed.server_id == server_id
@@ -97,16 +141,16 @@
                 load.speeds.add_peer_speed(measured, sign)
 
     def _replace_waiting(
-        self, state: PeerState, contribution: PeerContribution, received_ms: float
+        self, report: LoadReport, contribution: PeerContribution, received_ms: float
     ) -> None:
-        self._drop_waiting(state.vm, contribution)
-        for call in state.waiting:
+        self._drop_waiting(report.source, contribution)
+        for call in report.waiting:
             waiter = PeerWaiter(call.rank, received_ms - call.waited_ms)
             queue = self._find_queue(call.service_id)
-            queue.peer_waiters_by_vm.setdefault(state.vm, []).append(waiter)
+            queue.peer_waiters_by_source.setdefault(report.source, []).append(waiter)
             contribution.waiting_services.add(call.service_id)
 
-    def _drop_waiting(self, vm: str, contribution: PeerContribution) -> None:
+    def _drop_waiting(self, source: str, contribution: PeerContribution) -> None:
         for service_id in contribution.waiting_services:
-            self._find_queue(service_id).peer_waiters_by_vm.pop(vm, None)
+            self._find_queue(service_id).peer_waiters_by_source.pop(source, None)
         contribution.waiting_services.clear()
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -32,6 +32,11 @@
     waited_ms: float
 
 
+def waiting_sort_key(call: WaitingCall) -> tuple[float, float]:
+    """Return what orders waiting requests: rank, then the time waited."""
+    return call.rank, -call.waited_ms
+
+
 class TeamUse(msgspec.Struct, array_like=True, frozen=True):
     """Report the tokens or requests of a team admitted by an entry since its start."""
 
@@ -60,7 +65,7 @@
 
     `speeds` is None in most datagrams, as it is large and changes slowly; the
     last speeds sent stay valid. For the same reason `teams` holds only those
-    that have little of their limit left, unless `has_all_teams` is set.
+    whose use changed since the state before, unless `has_all_teams` is set.
     `incarnation` differs after each start of the entry, and `sequence` orders
     the datagrams of one incarnation.
     """
@@ -82,6 +87,8 @@
     has_all_teams: bool
     unreachable_server_ids: list[str]
     moves: list[MoveReport]
+    # Absent in states of versions without groups.
+    is_store_unreachable: bool = False
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peer_table.py
@@ -1,25 +1,21 @@
 """Keep the last state received from each peer."""
 
-from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.outside_groups import OutsideGroups
+from marjoramfall.gateway.peer_groups import PeerGroups
 from marjoramfall.gateway.peer_state import PeerState
 
 HEARTBEAT_MS = 250.0
-# Lengthens the heartbeat interval with the number of peers, so that the traffic
-# of an entry stays bounded.
-HEARTBEAT_MS_PER_PEER = 2.0
 # A peer is silent only after three lost heartbeats in a row, as single ones may
 # be lost by chance.
-SILENCE_TIMEOUT_HEARTBEATS = 3.6
-# In a small system each change is sent to all entries immediately; in a large one
-# only to those of the same data centre, in groups of at most this size.
-NEAR_GROUP_SIZE = 20
+SILENCE_TIMEOUT_MS = 3.6 * HEARTBEAT_MS
 # A partitioned peer may still be serving and using its share of the limits
 # before it is connected again.
 PEER_EXPIRY_MS = 20_000
+MIN_DUTY_UPTIME_MS = 3000
 
 
 @dataclass(slots=True)
@@ -30,8 +26,31 @@
     received_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold where a known entry of the system listens for datagrams."""
+
+    address: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Candidate:
+    """Hold a live entry that may take a duty for its group; ordered by precedence.
+
+    Those that just started come last, as they have not heard from all yet.
+    """
+
+    is_young: bool
+    vm: str
+    is_store_reachable: bool
+
+
 class PeerTable:
-    """Keep the newest state and the address of each peer."""
+    """Keep the members of the system and the newest state of those in the own group.
+
+    The entries of other groups are known by digests only.
+    """
 
     def __init__(self, clock: Clock, *, own_vm: str, data_centre: str) -> None:
         self._clock = clock
@@ -39,23 +58,41 @@
         self._data_centre = data_centre
         self._started_ms = clock.monotonic_ms()
         self._peer_by_vm: dict[str, Peer] = {}
-        self.address_by_vm: dict[str, str] = {}
+        self.member_by_vm: dict[str, Member] = {}
+        self._groups = PeerGroups(own_vm, data_centre)
+        self._has_new_members = False
+        self.outside = OutsideGroups(clock)
+
+    def add_member(self, vm: str, member: Member) -> None:
+        """Add an entry, or change where it listens."""
+        if vm == self._own_vm or self.member_by_vm.get(vm) == member:
+            return
+        known = self.member_by_vm.get(vm)
+        self.member_by_vm[vm] = member
+        if known is None or known.data_centre != member.data_centre:
+            self._has_new_members = True
 
-    def add_address(self, vm: str, address: str) -> None:
-        """Add the address of a peer that has not sent a state yet."""
-        if vm != self._own_vm:
-            self.address_by_vm[vm] = address
+    @property
+    def groups(self) -> PeerGroups:
+        """Return the division of all known entries into groups."""
+        if self._has_new_members:
+            self._has_new_members = False
+            self._update_groups()
+        return self._groups
 
     def update(self, state: PeerState) -> PeerState | None:
         """Store a newer state and return the one it replaces, None for a new peer.
 
-        An outdated state is not stored and is returned itself.
+        An outdated state, or one of another group, is not stored and is returned
+        itself.
         """
+        self.add_member(state.vm, Member(state.address, state.data_centre))
+        if not self.groups.has_member(state.vm):
+            return state
         known = self._peer_by_vm.get(state.vm)
         now_ms = self._clock.monotonic_ms()
         if known is None:
             self._peer_by_vm[state.vm] = Peer(state, now_ms)
-            self.address_by_vm[state.vm] = state.address
             return None
         previous = known.state
         is_same_incarnation = state.incarnation == previous.incarnation
@@ -63,41 +100,60 @@
             return state
         known.state = state
         known.received_ms = now_ms
-        self.address_by_vm[state.vm] = state.address
         return previous
 
-    @property
-    def heartbeat_ms(self) -> float:
-        """Return the maximum interval between two datagrams to a peer."""
-        return max(HEARTBEAT_MS, HEARTBEAT_MS_PER_PEER * len(self.address_by_vm))
-
     @property
     def is_large(self) -> bool:
-        """Return whether there are too many peers to send each change to all."""
-        return len(self.address_by_vm) >= NEAR_GROUP_SIZE
+        """Return whether the entries are divided into several groups."""
+        return not self.groups.is_single
+
+    def group_addresses(self, group: str | None = None) -> list[str]:
+        """Return the addresses of the other members of a group, the own by default."""
+        name = group or self.groups.own_group
+        return [
+            member.address
+            for vm, member in self.member_by_vm.items()
+            if self.groups.group_by_vm[vm] == name
+        ]
 
-    @property
-    def silence_timeout_ms(self) -> float:
-        """Return the time after which a peer counts as silent."""
-        return SILENCE_TIMEOUT_HEARTBEATS * self.heartbeat_ms
-
-    def near_addresses(self) -> list[str]:
-        """Return the addresses of the peers that receive every change immediately."""
-        if not self.is_large:
-            return list(self.address_by_vm.values())
-        neighbours = sorted(
-            vm
-            for vm, peer in self._peer_by_vm.items()
-            if peer.state.data_centre == self._data_centre
-        )
-        own_index = bisect_left(neighbours, self._own_vm)
-        start = own_index // NEAR_GROUP_SIZE * NEAR_GROUP_SIZE
-        group = neighbours[start : start + NEAR_GROUP_SIZE]
-        return [self.address_by_vm[vm] for vm in group]
+    def data_centre_addresses(self) -> list[str]:
+        """Return the addresses of the other entries of the own data centre."""
+        return [
+            member.address
+            for member in self.member_by_vm.values()
+            if member.data_centre == self._data_centre
+        ]
+
+    def relay_vm(self, uptime_ms: int) -> str:
+        """Return the VM of the live entry that speaks for the own group.
+
+        `uptime_ms` is the uptime of this entry.
+        """
+        return self.candidates(uptime_ms)[0].vm
+
+    def candidates(
+        self, uptime_ms: int, *, is_store_reachable: bool = True
+    ) -> list[Candidate]:
+        """Return the live entries of the group that do not leave, by precedence.
+
+        Takes the uptime of this entry and whether it reaches the store.
+        """
+        is_young = uptime_ms < MIN_DUTY_UPTIME_MS
+        own = Candidate(is_young, self._own_vm, is_store_reachable)
+        peers = [
+            Candidate(
+                peer.state.uptime_ms < MIN_DUTY_UPTIME_MS,
+                peer.state.vm,
+                not peer.state.is_store_unreachable,
+            )
+            for peer in self.live_peers()
+            if not peer.state.is_leaving
+        ]
+        return sorted((own, *peers))
 
     def live_peers(self) -> Iterator[Peer]:
         """Yield the peers that sent a state within the silence timeout."""
-        oldest_ms = self._clock.monotonic_ms() - self.silence_timeout_ms
+        oldest_ms = self._clock.monotonic_ms() - SILENCE_TIMEOUT_MS
         for peer in self._peer_by_vm.values():
             if peer.received_ms >= oldest_ms:
                 yield peer
@@ -114,43 +170,59 @@
 
         They may be serving, but this entry receives no state from them: silent
         peers, except those that announced their stop, and shortly after the
-        start of this entry also peers that have a known address but have not
-        sent a state yet.
+        start of this entry also members that have not sent a state yet.
         """
         undiscovered = self._undiscovered_count()
-        return (self._silent_count() + undiscovered) / (
-            self.entry_count() + undiscovered
-        )
+        silent = self.silent_count() + self.outside.silent_count()
+        return (silent + undiscovered) / (self.entry_count() + undiscovered)
 
     def entry_count(self) -> int:
         """Return the number of unexpired entries, including this one."""
+        return self.group_entry_count() + self.outside.entry_count()
+
+    def group_entry_count(self) -> int:
+        """Return the number of unexpired entries of the own group."""
         oldest_ms = self._clock.monotonic_ms() - PEER_EXPIRY_MS
         unexpired = sum(
             peer.received_ms >= oldest_ms for peer in self._peer_by_vm.values()
         )
         return unexpired + 1
 
+    def silent_count(self) -> int:
+        """Return how many entries of the own group fell silent without a stop."""
+        now_ms = self._clock.monotonic_ms()
+        return sum(
+            SILENCE_TIMEOUT_MS < now_ms - peer.received_ms < PEER_EXPIRY_MS
+            and not peer.state.is_leaving
+            for peer in self._peer_by_vm.values()
+        )
+
     def drop_expired_peers(self) -> list[str]:
-        """Remove the expired peers and return their VMs."""
+        """Remove the state of expired peers and return their VMs."""
         oldest_ms = self._clock.monotonic_ms() - PEER_EXPIRY_MS
         expired = [
             vm for vm, peer in self._peer_by_vm.items() if peer.received_ms < oldest_ms
         ]
         for vm in expired:
             self._peer_by_vm.pop(vm)
-            self.address_by_vm.pop(vm, None)
+            if self.groups.is_single:
+                self.member_by_vm.pop(vm, None)
         return expired
 
-    def _silent_count(self) -> int:
-        now_ms = self._clock.monotonic_ms()
-        silence_timeout_ms = self.silence_timeout_ms
-        return sum(
-            silence_timeout_ms < now_ms - peer.received_ms < PEER_EXPIRY_MS
-            and not peer.state.is_leaving
-            for peer in self._peer_by_vm.values()
+    def _update_groups(self) -> None:
+        self._groups.update(
+            {vm: member.data_centre for vm, member in self.member_by_vm.items()}
         )
+        for vm in tuple(self._peer_by_vm):
+            if not self._groups.has_member(vm):
+                self._peer_by_vm.pop(vm)
 
     def _undiscovered_count(self) -> int:
         if self._clock.monotonic_ms() - self._started_ms >= PEER_EXPIRY_MS:
             return 0
-        return len(self.address_by_vm.keys() - self._peer_by_vm.keys())
+        group = self.groups
+        undiscovered = self.member_by_vm.keys() - self._peer_by_vm.keys()
+        in_group = sum(map(group.has_member, undiscovered))
+        if self.outside.is_known:
+            return in_group
+        return len(undiscovered)
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -24,6 +24,17 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class LapsingServer:
+    """Name a server whose registration may have lapsed in an outage of the store.
+
+    It is removed unless it registers again within `remaining_ms`.
+    """
+
+    server_id: str
+    remaining_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Hold the configuration and servers of an entry for transfer to a peer."""
@@ -33,6 +44,9 @@
     config_as_of: int
     servers: tuple[ServerChange, ...]
     servers_as_of: int
+    # Absent in snapshots of versions in which every entry followed the store.
+    orders: tuple[VersionMove, ...] = ()
+    lapsing: tuple[LapsingServer, ...] = ()
 
 
 @dataclass(slots=True)
@@ -55,6 +69,7 @@
     on_config: Callable[[Configuration], None]
     on_servers: Callable[[], None]
     on_order: Callable[[VersionMove], None]
+    order_by_service: dict[str, VersionMove] = field(default_factory=dict)
     config: Configuration | None = None
     config_state: TableState = field(default_factory=TableState)
     servers_state: TableState = field(default_factory=TableState)
@@ -82,6 +97,15 @@
         ).info('configuration applied')
         self.on_config(config)
 
+    def put_order(self, order: VersionMove) -> None:
+        """Apply the order of a version move if it is newer."""
+        known = self.order_by_service.get(order.service_id)
+        if known is not None and known.revision >= order.revision:
+            return
+        self.order_by_service[order.service_id] = order
+        self.config_state.changed = max(self.config_state.changed, order.revision)
+        self.on_order(order)
+
     def set_config_as_of(self, revision: int) -> None:
         """Record that all configuration changes up to a revision are known."""
         self.config_state.as_of = max(self.config_state.as_of, revision)
@@ -123,26 +147,37 @@
             self.on_servers()
 
     def snapshot(self) -> Snapshot:
-        """Return the configuration and servers, without those in the grace period."""
+        """Return what this entry knows of the store."""
+        now_ms = self.clock.monotonic_ms()
         return Snapshot(
             config=self.config,
             config_revision=self.config_state.changed,
             config_as_of=self.config_state.as_of,
-            servers=tuple(
-                change
-                for server_id, change in self.change_by_id.items()
-                if server_id not in self.lapse_deadline_ms_by_id
-            ),
+            servers=tuple(self.change_by_id.values()),
             servers_as_of=self.servers_state.as_of,
+            orders=tuple(self.order_by_service.values()),
+            lapsing=tuple(
+                LapsingServer(server_id, deadline_ms - now_ms)
+                for server_id, deadline_ms in self.lapse_deadline_ms_by_id.items()
+            ),
         )
 
     def merge(self, snapshot: Snapshot) -> None:
         """Apply the parts of a peer's snapshot that are newer."""
         if snapshot.config is not None:
             self.put_config(snapshot.config, snapshot.config_revision)
+            for order in snapshot.orders:
+                self.put_order(order)
             self.set_config_as_of(snapshot.config_as_of)
         if snapshot.servers_as_of > self.servers_state.as_of:
             self.apply_all(snapshot.servers, snapshot.servers_as_of)
+            self._expect_lapses(snapshot.lapsing)
+
+    def _expect_lapses(self, lapsing: Iterable[LapsingServer]) -> None:
+        now_ms = self.clock.monotonic_ms()
+        for server in lapsing:
+            deadline_ms = now_ms + server.remaining_ms
+            self.lapse_deadline_ms_by_id.setdefault(server.server_id, deadline_ms)
 
     def _advance_servers(self, as_of: int) -> None:
         self.servers_state.as_of = max(self.servers_state.as_of, as_of)
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -75,7 +75,7 @@
         self.randomizes_choice = False
         self.load_by_id: dict[str, ServerLoad] = {}
         self.waiters: list[Waiter] = []
-        self.peer_waiters_by_vm: dict[str, list[PeerWaiter]] = {}
+        self.peer_waiters_by_source: dict[str, list[PeerWaiter]] = {}
 
     def submit(self, waiter: Waiter) -> None:
         """Assign the request or queue it.
@@ -203,7 +203,7 @@
     def _peer_sort_keys(self) -> list[tuple[float, float]]:
         return sorted(
             (waiter.rank, waiter.arrived_ms)
-            for waiters in self.peer_waiters_by_vm.values()
+            for waiters in self.peer_waiters_by_source.values()
             for waiter in waiters
         )
 
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -1,14 +1,18 @@
 """Enforce the rate limit of a team across all entries."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.group_digest import GroupDigest, Scope
 from marjoramfall.gateway.model import Team
+from marjoramfall.gateway.outside_groups import source_of
 from marjoramfall.gateway.peer_state import TeamUse
 
-# Below this share of the burst, each use is reported to peers at once rather
-# than only in the periodic full state.
-NEARLY_EXHAUSTED_SHARE = 0.5
+# A relay reports the use of a team early if, with as much use in all groups, this
+# share of its burst would be gone; or if other groups used the second share of it.
+SUDDEN_USE_SHARE = 0.5
+SUDDEN_OUTSIDE_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -22,7 +26,10 @@
 
     Amounts are tokens or requests, whichever the limit of the team counts.
     `reserved_share` is the share of the limit that silent peers may be using,
-    `withheld` the amount kept back for them so far.
+    `withheld` the amount kept back for them so far. `used` is what this entry
+    admitted, `used_by_group` and `used_outside` what it heard of the other entries
+    of its group and of all other groups since its start; what was last reported of
+    each to other entries begins with `reported`.
     """
 
     team: Team
@@ -30,6 +37,11 @@
     updated_ms: float
     tolerance: float = 0.0
     used: float = 0.0
+    used_by_group: float = 0.0
+    used_outside: float = 0.0
+    reported: float = 0.0
+    reported_by_group: float = 0.0
+    reported_outside: float = 0.0
     reserved_share: float = 0.0
     withheld: float = 0.0
 
@@ -38,14 +50,24 @@
         """Return the amount that this entry may admit now."""
         return self.level + self.tolerance * (1 - self.reserved_share)
 
-    def is_nearly_exhausted(self, now_ms: float) -> bool:
-        """Return whether the limit may be exceeded if peers learn of its use late."""
-        if not self.used:
-            return False
-        # `level` is refilled only when a request of the team arrives here.
-        elapsed_ms = max(0, now_ms - self.updated_ms)
-        refilled = self.level + self.team.rate_per_s * elapsed_ms / MS_PER_SECOND
-        return refilled < NEARLY_EXHAUSTED_SHARE * self.team.burst
+    def unreported(self, scope: Scope) -> float:
+        """Return the use in the group, or of all others, since its last digest."""
+        if scope is Scope.GROUP:
+            return self.used + self.used_by_group - self.reported_by_group
+        return self.used_outside - self.reported_outside
+
+    def report_own(self) -> TeamUse:
+        """Return the use at this entry to report to its group."""
+        self.reported = self.used
+        return TeamUse(self.team.name, self.used)
+
+    def report(self, scope: Scope) -> TeamUse:
+        """Return the use to report in a digest."""
+        if scope is Scope.GROUP:
+            self.reported_by_group = self.used + self.used_by_group
+            return TeamUse(self.team.name, self.reported_by_group)
+        self.reported_outside = self.used_outside
+        return TeamUse(self.team.name, self.reported_outside)
 
     def refill(self, now_ms: float, reserved_share: float) -> None:
         """Refill by the time elapsed, and withhold the share of silent peers."""
@@ -76,9 +98,15 @@
         self.level += amount
         self.used -= amount
 
-    def subtract_peer_use(self, amount: float) -> None:
-        """Subtract the amount that a peer admitted."""
-        self.level -= amount
+    def subtract_peer_use(self, amount: float, now_ms: float) -> None:
+        """Subtract the amount that a peer of the group admitted."""
+        self._subtract(amount, now_ms)
+        self.used_by_group += amount
+
+    def subtract_outside_use(self, amount: float, now_ms: float) -> None:
+        """Subtract the amount that the entries of another group admitted."""
+        self._subtract(amount, now_ms)
+        self.used_outside += amount
 
     def wait_ms(self) -> float:
         """Return the milliseconds until the limit admits the next request."""
@@ -88,6 +116,11 @@
             return 0
         return missing / usable_rate * MS_PER_SECOND
 
+    def _subtract(self, amount: float, now_ms: float) -> None:
+        # Refilled first: a later refill for the time before would replace the amount.
+        self.refill(now_ms, self.reserved_share)
+        self.level -= amount
+
     def _set_reserved_share(self, reserved_share: float) -> None:
         previous_share = self.reserved_share
         self.reserved_share = reserved_share
@@ -104,6 +137,15 @@
         self.withheld += moved
 
 
+@dataclass(frozen=True, slots=True)
+class DigestSource:
+    """Name a run of the entry that sums up the use of other groups."""
+
+    source: str
+    vm: str
+    incarnation: int
+
+
 class SharedLimits:
     """Keep the limits of all teams across configuration changes."""
 
@@ -115,6 +157,7 @@
         self._starts_full = starts_full
         self._limit_by_team: dict[str, SharedLimit] = {}
         self._reported_use_by_incarnation: dict[tuple[str, int], dict[str, float]] = {}
+        self._reported_use_by_digest: dict[DigestSource, dict[str, float]] = {}
 
     def set_teams(self, teams: dict[str, Team], now_ms: float) -> None:
         """Replace the teams by those of a new configuration, keeping known levels."""
@@ -143,7 +186,13 @@
         return None if team is None else self._limit_by_team.get(team.name)
 
     def add_peer(
-        self, vm: str, incarnation: int, uses: list[TeamUse], *, recent_share: float
+        self,
+        vm: str,
+        incarnation: int,
+        uses: list[TeamUse],
+        now_ms: float,
+        *,
+        recent_share: float,
     ) -> None:
         """Subtract the use of a peer, known or new; `uses` holds all of its teams.
 
@@ -155,9 +204,11 @@
             self._reported_use_by_incarnation[key] = {
                 use.team: use.used * (1 - recent_share) for use in uses
             }
-        self.subtract_peer_use(vm, incarnation, uses)
+        self.subtract_peer_use(vm, incarnation, uses, now_ms)
 
-    def subtract_peer_use(self, vm: str, incarnation: int, uses: list[TeamUse]) -> None:
+    def subtract_peer_use(
+        self, vm: str, incarnation: int, uses: list[TeamUse], now_ms: float
+    ) -> None:
         """Subtract the use of a known peer since its last report."""
         reported_by_team = self._reported_use_by_incarnation.get((vm, incarnation))
         if reported_by_team is None:
@@ -165,9 +216,66 @@
         for use in uses:
             limit = self._limit_by_team.get(use.team)
             if limit is not None:
-                limit.subtract_peer_use(use.used - reported_by_team.get(use.team, 0))
+                amount = use.used - reported_by_team.get(use.team, 0)
+                limit.subtract_peer_use(amount, now_ms)
+            reported_by_team[use.team] = use.used
+
+    def add_digest(
+        self, digest: GroupDigest, now_ms: float, *, recent_share: float
+    ) -> None:
+        """Subtract the use of other groups since the last digest of its sender.
+
+        Of the use before the first digest, only `recent_share` falls into the uptime
+        of this entry. A new sender for known entries counts from its first digest.
+        """
+        source = DigestSource(source_of(digest), digest.vm, digest.incarnation)
+        reported_by_team = self._reported_use_by_digest.get(source)
+        if reported_by_team is None:
+            if not digest.has_all_teams:
+                return
+            if self._reported_use_by_digest:
+                recent_share = 0
+            reported_by_team = {
+                use.team: use.used * (1 - recent_share) for use in digest.teams
+            }
+            self._reported_use_by_digest[source] = reported_by_team
+        for use in digest.teams:
+            limit = self._limit_by_team.get(use.team)
+            if limit is not None:
+                amount = use.used - reported_by_team.get(use.team, 0)
+                limit.subtract_outside_use(amount, now_ms)
             reported_by_team[use.team] = use.used
 
+    def keep_digests(self, digests: Iterable[GroupDigest]) -> None:
+        """Forget what senders reported that are no longer heard."""
+        kept = {
+            DigestSource(source_of(digest), digest.vm, digest.incarnation)
+            for digest in digests
+        }
+        for source in self._reported_use_by_digest.keys() - kept:
+            self._reported_use_by_digest.pop(source)
+
+    def digest_uses(self, scope: Scope, *, with_all_teams: bool) -> list[TeamUse]:
+        """Return the use since the start of this entry, of all or of changed teams."""
+        return [
+            limit.report(scope)
+            for limit in self._limit_by_team.values()
+            if with_all_teams or limit.unreported(scope)
+        ]
+
+    def has_sudden_use(self, scope: Scope, *, group_count: int) -> bool:
+        """Return whether a team used much of its limit since the last digest.
+
+        In that time the other groups may have used as much, unknown to this one.
+        """
+        share = SUDDEN_USE_SHARE / max(1, group_count)
+        if scope is Scope.OTHER_GROUPS:
+            share = SUDDEN_OUTSIDE_SHARE
+        return any(
+            limit.unreported(scope) > share * limit.team.burst
+            for limit in self._limit_by_team.values()
+        )
+
     def uses(self) -> list[TeamUse]:
         """Return the use of each team at this entry since its start."""
         return [
@@ -176,12 +284,12 @@
             if limit.used
         ]
 
-    def nearly_exhausted_uses(self, now_ms: float) -> list[TeamUse]:
-        """Return the use of those teams that have little of their limit left."""
+    def changed_uses(self) -> list[TeamUse]:
+        """Return the use at this entry of teams that used any since the last call."""
         return [
-            TeamUse(name, limit.used)
-            for name, limit in self._limit_by_team.items()
-            if limit.is_nearly_exhausted(now_ms)
+            limit.report_own()
+            for limit in self._limit_by_team.values()
+            if limit.used != limit.reported
         ]
 
     def _create_limit(self, team: Team, now_ms: float) -> SharedLimit:
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import defaultdict
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -108,10 +109,15 @@
 
     def results(self) -> Results:
         """Return the sum of the counts of all entries."""
+        return self.results_of(self.peer_results_by_vm.keys(), with_own=True)
+
+    def results_of(self, sources: Iterable[str], *, with_own: bool) -> Results:
+        """Return the sum of the counts of some entries or groups."""
         total = Results()
-        total.add(self.own)
-        for results in self.peer_results_by_vm.values():
-            total.add(results)
+        if with_own:
+            total.add(self.own)
+        for source in sources:
+            total.add(self.peer_results_by_vm.get(source, Results()))
         return total
 
 
@@ -202,20 +208,18 @@
                 self._change_phase(move, Phase(report.phase), f'reported by {vm}')
             self._withdraw_if_bad(move)
 
-    def reports(self) -> list[MoveReport]:
-        """Return the reports of all moves for the peers."""
-        now_ms = self._clock.monotonic_ms()
+    def keep_sources(self, sources: set[str]) -> None:
+        """Drop the counts of all other groups and entries."""
+        for move in self._move_by_service.values():
+            for source in move.peer_results_by_vm.keys() - sources:
+                move.peer_results_by_vm.pop(source)
+
+    def reports(
+        self, sources: Collection[str] = (), *, with_own: bool = True
+    ) -> list[MoveReport]:
+        """Return the reports of all moves, with the counts of some other sources."""
         return [
-            MoveReport(
-                service_id=move.order.service_id,
-                revision=move.order.revision,
-                elapsed_ms=int(now_ms - move.started_ms),
-                phase=int(move.phase),
-                new=move.own.new,
-                new_bad=move.own.new_bad,
-                old=move.own.old,
-                old_bad=move.own.old_bad,
-            )
+            self._report(move, move.results_of(sources, with_own=with_own))
             for move in self._move_by_service.values()
         ]
 
@@ -231,6 +235,18 @@
         phase = Phase.COMPLETED if completed else Phase.ROLLED_BACK
         self._change_phase(move, phase, 'recorded')
 
+    def _report(self, move: Move, results: Results) -> MoveReport:
+        return MoveReport(
+            service_id=move.order.service_id,
+            revision=move.order.revision,
+            elapsed_ms=int(self._clock.monotonic_ms() - move.started_ms),
+            phase=int(move.phase),
+            new=results.new,
+            new_bad=results.new_bad,
+            old=results.old,
+            old_bad=results.old_bad,
+        )
+
     def _withdraw_if_bad(self, move: Move) -> None:
         if move.phase is Phase.RUNNING and move.results().is_bad():
             self._change_phase(move, Phase.WITHDRAWN, 'fails more than the old version')
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -12,7 +12,6 @@
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.move_status import MoveRecorder
-from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.settings import (
     InvalidSettingsError,
     PlatformSettings,
@@ -44,9 +43,7 @@
         )
         registry = self._entry.registry
         self._watches = tuple(
-            watch(
-                self._new_client(), registry, clock, choose_wait_ms=self._choose_wait_ms
-            )
+            watch(self._new_client(), registry, clock, duty=self._entry.watch_duty)
             for watch in (OperatorWatch, ServerWatch)
         )
         self._recorder = MoveRecorder(
@@ -62,6 +59,7 @@
             clock,
             vm=settings.entry.vm,
             address=self._entry.peer_address,
+            data_centre=settings.entry.data_centre,
         )
 
         self._settings_watch = SettingsWatch(
@@ -83,9 +81,6 @@
     def _new_client(self) -> StoreClient:
         return StoreClient(self._settings.store_address, self._clock)
 
-    def _choose_wait_ms(self) -> int:
-        return choose_wait_ms(self._entry.peers.entry_count())
-
     def _restart_silent_watches(self) -> None:
         for watch in self._watches:
             watch.restart_if_silent()
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.platform.store import Row, StoreClient, StoreError
 
 ENTRY_TABLE = 'entries'
@@ -14,8 +14,10 @@
 READ_INTERVAL_MS = 60_000
 
 
-class _EntryRecord(msgspec.Struct):
+class _EntryRecord(msgspec.Struct, rename='camel'):
     address: str
+    # Absent in rows of versions without groups.
+    data_centre: str = ''
 
 
 class MemberDirectory:
@@ -29,13 +31,14 @@
         *,
         vm: str,
         address: str,
+        data_centre: str,
     ) -> None:
         self._client = client
         self._peers = peers
         self._clock = clock
         self._vm = vm
         self._is_registered = False
-        self._own_record = msgspec.json.encode(_EntryRecord(address))
+        self._own_record = msgspec.json.encode(_EntryRecord(address, data_centre))
 
     def run(self) -> None:
         """Call `register` at a fixed interval, sooner after an error; never returns."""
@@ -67,4 +70,4 @@
         except msgspec.DecodeError as error:
             logger.bind(vm=row.key, details=str(error)).warning('invalid entry record')
             return
-        self._peers.add_address(row.key, record.address)
+        self._peers.add_member(row.key, Member(record.address, record.data_centre))
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -11,8 +11,8 @@
 STATUS_TABLE = 'status'
 STATUS_PREFIX = 'rollout/'
 CHECK_INTERVAL_MS = 200
-# Each entry waits this long for every live entry whose VM name sorts before its
-# own, so that usually only one of them writes.
+# Each entry waits this long for every live entry of its group whose VM name sorts
+# before its own and for every group before its own, so that usually only one writes.
 WRITE_STAGGER_MS = 400
 RUNNING = 'running'
 STATE_BY_PHASE = {
@@ -99,7 +99,9 @@
         now_ms = self._clock.monotonic_ms()
         pending_since_ms = self._pending_since_ms.setdefault(key, now_ms)
         vms = (peer.state.vm for peer in self._peers.live_peers())
+        groups = self._peers.groups
         earlier_entries = sum(vm < self._vm for vm in vms)
+        earlier_entries += groups.names.index(groups.own_group)
         return now_ms - pending_since_ms >= earlier_entries * WRITE_STAGGER_MS
 
     def _record(self, move: Move, state: str) -> None:
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -2,7 +2,6 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 
 import gevent
 from loguru import logger
@@ -10,6 +9,8 @@
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.registry import Registry, ServerChange
+from marjoramfall.gateway.watch_duty import WatchDuty
+from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.records import (
     InvalidRecordError,
     decode_configuration,
@@ -26,6 +27,10 @@
 
 MIN_RETRY_DELAY_MS = 100.0
 MAX_RETRY_DELAY_MS = 700.0
+# For entries that try only while no other one reaches the store.
+MAX_RESERVE_DELAY_MS = 3000.0
+# How often an entry checks whether it has to follow the store.
+REST_INTERVAL_MS = 100.0
 # When peers have newer data than this entry, the entry restarts a watch that has had
 # no response for this long: its connection is taken to be dead.
 SILENCE_TIMEOUT_MS = 900.0
@@ -48,9 +53,9 @@
         registry: Registry,
         clock: Clock,
         *,
-        choose_wait_ms: Callable[[], int],
+        duty: WatchDuty,
     ) -> None:
-        self._choose_wait_ms = choose_wait_ms
+        self._duty = duty
         self._client = client
         self._registry = registry
         self._clock = clock
@@ -78,13 +83,18 @@
     def restart_if_silent(self) -> None:
         """Abandon a call that has had no response for `SILENCE_TIMEOUT_MS`."""
         silent_ms = self._clock.monotonic_ms() - self._last_response_ms
-        if silent_ms >= SILENCE_TIMEOUT_MS and self._is_connected:
+        is_waiting = self._is_connected and self._duty.is_due()
+        if is_waiting and silent_ms >= SILENCE_TIMEOUT_MS:
             logger.bind(table=self.table, silent_ms=round(silent_ms)).warning(
                 'store connection silent, reconnecting'
             )
             self.stop()
             self.start()
 
+    @abstractmethod
+    def known_revision(self) -> int:
+        """Return the revision up to which the registry knows the table, or 0."""
+
     @abstractmethod
     def apply_all(self, rows: RowSet) -> None:
         """Apply all rows of the table."""
@@ -95,6 +105,9 @@
 
     def _run(self) -> None:
         while True:
+            if not self._duty.is_due():
+                self._rest()
+                continue
             try:
                 self._read_once()
             except HistoryLostError:
@@ -107,6 +120,13 @@
             else:
                 self._on_response()
 
+    def _rest(self) -> None:
+        # Peers pass on the changes meanwhile; the watch goes on from there.
+        self._client.close()
+        gevent.sleep(REST_INTERVAL_MS / MS_PER_SECOND)
+        self._applied_revision = self.known_revision() or None
+        self._last_response_ms = self._clock.monotonic_ms()
+
     def _read_once(self) -> None:
         if self._applied_revision is None:
             found = self._client.read_table(self.table)
@@ -114,7 +134,7 @@
             self.apply_all(found)
         else:
             # During an outage, a call that does not wait detects its end at once.
-            wait_ms = self._choose_wait_ms() if self._is_connected else 0
+            wait_ms = choose_wait_ms(self._duty.rank()) if self._is_connected else 0
             found = self._client.follow_table(
                 self.table, self._applied_revision, wait_ms=wait_ms
             )
@@ -129,18 +149,22 @@
         self._last_response_ms = self._clock.monotonic_ms()
         if not self._is_connected:
             self._is_connected = True
+            self._duty.set_store_reachable(is_reachable=True)
             self._registry.note_outage_end()
             logger.bind(table=self.table).info('store reachable again')
 
     def _on_failure(self, error: StoreError) -> None:
         if self._is_connected:
             self._is_connected = False
+            self._duty.set_store_reachable(is_reachable=False)
             logger.bind(table=self.table, details=str(error)).warning(
                 'store unreachable'
             )
         jitter = random.uniform(0.5, 1)
         gevent.sleep(self._retry_delay_ms * jitter / MS_PER_SECOND)
-        self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
+        is_reserve = self._duty.is_reserve()
+        longest_ms = MAX_RESERVE_DELAY_MS if is_reserve else MAX_RETRY_DELAY_MS
+        self._retry_delay_ms = min(longest_ms, 2 * self._retry_delay_ms)
 
 
 class OperatorWatch(TableWatch):
@@ -149,6 +173,10 @@
     table = OPERATOR_TABLE
     poll_pause_ms = 500.0
 
+    def known_revision(self) -> int:
+        """Return the revision up to which the configuration is known, or 0."""
+        return self._registry.config_state.as_of
+
     def apply_all(self, rows: RowSet) -> None:
         """Apply all rows of the table."""
         self.apply_changes(rows)
@@ -172,7 +200,7 @@
             self._registry.put_config(decode_configuration(row.content), row.revision)
         elif row.key.startswith(MOVE_PREFIX):
             order: VersionMove = decode_move(row.content, row.revision)
-            self._registry.on_order(order)
+            self._registry.put_order(order)
 
 
 class ServerWatch(TableWatch):
@@ -181,6 +209,10 @@
     table = SERVER_TABLE
     poll_pause_ms = 700.0
 
+    def known_revision(self) -> int:
+        """Return the revision up to which the servers are known, or 0."""
+        return self._registry.servers_state.as_of
+
     def apply_all(self, rows: RowSet) -> None:
         """Apply all rows of the table."""
         self._registry.apply_all(map(_to_change, rows.rows), rows.revision)
--- a/tests/test_limit_across_entries.py
+++ b/tests/test_limit_across_entries.py
@@ -72,15 +72,20 @@
 
     def exchange(self, numbers, now_ms, *, is_full):
         """Report the use at each entry to all others."""
+        uses_by_sender = {
+            number: self.entries[number].uses()
+            if is_full
+            else self.entries[number].changed_uses()
+            for number in numbers
+        }
         for sender, receiver in permutations(numbers, 2):
-            limits = self.entries[sender]
             other = self.entries[receiver]
-            uses = limits.uses() if is_full else limits.nearly_exhausted_uses(now_ms)
+            uses = uses_by_sender[sender]
             name = f'entry-{sender}'
             if is_full:
-                other.add_peer(name, 1, uses, recent_share=1)
+                other.add_peer(name, 1, uses, now_ms, recent_share=1)
             else:
-                other.subtract_peer_use(name, 1, uses)
+                other.subtract_peer_use(name, 1, uses, now_ms)
 
     def max_in_window(self):
         """Return the maximum number of tokens admitted within any window."""
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -3,7 +3,7 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.peer_loads import PeerLoads
+from marjoramfall.gateway.peer_loads import PeerLoads, report_of_state
 from marjoramfall.gateway.peer_state import (
     ServerSpeed,
     ServerUse,
@@ -26,7 +26,7 @@
     def report(self, **changes):
         """Process a state after encoding and decoding it."""
         state = decode_state(encode_state(make_state(**changes)))
-        self.peers.replace(state, 0)
+        self.peers.replace(report_of_state(state), 0)
 
     def test_replaced(self):
         """Guards against load that is counted twice or never removed."""
@@ -46,7 +46,7 @@
         self.peers.keep_only(set())
         self.assertEqual(self.loads['s1'].running, 0)
         self.assertEqual(self.loads['s1'].speeds.peers.samples, 0)
-        self.assertFalse(self.queue.peer_waiters_by_vm)
+        self.assertFalse(self.queue.peer_waiters_by_source)
 
     def test_new_server(self):
         """Guards against a new server that seems idle.
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -54,7 +54,7 @@
         self.entry.registry.apply_changes([change], 1)
         self.runner = spawn(self.entry.run)
         self.addCleanup(self.runner.kill)
-        sleep(PAUSE_S)
+        self.wait_for_listener()
 
     def new_entry(self):
         """Return an entry on free ports of the loopback address."""
@@ -88,6 +88,25 @@
             on_stale_watch=lambda: None,
         )
 
+    def wait_for_listener(self):
+        """Wait until the entry accepts connections, at most for 5 s."""
+        for _ in range(250):
+            try:
+                self.connect().close()
+            except ConnectionRefusedError:
+                sleep(PAUSE_S)
+            else:
+                break
+        self.wait_for(lambda: not self.entry._callers.connections)
+
+    def wait_for(self, condition):
+        """Wait until the condition holds, at most for 5 s."""
+        for _ in range(250):
+            if condition():
+                return
+            sleep(PAUSE_S)
+        self.fail('the condition did not hold within 5 s')
+
     def connect(self):
         """Return a connection of a caller."""
         host, _, port = self.front.rpartition(':')
@@ -99,7 +118,7 @@
         """Guards against resetting requests that wait in the listener's backlog."""
         self.entry.begin_stop()
         # Connections that arrive now stay in the backlog until the process exits.
-        self.entry._server.stop_accepting()
+        self.entry._callers.stop_accepting()
         callers = [self.connect() for _ in range(8)]
         for caller in callers:
             caller.sendall(REQUEST)
@@ -120,10 +139,9 @@
     def test_kept_connection(self):
         """Guards against closing a connection whose next request was received."""
         caller = self.connect()
-        sleep(PAUSE_S)
-        accepted = next(iter(self.entry._connections))
-        sleep(0.15)
-        self.assertTrue(accepted.is_idle)
+        self.wait_for(lambda: self.entry._callers.connections)
+        accepted = self.entry._callers.connections[0]
+        self.wait_for(lambda: accepted.is_idle)
         caller.sendall(REQUEST)
         self.assertFalse(accepted.is_idle)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """Test the platform adapter against a stand-in of the platform's store."""
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 from gevent import sleep
@@ -11,8 +12,10 @@
 from marjoramfall.clock import MS_PER_SECOND, RuntimeClock
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS, Registry
+from marjoramfall.gateway.watch_duty import WatchDuty
+from marjoramfall.platform import watch as watch_module
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
@@ -118,6 +121,17 @@
     def setUp(self):
         super().setUp()
         self.poll_ms = POLL_MS
+        patcher = patch.object(
+            watch_module, 'choose_wait_ms', lambda rank: self.poll_ms
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.duty = WatchDuty(
+            PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a'),
+            own_vm='entry-1',
+            uptime_ms=lambda: 10_000,
+            on_change=lambda: None,
+        )
         self.store.put('op', 'config', CONFIG)
         self.store.put('servers', 'i-1', SERVER)
         self.registry = Registry(
@@ -140,7 +154,7 @@
             self.new_client(),
             self.registry,
             self.clock,
-            choose_wait_ms=lambda: self.poll_ms,
+            duty=self.duty,
         )
 
     def reaches_version(self, version):
@@ -247,14 +261,20 @@
 
     def test_two_entries(self):
         """An entry reads the addresses of others and skips invalid records."""
-        self.store.put('entries', 'entry-2', {'address': '10.0.0.2:7'})
+        record = {'address': '10.0.0.2:7', 'dataCentre': 'dc-b'}
+        self.store.put('entries', 'entry-2', record)
         self.store.put_raw('entries', 'entry-3', b'nonsense')
         peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
         directory = MemberDirectory(
-            self.client, peers, self.clock, vm='entry-1', address='10.0.0.1:7'
+            self.client,
+            peers,
+            self.clock,
+            vm='entry-1',
+            address='10.0.0.1:7',
+            data_centre='dc-a',
         )
         directory.register()
-        self.assertEqual(peers.address_by_vm, {'entry-2': '10.0.0.2:7'})
+        self.assertEqual(peers.member_by_vm, {'entry-2': Member('10.0.0.2:7', 'dc-b')})
         self.assertIn(b'10.0.0.1:7', self.store.get('entries', 'entry-1'))
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -3,7 +3,8 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.peer_table import PEER_EXPIRY_MS, PeerTable
+from marjoramfall.gateway.model import VersionMove
+from marjoramfall.gateway.peer_table import PEER_EXPIRY_MS, Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_GRACE_MS, Registry, ServerChange
 from tests.gateway_fakes import make_config, make_server, make_state
 
@@ -52,6 +53,34 @@
         self.assertEqual(other.config.version, 5)
         self.assertEqual(len(other.servers), 1)
 
+    def test_snapshot_of_lapsing(self):
+        """Guards against dropping or keeping a server whose registration lapsed.
+
+        An entry that does not follow the store learns of the outage by the snapshot.
+        """
+        self.registry.note_outage_end()
+        self.registry.apply_changes([ServerChange('s1', None, 12)], 12)
+        other = Registry(
+            self.clock, lambda config: None, lambda: None, lambda order: None
+        )
+        other.merge(self.registry.snapshot())
+        self.assertEqual(len(other.servers), 1)
+        self.clock.advance_ms(LAPSE_GRACE_MS)
+        other.drop_lapsed()
+        self.assertEqual(other.servers, [])
+
+    def test_order_in_snapshot(self):
+        """Guards against a version move that only those following the store know."""
+        orders = []
+        other = Registry(self.clock, lambda config: None, lambda: None, orders.append)
+        order = VersionMove('ledger', 'v2', 10, revision=15)
+        self.registry.put_config(make_config(5), 11)
+        self.registry.put_order(order)
+        self.assertEqual(self.registry.config_state.changed, 15)
+        other.merge(self.registry.snapshot())
+        other.merge(self.registry.snapshot())
+        self.assertEqual(orders, [order])
+
     def test_stale_snapshot(self):
         """Guards against applying the snapshot of a peer that is behind."""
         old = self.registry.snapshot()
@@ -152,7 +181,9 @@
         An entry that just started has not received the states of its peers.
         """
         for number in range(3, 6):
-            self.peers.add_address(f'entry-{number}', f'entry-{number}:1')
+            self.peers.add_member(
+                f'entry-{number}', Member(f'entry-{number}:1', 'dc-a')
+            )
         self.assertEqual(self.peers.unresponsive_share(), 3 / 5)
         self.clock.advance_ms(PEER_EXPIRY_MS)
         self.peers.update(make_state(sequence=6))
@@ -164,12 +195,13 @@
         self.clock.advance_ms(2000)
         self.assertEqual(self.peers.unresponsive_share(), 0)
 
-    def test_near_group(self):
+    def test_own_group(self):
         """Guards against sending each change to all peers of a large system."""
         for number in range(60):
             centre = 'dc-a' if number % 3 else 'dc-b'
             vm = f'vm-{number:02}'
             self.peers.update(make_state(vm, data_centre=centre))
-        near = self.peers.near_addresses()
-        self.assertLessEqual(len(near), 20)
-        self.assertTrue(all('vm-' in address or 'entry' in address for address in near))
+        group = self.peers.group_addresses()
+        self.assertTrue(group)
+        self.assertLessEqual(len(group), 20)
+        self.assertLessEqual(set(group), set(self.peers.data_centre_addresses()))
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -169,7 +169,7 @@
         self.fill()
         self.submit(priority=1)
         peer_waiter = PeerWaiter(rank=0, arrived_ms=0)
-        self.queue.peer_waiters_by_vm['entry-2'] = [peer_waiter]
+        self.queue.peer_waiters_by_source['entry-2'] = [peer_waiter]
         before = len(self.assigned)
         self.finish_first()
         self.assertEqual(len(self.assigned), before - 1)
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -8,7 +8,7 @@
 
 from gevent import socket
 
-from marjoramfall.gateway.peer_loads import PeerLoads
+from marjoramfall.gateway.peer_loads import PeerLoads, report_of_state
 from marjoramfall.gateway.registry import ServerChange
 from marjoramfall.gateway.retry_budget import RetryBounds
 from marjoramfall.gateway.server_load import UNREACHABLE_REPORT_MS, ServerLoad
@@ -61,7 +61,8 @@
 
     def report(self, *server_ids):
         """Process the unreachable servers that a peer reports."""
-        self.peer_loads.replace(make_state(unreachable_server_ids=list(server_ids)), 0)
+        state = make_state(unreachable_server_ids=list(server_ids))
+        self.peer_loads.replace(report_of_state(state), 0)
 
     def cost(self, name):
         """Return the cost of a request at a server."""
