--- a/marjoramfall/gateway/caller_listener.py
+++ b/marjoramfall/gateway/caller_listener.py
@@ -37,10 +37,8 @@
     def accept_pending(self) -> bool:
         """Serve the connections that wait in the backlog; return whether any did.
 
-        The system resets those that are left when the listener is closed. New ones
-        stay in the backlog from then on.
+        The system resets those that are left when the listener is closed.
         """
-        self._server.stop_accepting()
         accepted = self._server.do_read()
         found = accepted is not None
         while accepted is not None:
@@ -55,7 +53,9 @@
                 connection.close()
 
     def close(self) -> None:
-        """Close the listener."""
+        """Serve what waits in the backlog and close the listener."""
+        self._server.stop_accepting()
+        self.accept_pending()
         self._server.close()
 
     def _serve(self, accepted: socket.socket, _address: tuple[str, int]) -> None:
--- a/marjoramfall/gateway/digest_builder.py
+++ b/marjoramfall/gateway/digest_builder.py
@@ -6,7 +6,6 @@
 from marjoramfall.gateway.group_digest import (
     DIGEST_FORM,
     GroupDigest,
-    RelayAddress,
     Scope,
     aged,
     first_waiting,
@@ -19,9 +18,6 @@
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.version_moves import VersionMoves
 
-# The list of relays is long and changes rarely.
-RELAY_LIST_INTERVAL_MS = 2000
-
 
 class DigestBuilder:
     """Build the digests that the relay of a group sends."""
@@ -37,7 +33,6 @@
         self._peers = peers
         self._limits = limits
         self._moves = moves
-        self._sent_relays_ms = clock.monotonic_ms()
 
     def build(
         self, scope: Scope, own_state: PeerState, *, with_all_teams: bool
@@ -69,7 +64,6 @@
             has_all_teams=with_all_teams,
             unreachable_server_ids=unreachable_servers(states),
             moves=self._moves.reports(self._move_sources(scope), with_own=is_group),
-            relays=self._relays(scope),
         )
 
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
@@ -107,15 +101,3 @@
                 if self._peers.groups.has_member(vm)
             }
         return {source_of(digest) for digest in self._outside_states()}
-
-    def _relays(self, scope: Scope) -> list[RelayAddress]:
-        now_ms = self._clock.monotonic_ms()
-        is_due = now_ms - self._sent_relays_ms >= RELAY_LIST_INTERVAL_MS
-        if scope is Scope.GROUP or not is_due:
-            return []
-        self._sent_relays_ms = now_ms
-        outside = self._peers.outside
-        return [
-            RelayAddress(group, address)
-            for group, address in outside.relay_by_group.items()
-        ]
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -39,6 +39,8 @@
 BALANCER_REACTION_MS = 2600
 # The process exits this long before it would be killed.
 STOP_MARGIN_MS = 250
+# Time for the answers to the last callers that were accepted, within this margin.
+LAST_ANSWERS_MS = 100
 
 
 class Entry(PeerListener):
@@ -191,12 +193,6 @@
             with_all_teams=with_all_teams,
         )
 
-    def has_sudden_use(self, scope: Scope) -> bool:
-        """Return whether a team used much of its limit since the last digest."""
-        return self._limits.has_sudden_use(
-            scope, group_count=len(self.peers.groups.names)
-        )
-
     def uptime_ms(self) -> int:
         """Return the time since the start of the process."""
         return int(self._clock.monotonic_ms() - self._started_ms)
@@ -293,4 +289,6 @@
                 break
             self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS / 5)
         self._callers.close()
+        if self._callers.connections:
+            self._clock.sleep_ms(LAST_ANSWERS_MS)
         self._stopped.set()
--- a/marjoramfall/gateway/group_digest.py
+++ b/marjoramfall/gateway/group_digest.py
@@ -35,13 +35,6 @@
     OTHER_GROUPS = 1
 
 
-class RelayAddress(msgspec.Struct, array_like=True, frozen=True):
-    """Name the entry that speaks for a group."""
-
-    group: str
-    address: str
-
-
 class GroupDigest(msgspec.Struct, array_like=True, frozen=True):
     """Sum up the state of a group, or of all groups but that of the receivers.
 
@@ -70,7 +63,6 @@
     has_all_teams: bool
     unreachable_server_ids: list[str]
     moves: list[MoveReport]
-    relays: list[RelayAddress]
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/group_relay.py
+++ b/marjoramfall/gateway/group_relay.py
@@ -15,16 +15,11 @@
     mark_forwarded,
     was_forwarded,
 )
-from marjoramfall.gateway.outside_groups import digest_interval_ms
 from marjoramfall.gateway.peer_table import PeerTable
 
 # Speeds and the use of all teams change slowly and are large, so that they are
 # sent less often.
 FULL_STATE_INTERVAL_MS = 500
-# How often a relay checks whether a digest is due.
-TICK_MS = 50.0
-# Bounds the digests that a sudden use of many teams causes.
-MIN_EARLY_INTERVAL_MS = 20.0
 
 SendDatagram = Callable[[bytes, Iterable[str]], None]
 
@@ -36,10 +31,6 @@
     def own_digest(self, scope: Scope, *, with_all_teams: bool) -> GroupDigest:
         """Return the digest to send as the relay of the group."""
 
-    @abstractmethod
-    def has_sudden_use(self, scope: Scope) -> bool:
-        """Return whether a team used much of its limit since the last digest."""
-
     @abstractmethod
     def uptime_ms(self) -> int:
         """Return the time since the start of the process."""
@@ -76,30 +67,17 @@
         self._send = send
         self._relay_vm = ''
         self._sent_full_ms = clock.monotonic_ms()
-        self._sent_ms = self._sent_full_ms
-        self._sent_early_ms = self._sent_full_ms
 
     @property
     def is_relay(self) -> bool:
         """Return whether this entry speaks for its group."""
         return self._relay_vm == self._own_vm
 
-    def exchange_digests(self) -> float:
-        """Find out who is the relay, and send what is due if it is this entry.
-
-        Return the milliseconds until the next call.
-        """
+    def exchange_digests(self) -> None:
+        """Find out who is the relay, and send the digests if it is this entry."""
         self._update_relay()
-        interval_ms = digest_interval_ms(len(self._peers.groups.names))
-        if not self.is_relay:
-            return interval_ms
-        now_ms = self._clock.monotonic_ms()
-        if now_ms - self._sent_ms >= interval_ms - TICK_MS / 2:
-            self._sent_ms = now_ms
+        if self.is_relay:
             self._send_digests()
-        else:
-            self.report_sudden_use()
-        return TICK_MS
 
     def receive(self, datagram: bytes) -> None:
         """Process a digest; raises `msgspec.DecodeError` or `UnknownFormError`."""
@@ -113,20 +91,6 @@
             self._forward(datagram)
         elif is_of_group == self.is_relay and self._peers.outside.update(digest):
             self._listener.on_digest(digest)
-            self.report_sudden_use()
-
-    def report_sudden_use(self) -> None:
-        """Report teams that may soon exceed their limit if nobody else hears of it."""
-        now_ms = self._clock.monotonic_ms()
-        if not self.is_relay or now_ms - self._sent_early_ms < MIN_EARLY_INTERVAL_MS:
-            return
-        self._sent_early_ms = now_ms
-        if self._listener.has_sudden_use(Scope.GROUP):
-            own = self._listener.own_digest(Scope.GROUP, with_all_teams=False)
-            self._send(encode_digest(own), self._relay_addresses())
-        if self._listener.has_sudden_use(Scope.OTHER_GROUPS):
-            others = self._listener.own_digest(Scope.OTHER_GROUPS, with_all_teams=False)
-            self._send(encode_digest(others), self._peers.group_addresses())
 
     def _update_relay(self) -> None:
         relay_vm = self._peers.relay_vm(self._listener.uptime_ms())
@@ -153,20 +117,15 @@
         self._send(encode_digest(others), self._peers.group_addresses())
 
     def _relay_addresses(self) -> Iterator[str]:
-        """Yield where to reach each other group.
+        """Yield where to reach each other group: its relay, or any member.
 
-        While its relay is not heard, any member is asked to forward the digest to it.
+        A member forwards the digest to the relay, which then makes itself heard.
         """
         groups = self._peers.groups
-        outside = self._peers.outside
         for group in groups.names:
-            if group == groups.own_group:
-                continue
-            relay = outside.relay_by_group.get(group)
-            if relay is not None:
-                yield relay
-            if not outside.is_heard(group):
-                yield random.choice(self._peers.group_addresses(group))
+            if group != groups.own_group:
+                relay = self._peers.outside.relay_address(group)
+                yield relay or random.choice(self._peers.group_addresses(group))
 
     def _forward(self, datagram: bytes) -> None:
         """Pass on a digest whose sender does not know the relay of this group."""
--- a/marjoramfall/gateway/outside_groups.py
+++ b/marjoramfall/gateway/outside_groups.py
@@ -10,10 +10,10 @@
 # Lengthens the interval with the number of groups, so that the traffic of a relay
 # stays bounded.
 DIGEST_INTERVAL_MS_PER_GROUP = 12.0
-# Long enough for the next entry to replace a failed relay.
-SILENCE_TIMEOUT_MS = 1600.0
 # A relay that was silent for this long may have been replaced.
 RELAY_SILENCE_MS = 900.0
+# Short, as a group without a sum of the others takes all limits for its own.
+SILENCE_TIMEOUT_MS = 700.0
 # Groups that are cut off may still use their share of the limits.
 EXPIRY_MS = 20_000.0
 # Names the sum of all other groups, as received from the relay of the own group.
@@ -39,7 +39,6 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._received_by_source: dict[str, ReceivedDigest] = {}
-        self.relay_by_group: dict[str, str] = {}
 
     @property
     def is_known(self) -> bool:
@@ -54,10 +53,6 @@
             return False
         now_ms = self._clock.monotonic_ms()
         self._received_by_source[source] = ReceivedDigest(digest, now_ms)
-        if digest.scope == Scope.GROUP:
-            self.relay_by_group[digest.group] = digest.address
-        for relay in digest.relays:
-            self.relay_by_group[relay.group] = relay.address
         return True
 
     def forget_role(self, *, is_relay: bool) -> None:
@@ -67,23 +62,25 @@
                 self._received_by_source.pop(source)
 
     def live(self) -> Iterator[ReceivedDigest]:
-        """Yield the digests received within the silence timeout."""
-        oldest_ms = self._clock.monotonic_ms() - SILENCE_TIMEOUT_MS
+        """Yield the digests received within the silence timeout of their source."""
+        now_ms = self._clock.monotonic_ms()
         for received in self._received_by_source.values():
-            if received.received_ms >= oldest_ms:
+            is_group = received.digest.scope == Scope.GROUP
+            timeout_ms = RELAY_SILENCE_MS if is_group else SILENCE_TIMEOUT_MS
+            if now_ms - received.received_ms <= timeout_ms:
                 yield received
 
     def live_sources(self) -> set[str]:
         """Return the names of the sources heard within the silence timeout."""
         return {source_of(received.digest) for received in self.live()}
 
-    def is_heard(self, group: str) -> bool:
-        """Return whether the relay of a group is not silent."""
+    def relay_address(self, group: str) -> str | None:
+        """Return the address of the relay of a group, None unless it was heard."""
         received = self._received_by_source.get(group)
         if received is None:
-            return False
+            return None
         silent_ms = self._clock.monotonic_ms() - received.received_ms
-        return silent_ms < RELAY_SILENCE_MS
+        return received.digest.address if silent_ms < RELAY_SILENCE_MS else None
 
     def entry_count(self) -> int:
         """Return the number of entries in other groups heard before they expire."""
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -28,7 +28,7 @@
     GroupRelay,
 )
 from marjoramfall.gateway.http_messages import ResponseBounds
-from marjoramfall.gateway.outside_groups import DIGEST_INTERVAL_MS
+from marjoramfall.gateway.outside_groups import digest_interval_ms
 from marjoramfall.gateway.peer_state import PeerState, decode_state, encode_state
 from marjoramfall.gateway.peer_table import HEARTBEAT_MS, PeerTable
 from marjoramfall.gateway.registry import Registry, Snapshot
@@ -167,10 +167,9 @@
 
     def _digest_loop(self) -> None:
         while True:
-            wait_ms = DIGEST_INTERVAL_MS
+            self._clock.sleep_ms(digest_interval_ms(len(self._peers.groups.names)))
             if self._peers.is_large:
-                wait_ms = self._relay.exchange_digests()
-            self._clock.sleep_ms(wait_ms)
+                self._relay.exchange_digests()
 
     def _receive_loop(self) -> None:
         while True:
@@ -194,7 +193,6 @@
             self.schedule_datagram()
         if previous is not state:
             self._listener.on_peer_state(state)
-            self._relay.report_sudden_use()
 
     def _catch_up_loop(self) -> None:
         while True:
--- a/marjoramfall/gateway/peer_groups.py
+++ b/marjoramfall/gateway/peer_groups.py
@@ -1,5 +1,6 @@
 """Divide entries into groups that share their whole state, and servers among them."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from functools import lru_cache
@@ -10,6 +11,8 @@
 # Up to this many entries, one group holds all of them.
 MAX_SINGLE_GROUP = 24
 MEAN_GROUP_SIZE = 10
+# Keeps most entries in their group while others come and go.
+GROUP_SIZE_SLACK = 1.3
 SINGLE_GROUP = 'all'
 MAX_CACHED_WEIGHTS = 8192
 
@@ -52,9 +55,7 @@
         if self.is_single:
             self.group_by_vm = dict.fromkeys(by_vm, SINGLE_GROUP)
         else:
-            self.group_by_vm = {
-                vm: self._choose(vm, data_centre) for vm, data_centre in by_vm.items()
-            }
+            self.group_by_vm = self._divide(by_vm)
         self.own_group = self.group_by_vm[self._own_vm]
 
     def has_member(self, vm: str) -> bool:
@@ -78,9 +79,14 @@
             owned.update(_share_evenly(server_ids, groups).get(self.own_group, ()))
         return owned
 
-    def _choose(self, vm: str, data_centre: str) -> str:
-        groups = self._groups_by_data_centre[data_centre]
-        return max(groups, key=lambda group: rendezvous_weight(vm, group))
+    def _divide(self, data_centre_by_vm: Mapping[str, str]) -> dict[str, str]:
+        group_by_vm: dict[str, str] = {}
+        for data_centre, groups in self._groups_by_data_centre.items():
+            vms = [vm for vm, name in data_centre_by_vm.items() if name == data_centre]
+            shared = _share_evenly(vms, groups, slack=GROUP_SIZE_SLACK)
+            for group, members in shared.items():
+                group_by_vm.update(dict.fromkeys(members, group))
+        return group_by_vm
 
 
 def _name_groups(data_centres: Iterable[str]) -> dict[str, list[str]]:
@@ -95,10 +101,15 @@
     return [f'{data_centre}/{number}' for number in range(group_count)]
 
 
-def _share_evenly(keys: list[str], groups: list[str]) -> dict[str, list[str]]:
-    """Give each key to its preferred group that still has room."""
+def _share_evenly(
+    keys: list[str], groups: list[str], *, slack: float = 1
+) -> dict[str, list[str]]:
+    """Give each key to its preferred group that still has room.
+
+    A group takes up to `slack` times its even share.
+    """
     shared: dict[str, list[str]] = defaultdict(list)
-    room = -(-len(keys) // max(1, len(groups)))
+    room = math.ceil(slack * len(keys) / max(1, len(groups)))
     for key in sorted(keys):
         for group in _by_preference(key, groups):
             if len(shared[group]) < room:
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -9,11 +9,6 @@
 from marjoramfall.gateway.outside_groups import source_of
 from marjoramfall.gateway.peer_state import TeamUse
 
-# A relay reports the use of a team early if, with as much use in all groups, this
-# share of its burst would be gone; or if other groups used the second share of it.
-SUDDEN_USE_SHARE = 0.5
-SUDDEN_OUTSIDE_SHARE = 0.1
-
 
 @dataclass(slots=True)
 class SharedLimit:
@@ -263,19 +258,6 @@
             if with_all_teams or limit.unreported(scope)
         ]
 
-    def has_sudden_use(self, scope: Scope, *, group_count: int) -> bool:
-        """Return whether a team used much of its limit since the last digest.
-
-        In that time the other groups may have used as much, unknown to this one.
-        """
-        share = SUDDEN_USE_SHARE / max(1, group_count)
-        if scope is Scope.OTHER_GROUPS:
-            share = SUDDEN_OUTSIDE_SHARE
-        return any(
-            limit.unreported(scope) > share * limit.team.burst
-            for limit in self._limit_by_team.values()
-        )
-
     def uses(self) -> list[TeamUse]:
         """Return the use of each team at this entry since its start."""
         return [
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,11 +1,15 @@
 """Test how the gateway serves requests while backend servers fail."""
 
+from unittest.mock import patch
+
 from gevent import sleep
 
+from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.model import Team
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
 from tests.gateway_fakes import MODEL, make_config, make_route
 
+ACQUIRE = Forwarder._acquire
 LATE_S = 0.02
 NOT_RUN = 'Marjoramfall-Not-Executed: 1\r\n'
 
@@ -93,6 +97,13 @@
     answer(exchange, b'more')
 
 
+def acquire_late(forwarder, call):
+    """Assign a call to a server, then let its deadline pass as a pause would."""
+    assignment = ACQUIRE(forwarder, call)
+    call.deadline_ms = 0
+    return assignment
+
+
 class TestAdmission(GatewayCase):
     """Requests that the configuration does not allow are rejected."""
 
@@ -333,6 +344,14 @@
         response = self.receive_all(connection)
         self.assertGreaterEqual(response.count(b'200 OK'), 1)
 
+    def test_paused_before_send(self):
+        """Guards against sending a request whose deadline passed during a pause."""
+        backend = self.add_backend(answer)
+        with patch.object(Forwarder, '_acquire', acquire_late):
+            response = self.ask('/read/1')
+        self.assertIn(b'503 Service Unavailable', response)
+        self.assertFalse(backend.heads)
+
     def test_caller_leaves(self):
         """Guards against work that goes on after the caller has disconnected."""
         long_route = make_route('read', timeout_ms=60_000)
