--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -109,6 +109,7 @@
             own_vm=settings.vm,
             uptime_ms=self.uptime_ms,
             on_change=self._notify_peers,
+            needs_state=self._needs_state,
         )
         self._digests = DigestBuilder(clock, self.peers, self._limits, self.moves)
         self._exchange = PeerExchange(
@@ -262,11 +263,10 @@
         )
 
     def _is_ready(self) -> bool:
-        return (
-            not self._is_leaving
-            and self.registry.config is not None
-            and self.registry.servers_state.as_of > 0
-        )
+        return not self._is_leaving and self.registry.is_informed
+
+    def _needs_state(self) -> bool:
+        return not self._settings.is_first_start and not self.registry.is_informed
 
     def _maintain(self) -> None:
         while True:
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -86,6 +86,11 @@
             if change.server is not None
         ]
 
+    @property
+    def is_informed(self) -> bool:
+        """Return whether a configuration and the servers are known."""
+        return self.config is not None and self.servers_state.as_of > 0
+
     def put_config(self, config: Configuration, revision: int) -> None:
         """Apply a configuration if its version is newer."""
         if self.config is not None and config.version <= self.config.version:
--- a/marjoramfall/gateway/watch_duty.py
+++ b/marjoramfall/gateway/watch_duty.py
@@ -18,7 +18,8 @@
     """Tell whether this entry has to follow the store now.
 
     The entries of a group take the duty in the order of their names. Those that
-    the store refuses are passed over, but the first ones keep trying.
+    the store refuses are passed over, but the first ones keep trying. A restarted
+    entry reads the store at once, as it cannot serve before it knows anything.
     """
 
     def __init__(
@@ -28,11 +29,13 @@
         own_vm: str,
         uptime_ms: Callable[[], int],
         on_change: Callable[[], None],
+        needs_state: Callable[[], bool],
     ) -> None:
         self._peers = peers
         self._own_vm = own_vm
         self._uptime_ms = uptime_ms
         self._on_change = on_change
+        self._needs_state = needs_state
         self._was_due = False
         self.is_store_reachable = True
 
@@ -71,6 +74,8 @@
             self._on_change()
 
     def _is_due(self) -> bool:
+        if self._needs_state():
+            return True
         if self._uptime_ms() < START_DELAY_MS:
             return False
         count = self._watcher_count()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,6 +131,7 @@
             own_vm='entry-1',
             uptime_ms=lambda: 10_000,
             on_change=lambda: None,
+            needs_state=bool,
         )
         self.store.put('op', 'config', CONFIG)
         self.store.put('servers', 'i-1', SERVER)
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -27,13 +27,14 @@
         self.sequence = 0
         self.exchange(self.vms)
 
-    def new_duty(self, vm, uptime_ms=OLD_MS):
+    def new_duty(self, vm, uptime_ms=OLD_MS, *, needs_state=False):
         """Return the duty of an entry."""
         return WatchDuty(
             self.table_by_vm[vm],
             own_vm=vm,
             uptime_ms=lambda: uptime_ms,
             on_change=lambda: None,
+            needs_state=lambda: needs_state,
         )
 
     def exchange(self, vms, **changes):
@@ -86,8 +87,14 @@
         self.assertEqual(reserves, self.vms[2:])
 
     def test_just_started(self):
-        """Guards against restarted entries that all read the store at once."""
+        """Guards against a duty that moves to each entry that starts.
+
+        One that knows nothing yet reads the store at once, as it refuses callers
+        until then.
+        """
         self.assertFalse(self.new_duty('entry-1', uptime_ms=100).is_due())
+        restarted = self.new_duty('entry-6', uptime_ms=0, needs_state=True)
+        self.assertTrue(restarted.is_due())
         self.exchange(self.vms[:1], uptime_ms=1000)
         state = make_state('entry-1', 9, uptime_ms=1000)
         for vm in self.vms[1:]:
