Name the parts of a prompt in the log line of a failed exchange

The adapter now decodes the parts of a prompt, and 'exchange failed' names them, at most 8, with whether an event had arrived. No logic changes. test_prompt_parts passes; the evidence that the lines give follows with the postmortem.

--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -16,6 +16,8 @@
     `caller_timeout_ms` is how long the caller waits for the response.
     `is_generation` is true if the head states token counts, of which
     `output_tokens` is an upper bound and `likely_output_tokens` an estimate.
+    `shared_part_ids` are the parts of the prompt that other requests may have too,
+    and `own_part_id` is the last part, that of the request or its session.
     """
 
     attempt_id: str
@@ -29,6 +31,8 @@
     likely_output_tokens: int
     last_event_id: bytes | None
     headers: tuple[Header, ...]
+    shared_part_ids: tuple[str, ...] = ()
+    own_part_id: str = ''
 
 
 @dataclass(slots=True)
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -27,6 +27,8 @@
 MAX_REJECTED_SENDS = 3
 # Retry-After if all servers are full; slots become free as requests end.
 OVERLOAD_RETRY_AFTER_MS = 150.0
+# Bounds the log line of a request with many prompt parts.
+MAX_LOGGED_PARTS = 8
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -193,4 +195,7 @@
             reason=outcome.reason,
             runs=call.runs,
             sends=call.sends,
+            has_events=call.first_byte_ms is not None,
+            shared_parts=call.fields.shared_part_ids[:MAX_LOGGED_PARTS],
+            own_part=call.fields.own_part_id,
         ).warning('exchange failed')
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -26,6 +26,8 @@
 TOKEN_USAGE = b'marjoramfall-token-usage'
 # The caller's estimate of the number of output tokens.
 LENGTH_HINT = b'marjoramfall-length-hint'
+# The parts of the prompt in order, as ID:TOKENS; requests share all but the last.
+PROMPT_PARTS = b'marjoramfall-prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
 AUTHORIZATION = b'authorization'
 BEARER = b'bearer '
@@ -63,6 +65,9 @@
             output_tokens if length_hint is None else int(length_hint)
         )
         host, path = _read_target(head, value_by_name[b'host'])
+        *shared_part_ids, own_part_id = _read_part_ids(
+            value_by_name.get(PROMPT_PARTS, b'')
+        )
         forwarded = tuple(
             header
             for header in end_to_end_headers(head.headers)
@@ -80,6 +85,8 @@
             likely_output_tokens=min(likely_output_tokens, output_tokens),
             last_event_id=value_by_name.get(LAST_EVENT_ID),
             headers=forwarded,
+            shared_part_ids=tuple(shared_part_ids),
+            own_part_id=own_part_id,
         )
 
     def encode_request(
@@ -148,6 +155,13 @@
     return number if math.isfinite(number) else None
 
 
+def _read_part_ids(text: bytes) -> list[str]:
+    """Return the ids of the parts of a prompt, a single empty one if it has none."""
+    return [
+        part.partition(':')[0].strip() for part in text.decode('latin-1').split(',')
+    ]
+
+
 def _read_token_usage(text: bytes | None) -> tuple[int, int]:
     prompt, _, output = (text or b'').partition(b',')
     prompt = prompt.strip()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -366,6 +366,13 @@
         self.assertEqual((fields.prompt_tokens, fields.output_tokens), (1460, 80))
         self.assertEqual(fields.likely_output_tokens, 80)
 
+    def test_prompt_parts(self):
+        """The last part of a prompt is its own, the others may be shared."""
+        fields = self.read((b'marjoramfall-prompt-prefix', b'5c1e:800, 91bd:410,e4:25'))
+        self.assertEqual(fields.shared_part_ids, ('5c1e', '91bd'))
+        self.assertEqual(fields.own_part_id, 'e4')
+        self.assertEqual(self.read().shared_part_ids, ())
+
     def test_invalid_numbers(self):
         """Guards against failing on headers that should hold numbers and do not."""
         fields = self.read(
