Log the limit that a server names in its answers

The adapter decodes the limit, and 'server limit changed' says which request's answer changed it, and from what to what. Values that are no number or below 0 count as none. Ruled out: a line for every answer. No request is handled differently; tests of the dialect, the operations page and the gateway's path pass.

--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -33,6 +33,10 @@
     def is_other_server(self, response: Response) -> bool:
         """Return whether another server now uses the address."""
 
+    @abstractmethod
+    def read_rate_limit(self, response: Response) -> float | None:
+        """Return the requests per second that the server takes from all entries."""
+
     @abstractmethod
     def rejection_headers(
         self, attempt_id: str, retry_after_ms: float | None
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -137,6 +137,7 @@
             self._dialect.expected_header(self._call),
         )
         self._load.last_response_ms = self._clock.monotonic_ms()
+        self._record_rate_limit(response)
         if self._dialect.was_rejected(response):
             self._call.runs -= 1
             return self._read_rejection(response)
@@ -146,6 +147,19 @@
             response, writer, splitter, can_fail_over=can_fail_over
         )
 
+    def _record_rate_limit(self, response: Response) -> None:
+        rate_per_s = self._dialect.read_rate_limit(response)
+        if rate_per_s == self._load.named_rate_per_s:
+            return
+        logger.bind(
+            request=self._call.fields.attempt_id,
+            server=self._server.server_id,
+            rate_per_s=rate_per_s,
+            previous_per_s=self._load.named_rate_per_s,
+            running=self._load.running,
+        ).info('server limit changed')
+        self._load.named_rate_per_s = rate_per_s
+
     def _is_at_start(self) -> bool:
         first_event_ms = self._timing.first_event_ms
         if first_event_ms is None:
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -69,6 +69,7 @@
         self.last_response_ms = 0.0
         self.ejected_until_ms = 0.0
         self.lapses_at_ms: float | None = None
+        self.named_rate_per_s: float | None = None
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -22,6 +22,8 @@
 EXPECTED_SERVER = b'marjoramfall-expect-instance'
 TEAM = b'marjoramfall-tenant'
 NOT_EXECUTED = b'marjoramfall-not-executed'
+# The requests per second that a backend server takes from all entries together.
+SERVER_LIMIT = b'server-limit'
 # The number of prompt tokens and the maximum number of output tokens.
 TOKEN_USAGE = b'marjoramfall-token-usage'
 # The caller's estimate of the number of output tokens.
@@ -119,6 +121,11 @@
         """Return whether another server now uses the address."""
         return response.status == MISDIRECTED
 
+    def read_rate_limit(self, response: Response) -> float | None:
+        """Return the requests per second that the server takes, None for no limit."""
+        rate_per_s = _read_number(find_header(response.headers, SERVER_LIMIT))
+        return None if rate_per_s is None or rate_per_s < 0 else rate_per_s
+
     def rejection_headers(
         self, attempt_id: str, retry_after_ms: float | None
     ) -> list[Header]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from marjoramfall.clock import MS_PER_SECOND, RuntimeClock
-from marjoramfall.gateway.http_messages import RequestHead
+from marjoramfall.gateway.http_messages import RequestHead, Response
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS, Registry
@@ -382,6 +382,14 @@
         self.assertIsNone(fields.caller_timeout_ms)
         self.assertEqual(fields.prompt_tokens, 0)
 
+    def test_rate_limit(self):
+        """Guards against failing on a limit that is no number."""
+        limits = {b'2.5': 2.5, b'0': 0, b'-1': None, b'nan': None, b'soon': None}
+        for text, expected in limits.items():
+            response = Response(status=200, headers=[(b'server-limit', text)])
+            self.assertEqual(self.dialect.read_rate_limit(response), expected)
+        self.assertIsNone(self.dialect.read_rate_limit(Response(status=200)))
+
     def test_server_id(self):
         """The server factory of the tests keeps the server id."""
         self.assertEqual(make_server('i-1').server_id, 'i-1')
