--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -68,7 +68,6 @@
         self._last_failure_ms = 0.0
         self.last_response_ms = 0.0
         self.ejected_until_ms = 0.0
-        self.lapses_at_ms: float | None = None
         self.named_rate_per_s: float | None = None
 
     def update_server(self, server: BackendServer) -> None:
