Keep servers to the limits that they name, all entries together

Cause: servers were chosen by free slots and expected time alone; no entry read the limit. The class of fault: a bound that belongs to all entries together was known to none. The same was looked for elsewhere: limits of teams, the retry budget and connections to a server are shared already; nothing else in the answers of servers bounds what entries send.

Ruled out: a part of the limit for each entry, which leaves most of 2 requests a second unused while callers arrive unevenly; counting only own requests; waiting for the store.

Change: a server's limit is a shared limit beside those of the teams, counted in requests and reported in the same list (use of limits), with a report of who named what and when. It begins empty, so that entries that hear of it at the same moment do not send at once; requests are counted from the first limit until the server goes; what was sent while no limit was in force is not made up for, and debts are bounded by 4 s of the rate. A server over its limit has no free slot, waiting requests take turns as before, and a timer assigns them when the limit allows more. PeerState.teams became limit_uses, since it holds both; the form on the wire is the same, and new fields follow the old ones. AssignTimer replaces a flag and a method of Fleet.

--- a/marjoramfall/gateway/digest_builder.py
+++ b/marjoramfall/gateway/digest_builder.py
@@ -35,7 +35,7 @@
         self._moves = moves
 
     def build(
-        self, scope: Scope, own_state: PeerState, *, with_all_teams: bool
+        self, scope: Scope, own_state: PeerState, *, with_all_limits: bool
     ) -> GroupDigest:
         """Return a digest under the sequence number of the own state."""
         is_group = scope is Scope.GROUP
@@ -60,11 +60,12 @@
             silent_count=self._silent_count(scope),
             uses=sum_uses(states),
             waiting=first_waiting(waiting),
-            teams=self._limits.digest_uses(scope, with_all_teams=with_all_teams),
-            has_all_teams=with_all_teams,
+            limit_uses=self._limits.digest_uses(scope, with_all_limits=with_all_limits),
+            has_all_limits=with_all_limits,
             unreachable_server_ids=unreachable_servers(states),
             moves=self._moves.reports(self._move_sources(scope), with_own=is_group),
             crash_evidence=own_state.crash_evidence,
+            server_limits=own_state.server_limits,
         )
 
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -89,6 +89,7 @@
             self.moves,
             data_centre=settings.data_centre,
             retry_budgets=self._retry_budgets,
+            limits=self._limits,
             notify_peers=self._notify_peers,
         )
         self.registry = Registry(
@@ -160,7 +161,7 @@
             self._notify_peers()
             spawn(self._stop)
 
-    def own_state(self, *, with_speeds: bool, with_all_teams: bool) -> PeerState:
+    def own_state(self, *, with_speeds: bool, with_all_limits: bool) -> PeerState:
         """Return the current state for the peers under a new sequence number."""
         self._sequence += 1
         registry = self.registry
@@ -180,21 +181,22 @@
             uses=own.uses(),
             waiting=own.waiting(),
             speeds=own.speeds() if with_speeds else None,
-            teams=limits.uses() if with_all_teams else limits.changed_uses(),
-            has_all_teams=with_all_teams,
+            limit_uses=limits.uses() if with_all_limits else limits.changed_uses(),
+            has_all_limits=with_all_limits,
             unreachable_server_ids=own.unreachable_server_ids(),
             moves=self.moves.reports(),
             is_store_unreachable=not self.watch_duty.is_store_reachable,
             crash_evidence=self._quarantine.report(is_full=with_speeds),
+            server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
         )
 
-    def own_digest(self, scope: Scope, *, with_all_teams: bool) -> GroupDigest:
+    def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
         """Return the sum of the own group, or of all others, from what is known."""
         self._sequence += 1
         return self._digests.build(
             scope,
-            self.own_state(with_speeds=with_all_teams, with_all_teams=True),
-            with_all_teams=with_all_teams,
+            self.own_state(with_speeds=with_all_limits, with_all_limits=True),
+            with_all_limits=with_all_limits,
         )
 
     def uptime_ms(self) -> int:
@@ -213,19 +215,19 @@
     def on_peer_state(self, state: PeerState) -> None:
         """Apply the new state of a peer."""
         now_ms = self._clock.monotonic_ms()
-        if state.has_all_teams:
+        if state.has_all_limits:
             # The part of the peer's uptime in which this entry has run as well.
             recent_share = min(1, self.uptime_ms() / max(1, state.uptime_ms))
             self._limits.add_peer(
                 state.vm,
                 state.incarnation,
-                state.teams,
+                state.limit_uses,
                 now_ms,
                 recent_share=recent_share,
             )
         else:
             self._limits.subtract_peer_use(
-                state.vm, state.incarnation, state.teams, now_ms
+                state.vm, state.incarnation, state.limit_uses, now_ms
             )
         self.moves.on_reports(state.vm, state.moves)
         self._quarantine.merge(state.crash_evidence)
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -18,6 +18,7 @@
 from marjoramfall.gateway.event_splitter import EventSplitter, EventTooLargeError
 from marjoramfall.gateway.http_messages import HEAD_METHOD, Response
 from marjoramfall.gateway.outcome import Ending, Outcome
+from marjoramfall.gateway.server_limits import ServerLimits
 from marjoramfall.gateway.server_speeds import US_PER_MS
 from marjoramfall.gateway.service_queue import Assignment
 
@@ -75,6 +76,7 @@
         call: Call,
         assignment: Assignment,
         pool: ConnectionPool,
+        server_limits: ServerLimits,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
@@ -83,6 +85,7 @@
         self._load = assignment.load
         self._server = assignment.load.server
         self._pool = pool
+        self._server_limits = server_limits
         self._dialect = dialect
         self._clock = clock
         self._connection: BackendConnection | None = None
@@ -137,7 +140,11 @@
             self._dialect.expected_header(self._call),
         )
         self._load.last_response_ms = self._clock.monotonic_ms()
-        self._record_rate_limit(response)
+        self._server_limits.on_response(
+            self._load,
+            self._dialect.read_rate_limit(response),
+            attempt_id=self._call.fields.attempt_id,
+        )
         if self._dialect.was_rejected(response):
             self._call.runs -= 1
             return self._read_rejection(response)
@@ -147,19 +154,6 @@
             response, writer, splitter, can_fail_over=can_fail_over
         )
 
-    def _record_rate_limit(self, response: Response) -> None:
-        rate_per_s = self._dialect.read_rate_limit(response)
-        if rate_per_s == self._load.named_rate_per_s:
-            return
-        logger.bind(
-            request=self._call.fields.attempt_id,
-            server=self._server.server_id,
-            rate_per_s=rate_per_s,
-            previous_per_s=self._load.named_rate_per_s,
-            running=self._load.running,
-        ).info('server limit changed')
-        self._load.named_rate_per_s = rate_per_s
-
     def _is_at_start(self) -> bool:
         first_event_ms = self._timing.first_event_ms
         if first_event_ms is None:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -5,10 +5,10 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from gevent import spawn_later
 from loguru import logger
 
-from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.assign_timer import AssignTimer
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.connection_pool import ConnectionPool, max_idle_connections
 from marjoramfall.gateway.exchange import FIRST_SERVER_ERROR_STATUS
@@ -18,8 +18,10 @@
 from marjoramfall.gateway.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.retry_budget import RetryBudgets
+from marjoramfall.gateway.server_limits import ServerLimits
 from marjoramfall.gateway.server_load import ServerLoad
 from marjoramfall.gateway.service_queue import Assignment, ServiceQueue
+from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.version_moves import (
     ANY_VERSION,
     VersionChoice,
@@ -56,6 +58,7 @@
         *,
         data_centre: str,
         retry_budgets: RetryBudgets,
+        limits: SharedLimits,
         notify_peers: Callable[[], None],
     ) -> None:
         self._clock = clock
@@ -69,7 +72,9 @@
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
         self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
         self._retry_budgets = retry_budgets
-        self._is_assign_scheduled = False
+        self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
+        self._report_timer = AssignTimer(self.assign)
+        self._limit_timer = AssignTimer(self.assign)
         self._sharing_basis: SharingBasis | None = None
         self.notify_peers = notify_peers
 
@@ -93,7 +98,11 @@
         """Return the queue of a service, created on first use."""
         queue = self._queue_by_service.get(service_id)
         if queue is None:
-            queue = ServiceQueue(self._clock, is_model=self._is_model(service_id))
+            queue = ServiceQueue(
+                self._clock,
+                is_model=self._is_model(service_id),
+                schedule_assign=self._limit_timer.schedule,
+            )
             self._queue_by_service[service_id] = queue
         return queue
 
@@ -167,6 +176,7 @@
 
     def on_report(self, report: LoadReport) -> None:
         """Replace the load of a peer or group and assign waiting requests."""
+        self.server_limits.merge(report.server_limits, self._load_by_id.get)
         self._peer_loads.replace(report, self._clock.monotonic_ms())
         self._assign_soon()
 
@@ -180,19 +190,15 @@
         sources = {peer.state.vm for peer in self._peers.live_peers()}
         sources |= self._peers.outside.live_sources()
         self._peer_loads.keep_only(sources)
+        self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
     def _assign_soon(self) -> None:
-        if not self._peers.is_large:
-            self.assign()
-        elif not self._is_assign_scheduled:
+        if self._peers.is_large:
             # Hundreds of datagrams arrive per second; one run serves many of them.
-            self._is_assign_scheduled = True
-            spawn_later(ASSIGN_INTERVAL_MS / MS_PER_SECOND, self._run_scheduled_assign)
-
-    def _run_scheduled_assign(self) -> None:
-        self._is_assign_scheduled = False
-        self.assign()
+            self._report_timer.schedule(ASSIGN_INTERVAL_MS)
+        else:
+            self.assign()
 
     def _add(self, server: BackendServer) -> None:
         known = self._load_by_id.get(server.server_id)
@@ -263,6 +269,7 @@
         load = self._load_by_id.pop(server_id)
         self.queue(load.server.service_id).load_by_id.pop(server_id, None)
         self._pool.remove(server_id)
+        self.server_limits.remove(load.server)
 
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -81,7 +81,14 @@
         writer: ResponseWriter,
         splitter: EventSplitter | None,
     ) -> Outcome:
-        exchange = Exchange(call, assignment, self._pool, self._dialect, self._clock)
+        exchange = Exchange(
+            call,
+            assignment,
+            self._pool,
+            self._fleet.server_limits,
+            self._dialect,
+            self._clock,
+        )
         with self._fleet.releasing(assignment):
             outcome = exchange.run(
                 writer, splitter, can_fail_over=self._can_fail_over(call, assignment)
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -237,10 +237,10 @@
 def _log_limit(call: Call, limit: SharedLimit) -> None:
     logger.bind(
         request=call.fields.attempt_id,
-        team=limit.team.name,
+        team=limit.rule.name,
         asked=call.quota_cost,
         available=round(limit.available),
-        rate_per_s=limit.team.rate_per_s,
+        rate_per_s=limit.rule.rate_per_s,
         silent_share=round(limit.reserved_share, 2),
         config_version=call.config_version,
     ).warning('team limit reached')
--- a/marjoramfall/gateway/group_digest.py
+++ b/marjoramfall/gateway/group_digest.py
@@ -8,10 +8,11 @@
 
 from marjoramfall.gateway.crash_report import EvidenceReport
 from marjoramfall.gateway.peer_state import (
+    LimitUse,
     MoveReport,
     PeerState,
+    ServerLimitReport,
     ServerUse,
-    TeamUse,
     WaitingCall,
     waiting_sort_key,
 )
@@ -39,9 +40,9 @@
 class GroupDigest(msgspec.Struct, array_like=True, frozen=True):
     """Sum up the state of a group, or of all groups but that of the receivers.
 
-    The revisions are those of the sender. `teams` holds the use admitted since the
-    start of the sender, and only that of teams whose use changed since the digest
-    before unless `has_all_teams` is set. `silent_count` of the `entry_count` entries
+    The revisions are those of the sender. `limit_uses` holds the use admitted since the
+    start of the sender, and only that of limits whose use changed since the digest
+    before unless `has_all_limits` is set. `silent_count` of the `entry_count` entries
     were not heard lately.
     """
 
@@ -60,12 +61,13 @@
     silent_count: int
     uses: list[ServerUse]
     waiting: list[WaitingCall]
-    teams: list[TeamUse]
-    has_all_teams: bool
+    limit_uses: list[LimitUse]
+    has_all_limits: bool
     unreachable_server_ids: list[str]
     moves: list[MoveReport]
     # Absent unless there are crashes to report.
     crash_evidence: EvidenceReport | None = None
+    server_limits: list[ServerLimitReport] = []
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/group_relay.py
+++ b/marjoramfall/gateway/group_relay.py
@@ -28,7 +28,7 @@
     """Provide the digests of this entry and process those of others."""
 
     @abstractmethod
-    def own_digest(self, scope: Scope, *, with_all_teams: bool) -> GroupDigest:
+    def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
         """Return the digest to send as the relay of the group."""
 
     @abstractmethod
@@ -111,9 +111,9 @@
         is_full = now_ms - self._sent_full_ms >= FULL_STATE_INTERVAL_MS
         if is_full:
             self._sent_full_ms = now_ms
-        own = self._listener.own_digest(Scope.GROUP, with_all_teams=is_full)
+        own = self._listener.own_digest(Scope.GROUP, with_all_limits=is_full)
         self._send(encode_digest(own), self._relay_addresses())
-        others = self._listener.own_digest(Scope.OTHER_GROUPS, with_all_teams=is_full)
+        others = self._listener.own_digest(Scope.OTHER_GROUPS, with_all_limits=is_full)
         self._send(encode_digest(others), self._peers.group_addresses())
 
     def _relay_addresses(self) -> Iterator[str]:
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -3,6 +3,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import inf
+
+# The unused part of a server's limit is kept for this long.
+SERVER_BURST_S = 1.0
+# What peers report late, as after a partition, holds up requests no longer than this.
+SERVER_DEBT_S = 4.0
 
 
 class RepeatRule(StrEnum):
@@ -72,6 +78,32 @@
     counts_tokens: bool
     plain_tokens: int
 
+    @property
+    def max_debt(self) -> float:
+        """Return the amount beyond the limit that later requests make up for."""
+        return inf
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """Hold how many requests a server takes from all entries together."""
+
+    name: str
+    rate_per_s: float
+
+    @property
+    def burst(self) -> float:
+        """Return the requests that may be sent at once after a pause."""
+        return max(1, self.rate_per_s * SERVER_BURST_S)
+
+    @property
+    def max_debt(self) -> float:
+        """Return the requests beyond the limit that later ones make up for."""
+        return max(1, self.rate_per_s * SERVER_DEBT_S)
+
+
+LimitRule = Team | ServerLimit
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peer_exchange.py
@@ -55,7 +55,7 @@
     """Provide the state of this entry and process that of peers."""
 
     @abstractmethod
-    def own_state(self, *, with_speeds: bool, with_all_teams: bool) -> PeerState:
+    def own_state(self, *, with_speeds: bool, with_all_limits: bool) -> PeerState:
         """Return the state to send to peers."""
 
     @abstractmethod
@@ -123,7 +123,7 @@
                 self._send_state(
                     self._peers.group_addresses(),
                     with_speeds=False,
-                    with_all_teams=not self._peers.is_large,
+                    with_all_limits=not self._peers.is_large,
                 )
             if self._clock.monotonic_ms() >= self._next_heartbeat_ms:
                 self._send_heartbeat()
@@ -146,13 +146,13 @@
         if self._introductions_left and self._peers.member_by_vm:
             self._introductions_left -= 1
             addresses = {*addresses, *self._peers.data_centre_addresses()}
-        self._send_state(addresses, with_speeds=is_full, with_all_teams=is_full)
+        self._send_state(addresses, with_speeds=is_full, with_all_limits=is_full)
 
     def _send_state(
-        self, addresses: Iterable[str], *, with_speeds: bool, with_all_teams: bool
+        self, addresses: Iterable[str], *, with_speeds: bool, with_all_limits: bool
     ) -> None:
         state = self._listener.own_state(
-            with_speeds=with_speeds, with_all_teams=with_all_teams
+            with_speeds=with_speeds, with_all_limits=with_all_limits
         )
         self._send(encode_state(state), addresses)
 
--- a/marjoramfall/gateway/peer_loads.py
+++ b/marjoramfall/gateway/peer_loads.py
@@ -7,6 +7,7 @@
 from marjoramfall.gateway.outside_groups import source_of
 from marjoramfall.gateway.peer_state import (
     PeerState,
+    ServerLimitReport,
     ServerSpeed,
     ServerUse,
     WaitingCall,
@@ -28,6 +29,7 @@
     waiting: list[WaitingCall]
     unreachable_server_ids: list[str]
     speeds: list[ServerSpeed] | None = None
+    server_limits: list[ServerLimitReport] = field(default_factory=list)
 
 
 def report_of_state(state: PeerState) -> LoadReport:
@@ -38,6 +40,7 @@
         waiting=state.waiting,
         unreachable_server_ids=state.unreachable_server_ids,
         speeds=state.speeds,
+        server_limits=state.server_limits,
     )
 
 
@@ -48,6 +51,7 @@
         uses=digest.uses,
         waiting=digest.waiting,
         unreachable_server_ids=digest.unreachable_server_ids,
+        server_limits=digest.server_limits,
     )
 
 
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -39,13 +39,25 @@
     return call.rank, -call.waited_ms
 
 
-class TeamUse(msgspec.Struct, array_like=True, frozen=True):
-    """Report the tokens or requests of a team admitted by an entry since its start."""
+class LimitUse(msgspec.Struct, array_like=True, frozen=True):
+    """Report what an entry admitted under a limit since its start.
 
-    team: str
+    These are tokens or requests of a team, or requests to a server.
+    """
+
+    name: str
     used: float
 
 
+class ServerLimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """Report the rate that a server named `age_ms` ago, None if it named none."""
+
+    server_id: str
+    born_ms: int
+    rate_per_s: float | None
+    age_ms: int
+
+
 class MoveReport(msgspec.Struct, array_like=True, frozen=True):
     """Report the phase of a version move at an entry and the results counted there.
 
@@ -66,8 +78,8 @@
     """Hold the shared state of an entry; each datagram replaces the one before.
 
     `speeds` is None in most datagrams, as it is large and changes slowly; the
-    last speeds sent stay valid. For the same reason `teams` holds only those
-    whose use changed since the state before, unless `has_all_teams` is set.
+    last speeds sent stay valid. For the same reason `limit_uses` holds only those
+    whose use changed since the state before, unless `has_all_limits` is set.
     `incarnation` differs after each start of the entry, and `sequence` orders
     the datagrams of one incarnation.
     """
@@ -85,14 +97,15 @@
     uses: list[ServerUse]
     waiting: list[WaitingCall]
     speeds: list[ServerSpeed] | None
-    teams: list[TeamUse]
-    has_all_teams: bool
+    limit_uses: list[LimitUse]
+    has_all_limits: bool
     unreachable_server_ids: list[str]
     moves: list[MoveReport]
     # Absent in states of versions without groups.
     is_store_unreachable: bool = False
     # Absent unless there are crashes to report.
     crash_evidence: EvidenceReport | None = None
+    server_limits: list[ServerLimitReport] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -1,10 +1,13 @@
 """Track the load, speed and health of one backend server."""
 
+import math
 from dataclasses import dataclass
 
+from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.demand import Demand
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.server_speeds import ServerSpeeds
+from marjoramfall.gateway.shared_limit import SharedLimit
 
 INITIAL_EVENT_MS = 15.0
 INITIAL_CALL_MS = 30.0
@@ -68,13 +71,38 @@
         self._last_failure_ms = 0.0
         self.last_response_ms = 0.0
         self.ejected_until_ms = 0.0
-        self.named_rate_per_s: float | None = None
+        # Counts the requests to the server once it has named a limit.
+        self._shared_limit: SharedLimit | None = None
+        self.is_limited = False
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
         self.server = server
         self._update_slots()
 
+    def use_limit(self, limit: SharedLimit, *, is_in_force: bool) -> None:
+        """Count requests under the limit, and keep to it if it is in force."""
+        self._shared_limit = limit
+        self.is_limited = is_in_force
+        self._update_slots()
+
+    def refill_limit(self, now_ms: float) -> None:
+        """Update the free slots by what the limit allows now."""
+        self._shared_limit.refill(now_ms, self._shared_limit.reserved_share)
+        self._update_slots()
+
+    def ms_until_allowed(self) -> float:
+        """Return the time until the limit allows a request."""
+        return self._shared_limit.ms_until_available()
+
+    def usable_slots(self, service_time_ms: float) -> float:
+        """Return how many slots the limit lets the server use on average."""
+        slots = self.server.slots
+        if not self.is_limited:
+            return slots
+        rate_per_s = self._shared_limit.rule.rate_per_s
+        return min(slots, rate_per_s * service_time_ms / MS_PER_SECOND)
+
     def reserve_slots(self, slots: int) -> None:
         """Reserve some slots for other entries."""
         self._reserved_slots = slots
@@ -149,6 +177,8 @@
         """Add a request that is sent to the server to its load."""
         request = RunningRequest(demand, now_ms)
         self.own_requests.append(request)
+        if self._shared_limit is not None:
+            self._shared_limit.use(1)
         self._update_slots()
         return request
 
@@ -191,6 +221,9 @@
         self.free_slots = max(
             0, self.server.slots - self.running - self._reserved_slots
         )
+        if self.is_limited:
+            allowed = max(0, math.ceil(self._shared_limit.available))
+            self.free_slots = min(self.free_slots, allowed)
 
     def _remaining_ms(self, demand: Demand) -> float:
         """Return the expected time from the first response to the last."""
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -20,6 +20,11 @@
 WAIT_SMOOTHING = 0.2
 MIN_WAIT_RATIO = 0.25
 MAX_WAIT_RATIO = 10.0
+MIN_ASSIGN_DELAY_MS = 5.0
+
+
+def _ignore_delay(_delay_ms: float) -> None:
+    """Leave it to other events to assign waiting requests."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +69,20 @@
     requests.
     """
 
-    def __init__(self, clock: Clock, *, is_model: bool) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        is_model: bool,
+        schedule_assign: Callable[[float], None] = _ignore_delay,
+    ) -> None:
+        """Create an empty queue.
+
+        `schedule_assign` is to call `assign` after a delay in milliseconds, when the
+        limit of a server next allows a request.
+        """
         self._clock = clock
+        self._schedule_assign = schedule_assign
         self._service_time_ms = (
             INITIAL_MODEL_SERVICE_TIME_MS if is_model else INITIAL_PLAIN_SERVICE_TIME_MS
         )
@@ -83,6 +100,7 @@
         Raises `OverloadError` if no server is eligible or the wait is too long.
         """
         now_ms = self._clock.monotonic_ms()
+        self._refill_limits(now_ms)
         if not self._eligible_loads(waiter.demand):
             raise OverloadError('no server', retry_after_ms=self._service_time_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
@@ -113,6 +131,26 @@
         if not self.waiters:
             return
         now_ms = self._clock.monotonic_ms()
+        self._refill_limits(now_ms)
+        self._assign(now_ms)
+        if self.waiters:
+            self._schedule_next_allowed()
+
+    def has_other_server(self, assignment: Assignment) -> bool:
+        """Return whether the request could go to another server."""
+        now_ms = self._clock.monotonic_ms()
+        return any(
+            load is not assignment.load and not load.is_ejected(now_ms)
+            for load in self._eligible_loads(assignment.request.demand)
+        )
+
+    def occupancy(self) -> float:
+        """Return the share of all slots in use, or 1 if there are no slots."""
+        slots = sum(load.server.slots for load in self.load_by_id.values())
+        running = sum(load.running for load in self.load_by_id.values())
+        return running / slots if slots else 1
+
+    def _assign(self, now_ms: float) -> None:
         self._reject_expired(now_ms)
         free_slots = sum(load.free_slots for load in self.load_by_id.values())
         if not free_slots:
@@ -131,19 +169,19 @@
                 self._update_wait_ratio(waiter, now_ms)
                 waiter.on_assigned(assignment)
 
-    def has_other_server(self, assignment: Assignment) -> bool:
-        """Return whether the request could go to another server."""
-        now_ms = self._clock.monotonic_ms()
-        return any(
-            load is not assignment.load and not load.is_ejected(now_ms)
-            for load in self._eligible_loads(assignment.request.demand)
-        )
+    def _refill_limits(self, now_ms: float) -> None:
+        for load in self.load_by_id.values():
+            if load.is_limited:
+                load.refill_limit(now_ms)
 
-    def occupancy(self) -> float:
-        """Return the share of all slots in use, or 1 if there are no slots."""
-        slots = sum(load.server.slots for load in self.load_by_id.values())
-        running = sum(load.running for load in self.load_by_id.values())
-        return running / slots if slots else 1
+    def _schedule_next_allowed(self) -> None:
+        delays_ms = [
+            load.ms_until_allowed()
+            for load in self.load_by_id.values()
+            if load.is_limited and load.running < load.server.slots
+        ]
+        if delays_ms:
+            self._schedule_assign(max(MIN_ASSIGN_DELAY_MS, min(delays_ms)))
 
     def _try_assign(
         self, demand: Demand, peers_ahead: int, now_ms: float
@@ -218,7 +256,7 @@
         free_slots = sum(load.free_slots for load in usable)
         if ahead < free_slots:
             return 0
-        slots = sum(load.server.slots for load in usable)
+        slots = sum(load.usable_slots(self._service_time_ms) for load in usable)
         ratio = self._wait_ratio_by_priority.get(demand.priority, 1)
         return (ahead + 1 - free_slots) * self._service_time_ms / max(1, slots) * ratio
 
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -58,6 +58,7 @@
         self.retry_budgets = RetryBudgets(
             RetryBounds(share=1, slack=50, window_ms=10 * MS_PER_SECOND)
         )
+        self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
         self.fleet = Fleet(
             self.clock,
             self.peers,
@@ -65,10 +66,10 @@
             VersionMoves(self.clock, expose_share=0.1),
             data_centre='dc-a',
             retry_budgets=self.retry_budgets,
+            limits=self.limits,
             notify_peers=lambda: None,
         )
         self.quarantine = PartQuarantine(self.clock, notify_peers=lambda: None)
-        self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
         self.registry = Registry(
             self.clock, self.use_config, self.use_servers, lambda order: None
         )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -132,9 +132,9 @@
         'uses': [],
         'waiting': [],
         'speeds': None,
-        'has_all_teams': False,
+        'has_all_limits': False,
         'unreachable_server_ids': [],
-        'teams': [],
+        'limit_uses': [],
         'moves': [],
     }
     return PeerState(**{**fields, **changes})
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -23,10 +23,10 @@
 class QuietListener(PeerListener):
     """Ignore the states of peers and follow no store."""
 
-    def own_state(self, *, with_speeds, with_all_teams):
+    def own_state(self, *, with_speeds, with_all_limits):
         return make_state('entry-1')
 
-    def own_digest(self, scope, *, with_all_teams):
+    def own_digest(self, scope, *, with_all_limits):
         raise NotImplementedError
 
     def uptime_ms(self):
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -89,9 +89,9 @@
         self.digests = DigestBuilder(self.clock, self.peers, self.limits, self.moves)
         self.relay = GroupRelay(self.peers, self, self.clock, own_vm=vm, send=self.send)
 
-    def own_digest(self, scope, *, with_all_teams):
-        state = self.state(with_all_teams=True)
-        return self.digests.build(scope, state, with_all_teams=with_all_teams)
+    def own_digest(self, scope, *, with_all_limits):
+        state = self.state(with_all_limits=True)
+        return self.digests.build(scope, state, with_all_limits=with_all_limits)
 
     def uptime_ms(self):
         return int(self.clock.monotonic_ms() - self.started_ms)
@@ -111,7 +111,7 @@
         sources = {peer.state.vm for peer in self.peers.live_peers()}
         self.peer_loads.keep_only(sources | self.peers.outside.live_sources())
 
-    def state(self, *, with_all_teams):
+    def state(self, *, with_all_limits):
         """Return the state for the group."""
         self.sequence += 1
         limits = self.limits
@@ -123,14 +123,14 @@
             incarnation=self.incarnation,
             uptime_ms=self.uptime_ms(),
             uses=self.uses,
-            teams=limits.uses() if with_all_teams else limits.changed_uses(),
-            has_all_teams=with_all_teams,
+            limit_uses=limits.uses() if with_all_limits else limits.changed_uses(),
+            has_all_limits=with_all_limits,
         )
 
     def heartbeat(self, *, is_full):
         """Send the state to the group."""
         self.has_changed = False
-        datagram = encode_state(self.state(with_all_teams=is_full))
+        datagram = encode_state(self.state(with_all_limits=is_full))
         self.send(datagram, self.peers.group_addresses())
 
     def send(self, datagram, addresses):
@@ -147,18 +147,18 @@
         if self.peers.update(state) is state:
             return
         now_ms = self.clock.monotonic_ms()
-        if state.has_all_teams:
+        if state.has_all_limits:
             recent_share = min(1, self.uptime_ms() / max(1, state.uptime_ms))
             self.limits.add_peer(
                 state.vm,
                 state.incarnation,
-                state.teams,
+                state.limit_uses,
                 now_ms,
                 recent_share=recent_share,
             )
         else:
             self.limits.subtract_peer_use(
-                state.vm, state.incarnation, state.teams, now_ms
+                state.vm, state.incarnation, state.limit_uses, now_ms
             )
         self.peer_loads.replace(report_of_state(state), 0)
 
@@ -422,7 +422,7 @@
             if entry.relay.is_relay and not first.peers.groups.has_member(entry.vm)
         )
         self.network.sent_by_vm.clear()
-        digest = sender.own_digest(Scope.GROUP, with_all_teams=False)
+        digest = sender.own_digest(Scope.GROUP, with_all_limits=False)
         sender.send(self.encoded(digest), [first.vm])
         self.assertLessEqual(sum(self.network.sent_by_vm.values()), 2)
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -4,7 +4,7 @@
 
 from marjoramfall.gateway.group_digest import Scope
 from marjoramfall.gateway.model import Team
-from marjoramfall.gateway.peer_state import TeamUse
+from marjoramfall.gateway.peer_state import LimitUse
 from marjoramfall.gateway.retry_budget import RetryBounds, RetryBudget
 from marjoramfall.gateway.shared_limit import SharedLimits
 
@@ -36,14 +36,16 @@
 
     def test_peers_count(self):
         """Guards against a full limit at each entry when peer use is ignored."""
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 0)], 0, recent_share=0)
-        self.limits.subtract_peer_use('entry-2', 1, [TeamUse('tide', 500)], 0)
+        self.limits.add_peer('entry-2', 1, [LimitUse('tide', 0)], 0, recent_share=0)
+        self.limits.subtract_peer_use('entry-2', 1, [LimitUse('tide', 500)], 0)
         self.assertFalse(self.limit.try_use(1))
 
     def test_restarted_peer(self):
         """Guards against subtracting the use of a peer before its restart."""
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 10_000)], 0, recent_share=0)
-        self.limits.add_peer('entry-2', 2, [TeamUse('tide', 0)], 0, recent_share=0)
+        self.limits.add_peer(
+            'entry-2', 1, [LimitUse('tide', 10_000)], 0, recent_share=0
+        )
+        self.limits.add_peer('entry-2', 2, [LimitUse('tide', 0)], 0, recent_share=0)
         self.assertTrue(self.limit.try_use(1))
 
     def test_silent_peers(self):
@@ -60,15 +62,15 @@
 
     def test_partition_healed(self):
         """The withheld amount is released once peers have reported their use."""
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 0)], 0, recent_share=0)
+        self.limits.add_peer('entry-2', 1, [LimitUse('tide', 0)], 0, recent_share=0)
         self.limit.refill(0, 0.5)
-        self.limits.subtract_peer_use('entry-2', 1, [TeamUse('tide', 100)], 0)
+        self.limits.subtract_peer_use('entry-2', 1, [LimitUse('tide', 100)], 0)
         self.limit.refill(0, 0)
         self.assertEqual(self.limit.available, 400)
 
     def test_peer_started_later(self):
         """Guards against losing the use of a peer between its start and discovery."""
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 400)], 0, recent_share=0.5)
+        self.limits.add_peer('entry-2', 1, [LimitUse('tide', 400)], 0, recent_share=0.5)
         self.assertEqual(self.limit.level, 300)
 
     def test_rare_requests(self):
@@ -76,8 +78,8 @@
 
         Peers used it up meanwhile, and the refill for the idle time came after it.
         """
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 0)], 0, recent_share=0)
-        uses = [TeamUse('tide', 5000)]
+        self.limits.add_peer('entry-2', 1, [LimitUse('tide', 0)], 0, recent_share=0)
+        uses = [LimitUse('tide', 5000)]
         self.limits.subtract_peer_use('entry-2', 1, uses, 60_000)
         self.limit.refill(60_100, 0)
         self.assertFalse(self.limit.try_use(100))
@@ -87,7 +89,7 @@
 
         A partial report of such a peer has no baseline.
         """
-        self.limits.subtract_peer_use('entry-2', 1, [TeamUse('tide', 10_000)], 0)
+        self.limits.subtract_peer_use('entry-2', 1, [LimitUse('tide', 10_000)], 0)
         self.assertTrue(self.limit.try_use(1))
 
     def test_restart(self):
@@ -103,19 +105,21 @@
         """Guards against datagrams that grow by teams without use, or omit a use."""
         self.assertEqual(self.limits.changed_uses(), [])
         self.limit.try_use(100)
-        self.assertEqual(self.limits.changed_uses(), [TeamUse('tide', 100)])
+        self.assertEqual(self.limits.changed_uses(), [LimitUse('tide', 100)])
         self.assertEqual(self.limits.changed_uses(), [])
         self.limit.refund(100)
-        self.assertEqual(self.limits.changed_uses(), [TeamUse('tide', 0)])
+        self.assertEqual(self.limits.changed_uses(), [LimitUse('tide', 0)])
 
     def test_digest(self):
         """Guards against a digest that omits the use of a peer or repeats it."""
         self.limit.try_use(20)
-        self.limits.add_peer('entry-2', 1, [TeamUse('tide', 0)], 0, recent_share=0)
-        self.limits.subtract_peer_use('entry-2', 1, [TeamUse('tide', 20)], 0)
-        reported = self.limits.digest_uses(Scope.GROUP, with_all_teams=False)
-        self.assertEqual(reported, [TeamUse('tide', 40)])
-        self.assertEqual(self.limits.digest_uses(Scope.GROUP, with_all_teams=False), [])
+        self.limits.add_peer('entry-2', 1, [LimitUse('tide', 0)], 0, recent_share=0)
+        self.limits.subtract_peer_use('entry-2', 1, [LimitUse('tide', 20)], 0)
+        reported = self.limits.digest_uses(Scope.GROUP, with_all_limits=False)
+        self.assertEqual(reported, [LimitUse('tide', 40)])
+        self.assertEqual(
+            self.limits.digest_uses(Scope.GROUP, with_all_limits=False), []
+        )
 
     def test_new_team(self):
         """A team that is added later starts with its burst, also after a restart."""
