Take a stream without length that ends before its first event as broken

Cause: only a rest after the last event was taken as a sign that such a stream had broken off; with no event there is no rest. The same crash would also have counted as a served prompt and cleared a part that crashes servers.

Ruled out: buffered responses without length, where nothing but a reset tells a cut from an end; streams with a length or chunks, whose framing tells; a resumed stream, which may have no more events (test_end_of_resumed_stream).

Change: such a stream that ends before its first event is a broken exchange, retried or answered 502.

--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -229,8 +229,8 @@
                 break
             self._forward_part(response, writer, splitter, part)
         remainder = splitter.take_remainder()
-        if remainder and response.ends_with_connection:
-            raise BrokenExchangeError('the connection ended within an event')
+        if response.ends_with_connection:
+            self._check_end(remainder)
         if writer.has_begun:
             writer.send_part(remainder)
         else:
@@ -240,6 +240,16 @@
         self._release(response)
         return Outcome(Ending.DELIVERED)
 
+    def _check_end(self, remainder: bytes) -> None:
+        """Raise `BrokenExchangeError` if the stream ended too early.
+
+        Only its last event shows that a stream without length or chunks is whole.
+        """
+        if remainder:
+            raise BrokenExchangeError('the connection ended within an event')
+        if self._timing.event_count == 0 and self._call.last_event_id is None:
+            raise BrokenExchangeError('the connection ended before the first event')
+
     def _forward_part(
         self,
         response: Response,
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -139,6 +139,13 @@
     exchange.write(b'0\r\n\r\n')
 
 
+def end_without_event(exchange):
+    """End a stream without length and without chunks before its first event."""
+    head = f'HTTP/1.1 200 OK\r\nMarjoramfall-Attempt-Id: {read_attempt(exchange)}\r\n'
+    exchange.write(head.encode() + b'\r\n')
+    return False
+
+
 def end_within_event(exchange):
     """End a stream without length within its second event."""
     head = f'HTTP/1.1 200 OK\r\nMarjoramfall-Attempt-Id: {read_attempt(exchange)}\r\n'
@@ -313,6 +320,19 @@
         self.assertIn(b'data: a', response)
         self.assertFalse(response.endswith(b'0\r\n\r\n'))
 
+    def test_no_event(self):
+        """Guards against a server that ends a stream without length before an event."""
+        self.add_backend(end_without_event, service_id=MODEL)
+        response = self.receive_all(self.send('/summary/1', 'Connection: close'))
+        self.assertTrue(response.startswith(b'HTTP/1.1 502'), response)
+
+    def test_end_of_resumed_stream(self):
+        """A stream that is resumed after its last event may have no more events."""
+        self.add_backend(end_without_event, service_id=MODEL)
+        headers = ('Last-Event-Id: 9', 'Connection: close')
+        response = self.receive_all(self.send('/review/1', *headers))
+        self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
+
     def test_http10(self):
         """Guards against a cut stream that looks whole to a caller of HTTP/1.0.
 
