Keep quarantined prompt parts in the store over a loss of all entries

Cause: the evidence lived in the memory of the entries only, which suffices as long as one of them lives.

Ruled out: writing at every entry (195 writes at once in a large system); wall-clock times in the row, which jump; waiting for the read before serving.

Change: an entry that saw a crash of a quarantined part under one of its requests writes the evidence into table quarantine, on the condition that there is no row yet, with the store's clock; each start but the first reads the table; rows of released parts are removed.

--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crash_evidence.py
@@ -98,18 +98,19 @@
             ),
         )[:MAX_REPORTED_CRASHES]
         return EvidenceReport(
-            crashes=[
-                CrashReport(
-                    run.server_id,
-                    run.born_ms,
-                    int(now_ms - crash.at_ms),
-                    list(crash.requests),
-                )
-                for run, crash in reported
-            ],
+            crashes=[_to_report(run, crash, now_ms) for run, crash in reported],
             served_parts=self._served_parts(crash for _, crash in reported),
         )
 
+    def crashes_of(self, part_id: str) -> list[CrashReport]:
+        """Return the newest crashes at which a part was."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            _to_report(run, crash, now_ms)
+            for run, crash in self._crash_by_run.items()
+            if part_id in crash.part_ids()
+        ][-MAX_REPORTED_CRASHES:]
+
     def find_deadly_parts(self) -> dict[str, DeadlyPart]:
         """Return by id the parts that explain the crashes of the last minutes."""
         self._drop_old_crashes()
@@ -154,5 +155,11 @@
         self._suspect_ids = _all_part_ids(self._crash_by_run.values())
 
 
+def _to_report(run: ServerRun, crash: Crash, now_ms: float) -> CrashReport:
+    return CrashReport(
+        run.server_id, run.born_ms, int(now_ms - crash.at_ms), list(crash.requests)
+    )
+
+
 def _all_part_ids(crashes: Iterable[Crash]) -> set[str]:
     return set(chain.from_iterable(map(Crash.part_ids, crashes)))
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -96,8 +96,8 @@
             clock, self._on_config, self._on_servers, self.moves.begin
         )
         self._metrics = GatewayMetrics(vm=settings.vm)
-        self._quarantine = PartQuarantine(clock, notify_peers=self._notify_peers)
-        forwarder = Forwarder(self._fleet, self._pool, self._quarantine, dialect, clock)
+        self.quarantine = PartQuarantine(clock, notify_peers=self._notify_peers)
+        forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
         self._gateway = Gateway(
             self.registry,
             self._limits,
@@ -186,7 +186,7 @@
             unreachable_server_ids=own.unreachable_server_ids(),
             moves=self.moves.reports(),
             is_store_unreachable=not self.watch_duty.is_store_reachable,
-            crash_evidence=self._quarantine.report(is_full=with_speeds),
+            crash_evidence=self.quarantine.report(is_full=with_speeds),
             server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
         )
 
@@ -209,7 +209,7 @@
         now_ms = self._clock.monotonic_ms()
         self._limits.add_digest(digest, now_ms, recent_share=recent_share)
         self.moves.on_reports(source_of(digest), digest.moves)
-        self._quarantine.merge(digest.crash_evidence)
+        self.quarantine.merge(digest.crash_evidence)
         self._fleet.on_report(report_of_digest(digest))
 
     def on_peer_state(self, state: PeerState) -> None:
@@ -230,7 +230,7 @@
                 state.vm, state.incarnation, state.limit_uses, now_ms
             )
         self.moves.on_reports(state.vm, state.moves)
-        self._quarantine.merge(state.crash_evidence)
+        self.quarantine.merge(state.crash_evidence)
         self._fleet.on_report(report_of_state(state))
 
     def on_relay_change(self) -> None:
--- a/marjoramfall/gateway/part_quarantine.py
+++ b/marjoramfall/gateway/part_quarantine.py
@@ -1,7 +1,7 @@
 """Refuse requests with a prompt part that crashes model servers."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 
 from loguru import logger
@@ -9,7 +9,11 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.crash_evidence import CrashEvidence
-from marjoramfall.gateway.crash_report import CrashedRequest, EvidenceReport
+from marjoramfall.gateway.crash_report import (
+    CrashedRequest,
+    CrashReport,
+    EvidenceReport,
+)
 from marjoramfall.gateway.deadly_parts import DeadlyPart
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.outcome import GatewayFailureError
@@ -45,6 +49,7 @@
             1, MAX_TRIAL_DELAY_FACTOR
         )
         self._reports_due = 0
+        self._part_ids_seen_here: set[str] = set()
 
     def check(self, call: Call) -> None:
         """Raise `GatewayFailureError` if a part of the prompt is quarantined."""
@@ -63,6 +68,7 @@
         logger.bind(
             request=fields.attempt_id, server=server.server_id, is_new=is_new
         ).warning('server crashed under a request')
+        self._part_ids_seen_here.update(fields.shared_part_ids)
         if is_new:
             self._apply_change()
 
@@ -85,6 +91,18 @@
         self._reports_due = max(0, self._reports_due - 1)
         return self._evidence.report(self._deadly_by_id.keys())
 
+    def part_ids(self) -> Set[str]:
+        """Return the parts that are refused now."""
+        return self._deadly_by_id.keys()
+
+    def part_ids_seen_here(self) -> Set[str]:
+        """Return those that crashed a server under a request of this entry."""
+        return self._deadly_by_id.keys() & self._part_ids_seen_here
+
+    def crashes_of(self, part_id: str) -> list[CrashReport]:
+        """Return the newest crashes at which a part was."""
+        return self._evidence.crashes_of(part_id)
+
     def _apply_change(self) -> None:
         self._reports_due = REPORTS_PER_CHANGE
         self._find_deadly_parts()
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -12,6 +12,7 @@
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.move_status import MoveRecorder
+from marjoramfall.platform.quarantine_record import QuarantineRecorder
 from marjoramfall.platform.settings import (
     InvalidSettingsError,
     PlatformSettings,
@@ -53,6 +54,12 @@
             clock,
             vm=settings.entry.vm,
         )
+        self._quarantine_recorder = QuarantineRecorder(
+            self._new_client(),
+            self._entry.quarantine,
+            clock,
+            is_first_start=settings.entry.is_first_start,
+        )
         self._directory = MemberDirectory(
             self._new_client(),
             self._entry.peers,
@@ -75,6 +82,7 @@
             watch.start()
         gevent.spawn(self._directory.run)
         gevent.spawn(self._recorder.run)
+        gevent.spawn(self._quarantine_recorder.run)
         gevent.spawn(self._settings_watch.run)
         self._entry.run()
 
--- /dev/null
+++ b/marjoramfall/platform/quarantine_record.py
@@ -0,0 +1,123 @@
+"""Keep quarantined prompt parts in the store, for a restart of all entries."""
+
+import msgspec
+from loguru import logger
+
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.crash_report import CrashReport, EvidenceReport
+from marjoramfall.gateway.part_quarantine import PartQuarantine
+from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
+
+QUARANTINE_TABLE = 'quarantine'
+CHECK_INTERVAL_MS = 250
+
+
+class _EvidenceRecord(msgspec.Struct, rename='camel'):
+    # The store's clock at the write, at which the ages of the crashes hold.
+    written_ms: float
+    crashes: list[CrashReport]
+
+
+class QuarantineRecorder:
+    """Write one row for each quarantined part, and read the rows after a restart.
+
+    An entry writes the parts that crashed a server under one of its own requests.
+    The rows of parts that were released are removed by whoever knows of them.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        quarantine: PartQuarantine,
+        clock: Clock,
+        *,
+        is_first_start: bool,
+    ) -> None:
+        self._client = client
+        self._quarantine = quarantine
+        self._clock = clock
+        self._has_read = is_first_start
+        self._known_part_ids: set[str] = set()
+
+    def run(self) -> None:
+        """Read the rows, then keep them up to date; never returns."""
+        while True:
+            try:
+                self.update()
+            except StoreError as error:
+                logger.bind(details=str(error)).warning(
+                    'cannot read or write quarantined prompt parts in the store'
+                )
+            self._clock.sleep_ms(CHECK_INTERVAL_MS)
+
+    def update(self) -> None:
+        """Read the rows once, and write what has changed; raises `StoreError`."""
+        if not self._has_read:
+            self._read()
+        new_part_ids = self._quarantine.part_ids_seen_here() - self._known_part_ids
+        released_part_ids = self._known_part_ids - self._quarantine.part_ids()
+        if new_part_ids or released_part_ids:
+            rows = self._client.read_table(QUARANTINE_TABLE)
+            for part_id in new_part_ids:
+                self._write(part_id, rows)
+            for part_id in released_part_ids:
+                self._remove(part_id, rows)
+
+    def _read(self) -> None:
+        rows = self._client.read_table(QUARANTINE_TABLE)
+        for row in rows.rows:
+            record = _decode_record(row)
+            if record is not None:
+                self._quarantine.merge(_to_report(record, rows.store_ms))
+                self._known_part_ids.add(row.key)
+        self._has_read = True
+
+    def _write(self, part_id: str, rows: RowSet) -> None:
+        if _find_row(rows, part_id) is None:
+            crashes = self._quarantine.crashes_of(part_id)
+            record = _EvidenceRecord(rows.store_ms, crashes)
+            self._client.write_row(
+                QUARANTINE_TABLE,
+                part_id,
+                msgspec.json.encode(record),
+                expected_revision=0,
+            )
+        self._known_part_ids.add(part_id)
+
+    def _remove(self, part_id: str, rows: RowSet) -> None:
+        row = _find_row(rows, part_id)
+        if row is not None:
+            self._client.remove_row(
+                QUARANTINE_TABLE, part_id, expected_revision=row.revision
+            )
+        self._known_part_ids.discard(part_id)
+
+
+def _find_row(rows: RowSet, part_id: str) -> Row | None:
+    return next((row for row in rows.rows if row.key == part_id), None)
+
+
+def _to_report(record: _EvidenceRecord, store_ms: float) -> EvidenceReport:
+    elapsed_ms = max(0, int(store_ms - record.written_ms))
+    return EvidenceReport(
+        crashes=[
+            CrashReport(
+                crash.server_id,
+                crash.born_ms,
+                crash.age_ms + elapsed_ms,
+                crash.requests,
+            )
+            for crash in record.crashes
+        ],
+        served_parts=[],
+    )
+
+
+def _decode_record(row: Row) -> _EvidenceRecord | None:
+    try:
+        return msgspec.json.decode(row.content or b'', type=_EvidenceRecord)
+    except msgspec.DecodeError as error:
+        logger.bind(key=row.key, details=str(error)).warning(
+            'invalid quarantine record'
+        )
+        return None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,11 +5,10 @@
 
 import msgspec
 from gevent import sleep
-from gevent.pywsgi import WSGIServer
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramfall.clock import MS_PER_SECOND, RuntimeClock
+from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.http_messages import RequestHead, Response
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.peer_table import Member, PeerTable
@@ -23,11 +22,11 @@
     decode_configuration,
     decode_server,
 )
-from marjoramfall.platform.store import HistoryLostError, StoreClient, StoreError
+from marjoramfall.platform.store import HistoryLostError, StoreError
 from marjoramfall.platform.watch import SILENCE_TIMEOUT_MS, OperatorWatch, ServerWatch
-from marjoramfall_standins.store import StoreStandin
 from tests.gateway_fakes import make_server
 from tests.platform_records import CONFIG, SERVER
+from tests.store_case import StoreCase
 
 WAIT_STEP_S = 0.01
 MAX_WAIT_STEPS = 400
@@ -44,24 +43,6 @@
     return False
 
 
-class StoreCase(unittest.TestCase):
-    """Serve a stand-in of the store on a free port."""
-
-    def setUp(self):
-        self.clock = RuntimeClock()
-        self.store = StoreStandin()
-        self.server = WSGIServer(('127.0.0.1', 0), self.store, log=None, error_log=None)
-        self.server.start()
-        self.addCleanup(self.server.stop, timeout=0)
-        self.client = self.new_client()
-
-    def new_client(self):
-        """Return a client of the stand-in."""
-        client = StoreClient(f'127.0.0.1:{self.server.server_port}', self.clock)
-        self.addCleanup(client.close)
-        return client
-
-
 class TestStoreClient(StoreCase):
     """Calls return rows or raise a `StoreError`."""
 
