Bound the evidence of crashes to the size of a datagram

Callers saw nothing yet.

Change: ids of parts are cut to 32 characters where they are decoded, at most 8 requests of 16 parts are kept of a crash, and 8 crashes are reported. The parts seen at this entry are forgotten with their crashes. Ruled out: sending the evidence apart, which needs a second form of datagram.

--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crash_evidence.py
@@ -16,11 +16,11 @@
 
 CRASH_MEMORY_MS = 600_000.0
 MAX_CRASHES = 64
-MAX_REQUESTS_PER_CRASH = 16
+MAX_REQUESTS_PER_CRASH = 8
 MAX_PARTS_PER_REQUEST = 16
 MAX_SERVED_PARTS = 8192
-# Bounds the size of a datagram.
-MAX_REPORTED_CRASHES = 12
+# With the bounds above and that of a part's id, the evidence fits into a datagram.
+MAX_REPORTED_CRASHES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +111,11 @@
             if part_id in crash.part_ids()
         ][-MAX_REPORTED_CRASHES:]
 
+    @property
+    def suspect_ids(self) -> Set[str]:
+        """Return the parts that were at any crashed server."""
+        return self._suspect_ids
+
     def find_deadly_parts(self) -> dict[str, DeadlyPart]:
         """Return by id the parts that explain the crashes of the last minutes."""
         self._drop_old_crashes()
--- a/marjoramfall/gateway/part_quarantine.py
+++ b/marjoramfall/gateway/part_quarantine.py
@@ -111,6 +111,7 @@
     def _find_deadly_parts(self) -> None:
         previous = self._deadly_by_id
         self._deadly_by_id = self._evidence.find_deadly_parts()
+        self._part_ids_seen_here &= self._evidence.suspect_ids
         for part_id, deadly in self._deadly_by_id.items():
             if part_id not in previous:
                 _log_quarantine(deadly)
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -34,6 +34,8 @@
 AUTHORIZATION = b'authorization'
 BEARER = b'bearer '
 MISDIRECTED = 421
+# Longer than any id that the platform gives to a part of a prompt.
+MAX_PART_ID_CHARS = 32
 # Headers that are not copied from a caller's request. The gateway sets some of them
 # itself, reads the API key and the last event id, and reserves the others.
 GATEWAY_HEADERS = frozenset(
@@ -165,7 +167,8 @@
 def _read_part_ids(text: bytes) -> list[str]:
     """Return the ids of the parts of a prompt, a single empty one if it has none."""
     return [
-        part.partition(':')[0].strip() for part in text.decode('latin-1').split(',')
+        part.partition(':')[0].strip()[:MAX_PART_ID_CHARS]
+        for part in text.decode('latin-1').split(',')
     ]
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,7 @@
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS, Registry
 from marjoramfall.gateway.watch_duty import WatchDuty
 from marjoramfall.platform import watch as watch_module
-from marjoramfall.platform.dialect import PlatformDialect
+from marjoramfall.platform.dialect import MAX_PART_ID_CHARS, PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
     InvalidRecordError,
@@ -354,6 +354,11 @@
         self.assertEqual(fields.own_part_id, 'e4')
         self.assertEqual(self.read().shared_part_ids, ())
 
+    def test_long_prompt_part(self):
+        """Guards against ids that no datagram can hold."""
+        fields = self.read((b'marjoramfall-prompt-prefix', b'a' * 9000 + b':1,b:1'))
+        self.assertEqual(fields.shared_part_ids, ('a' * MAX_PART_ID_CHARS,))
+
     def test_invalid_numbers(self):
         """Guards against failing on headers that should hold numbers and do not."""
         fields = self.read(
