Forget at a rest whether the store answered before it

Cause, from the logs of all entries: the two entries that followed the store froze; the next in line were refused by the store, but told nobody. Their watches had failed in an outage ten seconds earlier and rested since, so that they still took the store for unreachable, and only a change of that belief is logged and told to peers. Nobody else took the duty for 2 s. test_refused_after_rest failed before.

Change: a watch that rests no longer remembers the failure.

--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -121,8 +121,10 @@
                 self._on_response()
 
     def _rest(self) -> None:
-        # Peers pass on the changes meanwhile; the watch goes on from there.
+        # Peers pass on the changes meanwhile; the watch goes on from there. Whether the
+        # store answers is not known from a call that failed before the rest.
         self._client.close()
+        self._is_connected = True
         gevent.sleep(REST_INTERVAL_MS / MS_PER_SECOND)
         self._applied_revision = self.known_revision() or None
         self._last_response_ms = self._clock.monotonic_ms()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -23,7 +23,12 @@
     decode_server,
 )
 from marjoramfall.platform.store import HistoryLostError, StoreError
-from marjoramfall.platform.watch import SILENCE_TIMEOUT_MS, OperatorWatch, ServerWatch
+from marjoramfall.platform.watch import (
+    REST_INTERVAL_MS,
+    SILENCE_TIMEOUT_MS,
+    OperatorWatch,
+    ServerWatch,
+)
 from tests.gateway_fakes import make_server
 from tests.platform_records import CONFIG, SERVER
 from tests.store_case import StoreCase
@@ -148,6 +153,20 @@
         self.store.put('op', 'config', {**CONFIG, 'version': 9})
         self.assertTrue(self.reaches_version(9))
 
+    def test_refused_after_rest(self):
+        """Guards against failures of the store that no peer hears of.
+
+        The entry rested from its duty when the outage ended, and takes it again.
+        """
+        self.store.faults.status = 503
+        self.assertTrue(
+            wait_until(lambda: not any(watch.is_connected for watch in self.watches))
+        )
+        with patch.object(self.duty, '_is_due', return_value=False):
+            self.assertTrue(wait_until(lambda: self.duty.is_store_reachable))
+            sleep(3 * REST_INTERVAL_MS / MS_PER_SECOND)
+        self.assertTrue(wait_until(lambda: not self.duty.is_store_reachable))
+
     def test_unreadable_config(self):
         """Guards against an invalid record that blocks later configurations."""
         self.store.put_raw('op', 'config', b'{')
