Let refused entries leave the duty to others for a while

Cause: an entry that the store refuses is passed over, which ends its duty, and a resting entry was at once taken to reach the store again. It took the duty back after 100 ms, so that refused entries alternated and the only one that reached the store came last, 1.1 s after the followers had frozen.

--- a/marjoramfall/gateway/watch_duty.py
+++ b/marjoramfall/gateway/watch_duty.py
@@ -12,6 +12,8 @@
 WATCHERS_OF_GROUP = 1
 # Time in which an entry that just started hears of those that follow the store.
 START_DELAY_MS = 500
+# How long an entry that the store has refused leaves the duty to others.
+REFUSAL_MEMORY_MS = 3000
 
 
 class WatchDuty:
@@ -37,6 +39,7 @@
         self._on_change = on_change
         self._needs_state = needs_state
         self._was_due = False
+        self._refused_ms = 0
         self.is_store_reachable = True
 
     def is_due(self) -> bool:
@@ -50,7 +53,7 @@
                 peers_heard=self._peers.group_entry_count() - 1,
                 store_reachable=self.is_store_reachable,
             ).info('duty to follow the store changed')
-        if not due:
+        if not due and self._uptime_ms() - self._refused_ms >= REFUSAL_MEMORY_MS:
             self.set_store_reachable(is_reachable=True)
         return due
 
@@ -69,6 +72,8 @@
 
     def set_store_reachable(self, *, is_reachable: bool) -> None:
         """Record whether the store answers, and tell the peers of a change."""
+        if not is_reachable:
+            self._refused_ms = self._uptime_ms()
         if is_reachable != self.is_store_reachable:
             self.is_store_reachable = is_reachable
             self._on_change()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,7 +13,7 @@
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS, Registry
-from marjoramfall.gateway.watch_duty import WatchDuty
+from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS, WatchDuty
 from marjoramfall.platform import watch as watch_module
 from marjoramfall.platform.dialect import MAX_PART_ID_CHARS, PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
@@ -107,6 +107,7 @@
     def setUp(self):
         super().setUp()
         self.poll_ms = POLL_MS
+        self.uptime_ms = 10_000
         patcher = patch.object(
             watch_module, 'choose_wait_ms', lambda rank: self.poll_ms
         )
@@ -115,7 +116,7 @@
         self.duty = WatchDuty(
             PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a'),
             own_vm='entry-1',
-            uptime_ms=lambda: 10_000,
+            uptime_ms=lambda: self.uptime_ms,
             on_change=lambda: None,
             needs_state=bool,
         )
@@ -163,6 +164,7 @@
             wait_until(lambda: not any(watch.is_connected for watch in self.watches))
         )
         with patch.object(self.duty, '_is_due', return_value=False):
+            self.uptime_ms += REFUSAL_MEMORY_MS
             self.assertTrue(wait_until(lambda: self.duty.is_store_reachable))
             sleep(3 * REST_INTERVAL_MS / MS_PER_SECOND)
         self.assertTrue(wait_until(lambda: not self.duty.is_store_reachable))
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -8,7 +8,7 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.watch_duty import WatchDuty
+from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS, WatchDuty
 from tests.gateway_fakes import make_state
 
 OLD_MS = 60_000
@@ -19,6 +19,7 @@
 
     def setUp(self):
         self.clock = PausedClock()
+        self.uptime_ms = OLD_MS
         self.vms = [f'entry-{number}' for number in range(1, 7)]
         self.table_by_vm = {
             vm: PeerTable(self.clock, own_vm=vm, data_centre='dc-a') for vm in self.vms
@@ -27,12 +28,12 @@
         self.sequence = 0
         self.exchange(self.vms)
 
-    def new_duty(self, vm, uptime_ms=OLD_MS, *, needs_state=False):
+    def new_duty(self, vm, uptime_ms=None, *, needs_state=False):
         """Return the duty of an entry."""
         return WatchDuty(
             self.table_by_vm[vm],
             own_vm=vm,
-            uptime_ms=lambda: uptime_ms,
+            uptime_ms=lambda: self.uptime_ms if uptime_ms is None else uptime_ms,
             on_change=lambda: None,
             needs_state=lambda: needs_state,
         )
@@ -77,6 +78,28 @@
         self.exchange(self.vms)
         self.assertEqual(self.due(), self.vms[:4])
 
+    def test_refused_in_turn(self):
+        """Guards against refused entries that take the duty in turn, for ever."""
+        due = []
+        for _ in range(12):
+            self.clock.advance_ms(100)
+            self.uptime_ms += 100
+            due = self.due()
+            for vm in due:
+                is_reachable = vm in {'entry-1', 'entry-6'}
+                self.duty_by_vm[vm].set_store_reachable(is_reachable=is_reachable)
+            self.exchange(self.vms)
+        self.assertEqual(due, ['entry-1', 'entry-2', 'entry-6'])
+
+    def test_tried_again(self):
+        """Guards against an entry that never follows the store again."""
+        self.duty_by_vm['entry-3'].set_store_reachable(is_reachable=False)
+        self.due()
+        self.assertFalse(self.duty_by_vm['entry-3'].is_store_reachable)
+        self.uptime_ms += REFUSAL_MEMORY_MS
+        self.due()
+        self.assertTrue(self.duty_by_vm['entry-3'].is_store_reachable)
+
     def test_outage(self):
         """Guards against an outage whose end nobody notices."""
         for vm in self.vms:
