--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crash_evidence.py
@@ -11,13 +11,13 @@
     EvidenceReport,
     ServedPart,
 )
-from marjoramfall.gateway.deadly_parts import Crash, DeadlyPart, find_deadly_parts
+from marjoramfall.gateway.crashing_parts import Crash, CrashingPart, find_crashing_parts
 from marjoramfall.gateway.model import BackendServer
 
 CRASH_MEMORY_MS = 600_000.0
 MAX_CRASHES = 64
 MAX_REQUESTS_PER_CRASH = 8
-MAX_PARTS_PER_REQUEST = 16
+MAX_PARTS_PER_REQUEST = 8
 MAX_SERVED_PARTS = 8192
 # With the bounds above and that of a part's id, the evidence fits into a datagram.
 MAX_REPORTED_CRASHES = 8
@@ -116,16 +116,16 @@
         """Return the parts that were at any crashed server."""
         return self._suspect_ids
 
-    def find_deadly_parts(self) -> dict[str, DeadlyPart]:
+    def find_crashing_parts(self) -> dict[str, CrashingPart]:
         """Return by id the parts that explain the crashes of the last minutes."""
         self._drop_old_crashes()
-        return find_deadly_parts(self._crash_by_run.values(), self._served_ms_by_part)
+        return find_crashing_parts(self._crash_by_run.values(), self._served_ms_by_part)
 
     def _add_request(
         self, run: ServerRun, at_ms: float, request: CrashedRequest
     ) -> bool:
         request = CrashedRequest(
-            request.shared_part_ids[:MAX_PARTS_PER_REQUEST], request.own_part_id
+            request.shared_part_ids[-MAX_PARTS_PER_REQUEST:], request.own_part_id
         )
         crash = self._crash_by_run.get(run) or self._create_crash(run, at_ms)
         if request in crash.requests or len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
--- a/marjoramfall/gateway/deadly_parts.py
+++ b/marjoramfall/gateway/crashing_parts.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(slots=True)
-class DeadlyPart:
+class CrashingPart:
     """Hold the crashes that a prompt part explains.
 
     `own_part_ids` tell the requests apart, `position` is the last place of the part
@@ -95,31 +95,31 @@
             self.crashes.append(crash)
 
 
-def find_deadly_parts(
+def find_crashing_parts(
     crashes: Iterable[Crash], served_ms_by_part: Mapping[str, float]
-) -> dict[str, DeadlyPart]:
+) -> dict[str, CrashingPart]:
     """Return by id the fewest parts that explain the crashes.
 
     A crash that one part explains is no evidence against the others in it. A part is
     cleared of a crash by a complete response that was begun after it.
     """
     unexplained = list(crashes)
-    deadly_by_id: dict[str, DeadlyPart] = {}
+    crashing_by_id: dict[str, CrashingPart] = {}
     while True:
         suspects = _find_suspects(unexplained, served_ms_by_part)
         proven = [suspect for suspect in suspects if suspect.is_proven]
         if not proven:
-            return deadly_by_id
+            return crashing_by_id
         chosen = max(proven, key=lambda suspect: suspect.precedence)
-        deadly_by_id[chosen.part_id] = chosen
+        crashing_by_id[chosen.part_id] = chosen
         explained = set(map(id, chosen.crashes))
         unexplained = [crash for crash in unexplained if id(crash) not in explained]
 
 
 def _find_suspects(
     crashes: Iterable[Crash], served_ms_by_part: Mapping[str, float]
-) -> Iterable[DeadlyPart]:
-    suspect_by_id: dict[str, DeadlyPart] = {}
+) -> Iterable[CrashingPart]:
+    suspect_by_id: dict[str, CrashingPart] = {}
     for crash in crashes:
         for occurrence in crash.occurrences():
             part_id = occurrence.part_id
@@ -127,7 +127,7 @@
             if served_ms is not None and served_ms > crash.at_ms:
                 continue
             suspect = suspect_by_id.setdefault(
-                part_id, DeadlyPart(part_id, was_served=served_ms is not None)
+                part_id, CrashingPart(part_id, was_served=served_ms is not None)
             )
             suspect.add(crash, occurrence)
     return suspect_by_id.values()
--- a/marjoramfall/gateway/part_quarantine.py
+++ b/marjoramfall/gateway/part_quarantine.py
@@ -14,7 +14,7 @@
     CrashReport,
     EvidenceReport,
 )
-from marjoramfall.gateway.deadly_parts import DeadlyPart
+from marjoramfall.gateway.crashing_parts import CrashingPart
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.outcome import GatewayFailureError
 
@@ -43,7 +43,7 @@
         self._clock = clock
         self._notify_peers = notify_peers
         self._evidence = CrashEvidence(clock)
-        self._deadly_by_id: dict[str, DeadlyPart] = {}
+        self._crashing_by_id: dict[str, CrashingPart] = {}
         self._trial_by_part: dict[str, Trial] = {}
         self._trial_interval_ms = TRIAL_INTERVAL_MS * random.uniform(
             1, MAX_TRIAL_DELAY_FACTOR
@@ -53,12 +53,12 @@
 
     def check(self, call: Call) -> None:
         """Raise `GatewayFailureError` if a part of the prompt is quarantined."""
-        if not self._deadly_by_id:
+        if not self._crashing_by_id:
             return
         for part_id in call.fields.shared_part_ids:
-            deadly = self._deadly_by_id.get(part_id)
-            if deadly is not None and not self._is_trial(call, deadly):
-                self._refuse(call, deadly)
+            crashing = self._crashing_by_id.get(part_id)
+            if crashing is not None and not self._is_trial(call, crashing):
+                self._refuse(call, crashing)
 
     def on_crash(self, call: Call, server: BackendServer) -> None:
         """Record that a server crashed when it had just begun with a request."""
@@ -82,22 +82,22 @@
     def merge(self, report: EvidenceReport | None) -> None:
         """Add the evidence of a peer."""
         if report is not None and self._evidence.merge(report):
-            self._find_deadly_parts()
+            self._find_crashing_parts()
 
     def report(self, *, is_full: bool) -> EvidenceReport | None:
         """Return the evidence for peers, or None if they have it already."""
         if not is_full and not self._reports_due:
             return None
         self._reports_due = max(0, self._reports_due - 1)
-        return self._evidence.report(self._deadly_by_id.keys())
+        return self._evidence.report(self._crashing_by_id.keys())
 
     def part_ids(self) -> Set[str]:
         """Return the parts that are refused now."""
-        return self._deadly_by_id.keys()
+        return self._crashing_by_id.keys()
 
     def part_ids_seen_here(self) -> Set[str]:
         """Return those that crashed a server under a request of this entry."""
-        return self._deadly_by_id.keys() & self._part_ids_seen_here
+        return self._crashing_by_id.keys() & self._part_ids_seen_here
 
     def crashes_of(self, part_id: str) -> list[CrashReport]:
         """Return the newest crashes at which a part was."""
@@ -105,51 +105,51 @@
 
     def _apply_change(self) -> None:
         self._reports_due = REPORTS_PER_CHANGE
-        self._find_deadly_parts()
+        self._find_crashing_parts()
         self._notify_peers()
 
-    def _find_deadly_parts(self) -> None:
-        previous = self._deadly_by_id
-        self._deadly_by_id = self._evidence.find_deadly_parts()
+    def _find_crashing_parts(self) -> None:
+        previous = self._crashing_by_id
+        self._crashing_by_id = self._evidence.find_crashing_parts()
         self._part_ids_seen_here &= self._evidence.suspect_ids
-        for part_id, deadly in self._deadly_by_id.items():
+        for part_id, crashing in self._crashing_by_id.items():
             if part_id not in previous:
-                _log_quarantine(deadly)
-        for part_id in previous.keys() - self._deadly_by_id.keys():
+                _log_quarantine(crashing)
+        for part_id in previous.keys() - self._crashing_by_id.keys():
             self._trial_by_part.pop(part_id, None)
             logger.bind(part=part_id).info('prompt part released')
 
-    def _is_trial(self, call: Call, deadly: DeadlyPart) -> bool:
+    def _is_trial(self, call: Call, crashing: CrashingPart) -> bool:
         """Return whether the request may try the part again, after a long time."""
         now_ms = self._clock.monotonic_ms()
-        trial = self._trial_by_part.get(deadly.part_id)
-        if trial is not None and trial.started_ms > deadly.last_crash_ms:
+        trial = self._trial_by_part.get(crashing.part_id)
+        if trial is not None and trial.started_ms > crashing.last_crash_ms:
             if trial.attempt_id == call.fields.attempt_id:
                 return True
-        if now_ms < self._next_trial_ms(deadly):
+        if now_ms < self._next_trial_ms(crashing):
             return False
-        self._trial_by_part[deadly.part_id] = Trial(call.fields.attempt_id, now_ms)
+        self._trial_by_part[crashing.part_id] = Trial(call.fields.attempt_id, now_ms)
         logger.bind(
             request=call.fields.attempt_id,
-            part=deadly.part_id,
-            last_crash_age_ms=round(now_ms - deadly.last_crash_ms),
+            part=crashing.part_id,
+            last_crash_age_ms=round(now_ms - crashing.last_crash_ms),
         ).info('quarantined prompt part tried again')
         return True
 
-    def _next_trial_ms(self, deadly: DeadlyPart) -> float:
-        trial = self._trial_by_part.get(deadly.part_id)
-        last_ms = deadly.last_crash_ms
+    def _next_trial_ms(self, crashing: CrashingPart) -> float:
+        trial = self._trial_by_part.get(crashing.part_id)
+        last_ms = crashing.last_crash_ms
         if trial is not None:
             last_ms = max(last_ms, trial.started_ms)
         return last_ms + self._trial_interval_ms
 
-    def _refuse(self, call: Call, deadly: DeadlyPart) -> None:
+    def _refuse(self, call: Call, crashing: CrashingPart) -> None:
         now_ms = self._clock.monotonic_ms()
         logger.bind(
             request=call.fields.attempt_id,
-            part=deadly.part_id,
-            crashes=len(deadly.crashes),
-            last_crash_age_ms=round(now_ms - deadly.last_crash_ms),
+            part=crashing.part_id,
+            crashes=len(crashing.crashes),
+            last_crash_age_ms=round(now_ms - crashing.last_crash_ms),
             runs=call.runs,
         ).warning('request has a quarantined prompt part')
         reason = 'prompt part quarantined'
@@ -159,14 +159,14 @@
         raise GatewayFailureError(
             UNAVAILABLE,
             reason,
-            retry_after_ms=max(0, self._next_trial_ms(deadly) - now_ms),
+            retry_after_ms=max(0, self._next_trial_ms(crashing) - now_ms),
         )
 
 
-def _log_quarantine(deadly: DeadlyPart) -> None:
+def _log_quarantine(crashing: CrashingPart) -> None:
     logger.bind(
-        part=deadly.part_id,
-        crashes=len(deadly.crashes),
-        requests=len(deadly.own_part_ids),
-        was_served=deadly.was_served,
+        part=crashing.part_id,
+        crashes=len(crashing.crashes),
+        requests=len(crashing.own_part_ids),
+        was_served=crashing.was_served,
     ).warning('prompt part quarantined')
--- a/tests/test_deadly_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -11,10 +11,10 @@
 REQUEST_COUNT = 6
 # The users stop counting crashes at the fifth: requests after it must not be sent.
 MAX_CRASHES = 5
-DEADLY_PART = b'bad0:40'
+CRASHING_PART = b'bad0:40'
 
 
-class TestDeadlyPart(GatewayCase):
+class TestCrashingPart(GatewayCase):
     """A part that crashes servers is kept from them, and sound requests are served."""
 
     def setUp(self):
@@ -26,9 +26,9 @@
         self.crashed_addresses = set()
 
     def run_request(self, exchange):
-        """Answer with one event, or crash if the prompt has the deadly part."""
+        """Answer with one event, or crash if the prompt has the crashing part."""
         host, port = exchange.sock.getsockname()
-        if DEADLY_PART in exchange.head:
+        if CRASHING_PART in exchange.head:
             self.crash(f'{host}:{port}')
             return False
         start_events(exchange)
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -107,43 +107,43 @@
 class TestBlame(QuarantineCase):
     """The part that explains the crashes is refused, and no other."""
 
-    def test_deadly_part(self):
+    def test_crashing_part(self):
         """Guards against a third server that crashes of the same part."""
-        self.crash(make_call('first', 'deadly', 'own-1'))
-        self.assertFalse(self.is_refused('other', 'deadly', 'own-2'))
-        self.crash(make_call('first', 'deadly', 'own-2'))
-        self.assertTrue(self.is_refused('other', 'deadly', 'own-3'))
+        self.crash(make_call('first', 'crashing', 'own-1'))
+        self.assertFalse(self.is_refused('other', 'crashing', 'own-2'))
+        self.crash(make_call('first', 'crashing', 'own-2'))
+        self.assertTrue(self.is_refused('other', 'crashing', 'own-3'))
 
     def test_shared_first_part(self):
         """Guards against refusing sound requests with the same first part."""
         for own in ('own-1', 'own-2', 'own-3', 'own-4'):
-            self.crash(make_call('first', 'deadly', own))
+            self.crash(make_call('first', 'crashing', own))
         self.assertFalse(self.is_refused('first', 'own-5'))
         self.assertFalse(self.is_refused('first', 'sound', 'own-6'))
 
     def test_one_request_repeated(self):
         """Guards against a request whose caller brings it back again and again."""
-        self.crash(make_call('first', 'deadly', 'own-1'))
-        self.crash(make_call('first', 'deadly', 'own-1'))
-        self.assertFalse(self.is_refused('first', 'deadly', 'own-1'))
-        self.crash(make_call('first', 'deadly', 'own-1'))
-        self.assertTrue(self.is_refused('first', 'deadly', 'own-1'))
+        self.crash(make_call('first', 'crashing', 'own-1'))
+        self.crash(make_call('first', 'crashing', 'own-1'))
+        self.assertFalse(self.is_refused('first', 'crashing', 'own-1'))
+        self.crash(make_call('first', 'crashing', 'own-1'))
+        self.assertTrue(self.is_refused('first', 'crashing', 'own-1'))
 
     def test_popular_part(self):
         """Guards against blaming a part that was at both servers by chance."""
         self.serve('popular', 'own-0')
         for own in ('own-1', 'own-2'):
             popular = make_call('popular', f'popular-{own}')
-            self.crash(popular, make_call('first', 'deadly', own))
+            self.crash(popular, make_call('first', 'crashing', own))
         self.assertFalse(self.is_refused('popular', 'own-9'))
-        self.assertTrue(self.is_refused('first', 'deadly', 'own-9'))
+        self.assertTrue(self.is_refused('first', 'crashing', 'own-9'))
 
-    def test_part_that_became_deadly(self):
+    def test_part_that_became_crashing(self):
         """Guards against trusting a part for ever because it was served once."""
-        self.serve('first', 'deadly', 'own-0')
+        self.serve('first', 'crashing', 'own-0')
         for own in ('own-1', 'own-2', 'own-3'):
-            self.crash(make_call(f'first-{own}', 'deadly', own))
-        self.assertTrue(self.is_refused('first', 'deadly', 'own-9'))
+            self.crash(make_call(f'first-{own}', 'crashing', own))
+        self.assertTrue(self.is_refused('first', 'crashing', 'own-9'))
 
     def test_crashes_of_other_causes(self):
         """Guards against refusing popular parts while servers crash one by one."""
@@ -155,17 +155,19 @@
     def test_corrected_blame(self):
         """Guards against keeping a part refused that later crashes clear."""
         sound = make_call('a', 'b', 'sound', 'own-s')
-        self.crash(sound, make_call('deadly', 'own-1'))
-        self.crash(make_call('a', 'b', 'sound', 'own-t'), make_call('deadly', 'own-2'))
-        self.crash(make_call('deadly', 'own-3'))
-        self.assertTrue(self.is_refused('deadly', 'own-4'))
+        self.crash(sound, make_call('crashing', 'own-1'))
+        self.crash(
+            make_call('a', 'b', 'sound', 'own-t'), make_call('crashing', 'own-2')
+        )
+        self.crash(make_call('crashing', 'own-3'))
+        self.assertTrue(self.is_refused('crashing', 'own-4'))
         self.assertFalse(self.is_refused('a', 'b', 'sound', 'own-u'))
 
     def test_running_request(self):
         """A retry of a request that may have run is not refused as not run."""
-        self.test_deadly_part()
+        self.test_crashing_part()
         with self.assertRaises(GatewayFailureError) as raised:
-            self.quarantine.check(make_call('deadly', 'own-3', runs=1))
+            self.quarantine.check(make_call('crashing', 'own-3', runs=1))
         self.assertEqual(raised.exception.status, 502)
 
     def test_many_crashes(self):
@@ -176,6 +178,8 @@
                 for request in range(20)
             ]
             self.crash(*calls)
+            for call in calls:
+                self.serve(*call.fields.shared_part_ids, call.fields.own_part_id)
         report = self.quarantine.report(is_full=True)
         datagram = encode_state(make_state(crash_evidence=report))
         self.assertLess(len(datagram), MAX_DATAGRAM_BYTES)
@@ -187,7 +191,7 @@
     def setUp(self):
         super().setUp()
         for own in ('own-0', 'own-1', 'own-2'):
-            self.crash(make_call('deadly', own))
+            self.crash(make_call('crashing', own))
 
     def wait_for_trial(self):
         """Let the longest time pass until the next trial."""
@@ -195,37 +199,37 @@
 
     def test_served(self):
         """A complete response begun after the crashes clears the part."""
-        self.serve('deadly', 'own-3')
-        self.assertFalse(self.is_refused('deadly', 'own-4'))
+        self.serve('crashing', 'own-3')
+        self.assertFalse(self.is_refused('crashing', 'own-4'))
 
     def test_served_before(self):
         """Guards against clearing a part by a response begun before the crash."""
-        self.quarantine.on_served(make_call('deadly', 'own-3', first_byte_ms=1000))
-        self.assertTrue(self.is_refused('deadly', 'own-4'))
+        self.quarantine.on_served(make_call('crashing', 'own-3', first_byte_ms=1000))
+        self.assertTrue(self.is_refused('crashing', 'own-4'))
 
     def test_trial(self):
         """Guards against refusing for ever, and against trying with many requests."""
         self.wait_for_trial()
-        self.assertFalse(self.is_refused('deadly', 'own-4', attempt_id='a-4'))
-        self.assertTrue(self.is_refused('deadly', 'own-5', attempt_id='a-5'))
+        self.assertFalse(self.is_refused('crashing', 'own-4', attempt_id='a-4'))
+        self.assertTrue(self.is_refused('crashing', 'own-5', attempt_id='a-5'))
         # The request is checked again after its wait in the queue.
-        self.assertFalse(self.is_refused('deadly', 'own-4', attempt_id='a-4'))
+        self.assertFalse(self.is_refused('crashing', 'own-4', attempt_id='a-4'))
 
     def test_trial_that_crashes(self):
         """Guards against a retry of the request that tried the part in vain."""
         self.wait_for_trial()
-        self.assertFalse(self.is_refused('deadly', 'own-4', attempt_id='a-4'))
+        self.assertFalse(self.is_refused('crashing', 'own-4', attempt_id='a-4'))
         self.clock.advance_ms(50)
-        self.crash(make_call('deadly', 'own-4'))
-        self.assertTrue(self.is_refused('deadly', 'own-4', attempt_id='a-4', runs=1))
-        self.assertTrue(self.is_refused('deadly', 'own-5', attempt_id='a-5'))
+        self.crash(make_call('crashing', 'own-4'))
+        self.assertTrue(self.is_refused('crashing', 'own-4', attempt_id='a-4', runs=1))
+        self.assertTrue(self.is_refused('crashing', 'own-5', attempt_id='a-5'))
 
     def test_forgotten(self):
         """Crashes are forgotten after some minutes."""
         self.clock.advance_ms(CRASH_MEMORY_MS)
         self.crash(make_call('other', 'own-3'))
-        self.assertFalse(self.is_refused('deadly', 'own-4', attempt_id='a-4'))
-        self.assertFalse(self.is_refused('deadly', 'own-5', attempt_id='a-5'))
+        self.assertFalse(self.is_refused('crashing', 'own-4', attempt_id='a-4'))
+        self.assertFalse(self.is_refused('crashing', 'own-5', attempt_id='a-5'))
 
 
 class TestPeers(QuarantineCase):
@@ -243,13 +247,13 @@
 
     def test_crashes_at_two_entries(self):
         """Guards against entries that each wait for a second crash of their own."""
-        self.crash(make_call('first', 'deadly', 'own-1'))
-        self.crash(make_call('first', 'deadly', 'own-2'), quarantine=self.other)
+        self.crash(make_call('first', 'crashing', 'own-1'))
+        self.crash(make_call('first', 'crashing', 'own-2'), quarantine=self.other)
         self.report(self.other, self.quarantine)
         self.report(self.quarantine, self.other)
         for quarantine in (self.quarantine, self.other):
             self.assertTrue(
-                self.is_refused('x', 'deadly', 'own-3', quarantine=quarantine)
+                self.is_refused('x', 'crashing', 'own-3', quarantine=quarantine)
             )
 
     def test_one_crash_seen_twice(self):
@@ -263,14 +267,14 @@
     def test_restarted_entry(self):
         """Guards against an entry that forgets at its restart what crashes servers."""
         for own in ('own-1', 'own-2'):
-            self.crash(make_call('deadly', own))
+            self.crash(make_call('crashing', own))
         for _ in range(5):
             self.quarantine.report(is_full=False)
         restarted = self.new_quarantine()
         self.report(self.quarantine, restarted, is_full=True)
         third = self.new_quarantine()
         self.report(restarted, third, is_full=True)
-        self.assertTrue(self.is_refused('deadly', 'own-3', quarantine=third))
+        self.assertTrue(self.is_refused('crashing', 'own-3', quarantine=third))
 
     def test_served_at_peer(self):
         """Guards against refusing a part that another entry has served since."""
--- a/tests/test_quarantine_record.py
+++ b/tests/test_quarantine_record.py
@@ -36,7 +36,7 @@
         """Let servers crash under requests with one part."""
         for number in range(SERVER_COUNT):
             server = make_server(f'i-{number}', service_id=MODEL)
-            call = make_call('first', 'deadly', f'own-{number}')
+            call = make_call('first', 'crashing', f'own-{number}')
             quarantine.on_crash(call, server)
 
     def is_refused(self, quarantine, *part_ids):
@@ -58,7 +58,7 @@
         self.crash_servers(self.quarantine)
         self.recorder.update()
         restarted = self.restart_all()
-        self.assertTrue(self.is_refused(restarted, 'x', 'deadly', 'own-9'))
+        self.assertTrue(self.is_refused(restarted, 'x', 'crashing', 'own-9'))
         self.assertFalse(self.is_refused(restarted, 'first', 'own-9'))
 
     def test_released(self):
@@ -66,11 +66,11 @@
         self.crash_servers(self.quarantine)
         self.recorder.update()
         now_ms = self.clock.monotonic_ms() + 1
-        served = make_call('first', 'deadly', 'own-9', first_byte_ms=now_ms)
+        served = make_call('first', 'crashing', 'own-9', first_byte_ms=now_ms)
         self.quarantine.on_served(served)
         self.recorder.update()
         self.assertEqual(self.client.read_table(QUARANTINE_TABLE).rows, ())
-        self.assertFalse(self.is_refused(self.restart_all(), 'deadly', 'own-9'))
+        self.assertFalse(self.is_refused(self.restart_all(), 'crashing', 'own-9'))
 
     def test_row_of_another_entry(self):
         """Guards against two entries that write the row of a part again and again."""
@@ -90,7 +90,7 @@
         other = self.new_quarantine()
         self.crash_servers(other)
         self.quarantine.merge(other.report(is_full=True))
-        self.assertTrue(self.is_refused(self.quarantine, 'deadly', 'own-9'))
+        self.assertTrue(self.is_refused(self.quarantine, 'crashing', 'own-9'))
         self.recorder.update()
         self.assertEqual(self.client.read_table(QUARANTINE_TABLE).rows, ())
 
@@ -102,7 +102,7 @@
             self.recorder.update()
         self.store.faults.status = 0
         self.recorder.update()
-        self.assertTrue(self.is_refused(self.restart_all(), 'deadly', 'own-9'))
+        self.assertTrue(self.is_refused(self.restart_all(), 'crashing', 'own-9'))
 
     def test_invalid_row(self):
         """Guards against failing on a row that is no evidence."""
