Log the era of the store and outdated changes of servers

The logs could not tell a change that was dropped because its revision is lower than one that is known from a change that was never read: no line named the store's era, and outdated changes left no trace. Now each client of the store logs a change of Store-Era, and the registry logs lists and changes of servers that it ignores as outdated.

No change of behaviour; tests of the adapter, the registry and the operators' page pass.

--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -124,6 +124,9 @@
     def apply_all(self, changes: Iterable[ServerChange], as_of: int) -> None:
         """Replace all servers by those of a complete read, unless it is outdated."""
         if as_of < self.servers_state.as_of:
+            logger.bind(as_of=as_of, known_as_of=self.servers_state.as_of).warning(
+                'outdated list of servers ignored'
+            )
             return
         listed = {change.server_id: change for change in changes}
         for server_id in tuple(self.change_by_id):
@@ -192,6 +195,7 @@
         server_id = change.server_id
         known = self.change_by_id.get(server_id)
         if known is not None and change.revision <= known.revision:
+            _log_outdated(known, change)
             return
         self.servers_state.changed = max(self.servers_state.changed, change.revision)
         if change.server is not None:
@@ -231,5 +235,15 @@
         ).info('server registered')
 
 
+def _log_outdated(known: ServerChange, change: ServerChange) -> None:
+    if change.revision < known.revision and change.server != known.server:
+        logger.bind(
+            server=change.server_id,
+            revision=change.revision,
+            known_revision=known.revision,
+            leaving=change.server is None or change.server.is_leaving,
+        ).info('outdated change of a server ignored')
+
+
 def _count_routes(config: Configuration) -> int:
     return sum(map(len, config.routes_by_host.values()))
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
+from loguru import logger
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.backend_connection import (
@@ -12,7 +13,7 @@
     BrokenExchangeError,
     NotReachedError,
 )
-from marjoramfall.gateway.http_messages import ResponseBounds
+from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
@@ -23,6 +24,9 @@
 # The store returns at most 1 MB of rows in a call, and encodes them for JSON.
 STORE_RESPONSE_BOUNDS = ResponseBounds(body_bytes=4_194_304)
 
+# Counts how often the store came back from an older copy.
+ERA_HEADER = b'store-era'
+
 OK = 200
 GONE = 410
 PRECONDITION_FAILED = 412
@@ -79,6 +83,7 @@
         self._address = address
         self._clock = clock
         self._connection: BackendConnection | None = None
+        self._era: int | None = None
         self.call_count = 0
 
     def read_table(self, table: str) -> RowSet:
@@ -182,8 +187,16 @@
             raise StoreError(str(error)) from error
         if not connection.finish(response, self._clock.monotonic_ms()):
             self.close()
+        self._note_era(_read_era(response), target)
         return response.status, response_body
 
+    def _note_era(self, era: int, target: str) -> None:
+        if self._era is not None and era != self._era:
+            logger.bind(previous=self._era, era=era, call=target).warning(
+                'store restored from an older copy'
+            )
+        self._era = era
+
     def _connect(self) -> BackendConnection:
         connection = self._connection
         if connection is not None and not connection.is_reusable():
@@ -207,6 +220,12 @@
         return '\r\n'.join((*lines, '', '')).encode('ascii') + body
 
 
+def _read_era(response: Response) -> int:
+    """Return the era that the store names, 0 if none."""
+    named = find_header(response.headers, ERA_HEADER) or b''
+    return int(named) if named.isdigit() else 0
+
+
 def _to_row(wire: _WireRow) -> Row:
     if wire.tombstone:
         return Row(wire.table, wire.key, None, wire.ver)
