--- a/marjoramfall_standins/store.py
+++ b/marjoramfall_standins/store.py
@@ -48,6 +48,14 @@
     swallow: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold the rows of the store at a revision."""
+
+    revision: int
+    row_by_name: dict[tuple[str, str], StoredRow]
+
+
 @dataclass(slots=True)
 class StoreStandin:
     """Keep rows of one part and answer the calls of the store."""
@@ -55,6 +63,7 @@
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
     waits: int = 0
+    era: int = 1
     _revision: int = 0
     _row_by_name: dict[tuple[str, str], StoredRow] = field(default_factory=dict)
     _oldest_change: int = 0
@@ -68,17 +77,17 @@
         if self.faults.swallow:
             sleep(SWALLOWED_S)
         if self.faults.status:
-            return _respond(start_response, self.faults.status, {})
+            return self._respond(start_response, self.faults.status, {})
         parsed = parse_qs(environ['QUERY_STRING'])
         query = {name: values[0] for name, values in parsed.items()}
         path = environ['PATH_INFO']
         if path == '/-/rows-get':
-            return _respond(start_response, 200, self._read(query))
+            return self._respond(start_response, 200, self._read(query))
         if path == '/-/rows-feed':
             return self._follow(query, start_response)
         if path == '/-/rows-tx':
             return self._transact(environ['wsgi.input'].read(), start_response)
-        return _respond(start_response, 404, {})
+        return self._respond(start_response, 404, {})
 
     def put(self, table: str, key: str, document: object) -> int:
         """Write a document as the operator or a server does."""
@@ -104,6 +113,17 @@
         self._oldest_change = self._revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy for `restore`."""
+        return StoreCopy(self._revision, dict(self._row_by_name))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy; revisions are given out again."""
+        self.era += 1
+        self._revision = copy.revision
+        self._row_by_name = dict(copy.row_by_name)
+        self._wake()
+
     def _store(self, table: str, key: str, value: str | None) -> int:
         self._revision += 1
         row = StoredRow(table, key, value, self._revision)
@@ -136,13 +156,16 @@
         wait_s = float(query.get('waitMs', 0)) / MS_PER_SECOND
         rows = self._changes(query['table'], after)
         self.waits += wait_s > 0
-        while not rows and after >= self._oldest_change and wait_s > 0:
+        while not rows and self._has_history(after) and wait_s > 0:
             if not self._changed.wait(wait_s):
                 break
             rows = self._changes(query['table'], after)
-        if after < self._oldest_change:
-            return _respond(start_response, 410, {})
-        return _respond(start_response, 200, self._document(rows))
+        if not self._has_history(after):
+            return self._respond(start_response, 410, {})
+        return self._respond(start_response, 200, self._document(rows))
+
+    def _has_history(self, after: int) -> bool:
+        return self._oldest_change <= after <= self._revision
 
     def _transact(self, body: bytes, start_response: Callable) -> Iterable[bytes]:
         call = msgspec.json.decode(body)
@@ -150,14 +173,26 @@
             row = self._row_by_name.get((condition['table'], condition['key']))
             known = 0 if row is None or row.value is None else row.ver
             if known != condition['ver']:
-                return _respond(start_response, 412, self._document([]))
+                return self._respond(start_response, 412, self._document([]))
         for put in call['puts']:
             self._store(put['table'], put['key'], put['value'])
         for dropped in call['remove']:
             self._store(dropped['table'], dropped['key'], None)
         if self.faults.lose_writes:
             raise ConnectionResetError('the answer is lost')
-        return _respond(start_response, 200, self._document([]))
+        return self._respond(start_response, 200, self._document([]))
+
+    def _respond(
+        self, start_response: Callable, status: int, document: dict[str, object]
+    ) -> Iterable[bytes]:
+        body = msgspec.json.encode(document)
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+            ('Store-Era', str(self.era)),
+        ]
+        start_response(REASONS[status], headers)
+        return [body]
 
     def _rows(self, table: str) -> list[StoredRow]:
         return [row for row in self._row_by_name.values() if row.table == table]
@@ -179,14 +214,3 @@
     if row.value is None:
         return {**wire, 'tombstone': True}
     return {**wire, 'value': row.value}
-
-
-def _respond(
-    start_response: Callable, status: int, document: dict[str, object]
-) -> Iterable[bytes]:
-    body = msgspec.json.encode(document)
-    start_response(
-        REASONS[status],
-        [('Content-Type', 'application/json'), ('Content-Length', str(len(body)))],
-    )
-    return [body]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,9 +11,8 @@
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.peer_table import Member, PeerTable
-from marjoramfall.gateway.registry import LAPSE_DETECTION_MS, Registry
-from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS, WatchDuty
-from marjoramfall.platform import watch as watch_module
+from marjoramfall.gateway.registry import LAPSE_DETECTION_MS
+from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
     InvalidRecordError,
@@ -21,28 +20,10 @@
     decode_server,
 )
 from marjoramfall.platform.store import HistoryLostError, StoreError
-from marjoramfall.platform.watch import (
-    REST_INTERVAL_MS,
-    SILENCE_TIMEOUT_MS,
-    OperatorWatch,
-    ServerWatch,
-)
+from marjoramfall.platform.watch import REST_INTERVAL_MS, SILENCE_TIMEOUT_MS
 from tests.platform_records import CONFIG, SERVER
 from tests.store_case import StoreCase
-
-WAIT_STEP_S = 0.01
-MAX_WAIT_STEPS = 400
-POLL_MS = 300
-LONG_POLL_MS = 60_000
-
-
-def wait_until(condition):
-    """Wait until the condition holds; return False after `MAX_STEPS` steps."""
-    for _ in range(MAX_WAIT_STEPS):
-        if condition():
-            return True
-        sleep(WAIT_STEP_S)
-    return False
+from tests.watch_case import LONG_POLL_MS, POLL_MS, WatchCase, wait_until
 
 
 class TestStoreClient(StoreCase):
@@ -98,54 +79,9 @@
             self.client.read_table('servers')
 
 
-class TestWatch(StoreCase):
+class TestWatch(WatchCase):
     """The registry stays up to date with the tables across outages."""
 
-    def setUp(self):
-        super().setUp()
-        self.poll_ms = POLL_MS
-        self.uptime_ms = 10_000
-        patcher = patch.object(
-            watch_module, 'choose_wait_ms', lambda rank: self.poll_ms
-        )
-        patcher.start()
-        self.addCleanup(patcher.stop)
-        self.duty = WatchDuty(
-            PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a'),
-            own_vm='entry-1',
-            uptime_ms=lambda: self.uptime_ms,
-            on_change=lambda: None,
-            needs_state=bool,
-        )
-        self.store.put('op', 'config', CONFIG)
-        self.store.put('servers', 'i-1', SERVER)
-        self.registry = Registry(
-            self.clock, lambda config: None, lambda: None, lambda order: None
-        )
-        self.watches = (
-            self.new_watch(OperatorWatch),
-            self.new_watch(ServerWatch),
-        )
-        for watch in self.watches:
-            watch.start()
-            self.addCleanup(watch.stop)
-        self.assertTrue(
-            wait_until(lambda: self.registry.config and self.registry.servers)
-        )
-
-    def new_watch(self, kind):
-        """Return a watch of the given class that polls with `poll_ms`."""
-        return kind(
-            self.new_client(),
-            self.registry,
-            self.clock,
-            duty=self.duty,
-        )
-
-    def reaches_version(self, version):
-        """Wait for a version of the configuration; return whether it was applied."""
-        return wait_until(lambda: self.registry.config.version == version)
-
     def test_config_change(self):
         """A new version of the configuration is applied."""
         self.store.put('op', 'config', {**CONFIG, 'version': 9})
