Order what the store keeps by its era before its revision

Cause: a revision of the store was taken for a number that only grows. Whatever compares revisions dropped what is newer but has a smaller one: the complete read of servers, single changes, what peers fetch from each other. A read of the changes after a revision that the store had given out again missed those below it.

Change: a revision of this project holds the era of the store above the store's own number, so that all comparisons, also those of peers, stay right; the store's client puts it together and takes it apart. A feed that answers in another era is read anew as a whole, and a read or a conditional write across a restoration fails. Servers that are not in the copy have the grace of those whose registration lapsed. The order of a version move that is found again under another revision goes on as the same move, and its status is written again. A configuration of the same version but another content is applied if it is of a later era.

--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from math import inf
 
+from marjoramfall.gateway.revision import era_of
+
 # The unused part of a server's limit is kept for this long.
 SERVER_BURST_S = 1.0
 # What peers report late, as after a partition, holds up requests no longer than this.
@@ -169,3 +171,10 @@
     version: str
     duration_s: float
     revision: int
+
+    def is_repeated_by(self, order: 'VersionMove') -> bool:
+        """Return whether an order is this one, found again in a restored store."""
+        return era_of(self.revision) != era_of(order.revision) and (
+            (self.service_id, self.version, self.duration_s)
+            == (order.service_id, order.version, order.duration_s)
+        )
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -7,6 +7,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.model import BackendServer, Configuration, VersionMove
+from marjoramfall.gateway.revision import era_of, number_of
 
 # Servers whose registration lapsed during an outage of the store register again
 # within 2 s of its end.
@@ -92,13 +93,19 @@
         return self.config is not None and self.servers_state.as_of > 0
 
     def put_config(self, config: Configuration, revision: int) -> None:
-        """Apply a configuration if its version is newer."""
-        if self.config is not None and config.version <= self.config.version:
+        """Apply a configuration if it is newer.
+
+        A restored store may hold an older version for a moment.
+        """
+        if not self._is_newer(config, revision):
             return
         self.config = config
         self.config_state.changed = max(self.config_state.changed, revision)
         logger.bind(
-            version=config.version, revision=revision, routes=_count_routes(config)
+            version=config.version,
+            era=era_of(revision),
+            revision=number_of(revision),
+            routes=_count_routes(config),
         ).info('configuration applied')
         self.on_config(config)
 
@@ -124,10 +131,16 @@
     def apply_all(self, changes: Iterable[ServerChange], as_of: int) -> None:
         """Replace all servers by those of a complete read, unless it is outdated."""
         if as_of < self.servers_state.as_of:
-            logger.bind(as_of=as_of, known_as_of=self.servers_state.as_of).warning(
-                'outdated list of servers ignored'
-            )
+            logger.bind(
+                era=era_of(as_of),
+                as_of=number_of(as_of),
+                known_era=era_of(self.servers_state.as_of),
+                known_as_of=number_of(self.servers_state.as_of),
+            ).warning('outdated list of servers ignored')
             return
+        if era_of(as_of) > era_of(self.servers_state.as_of):
+            # Servers that registered in the lost seconds will do so again.
+            self.note_outage_end()
         listed = {change.server_id: change for change in changes}
         for server_id in tuple(self.change_by_id):
             if server_id not in listed:
@@ -181,6 +194,14 @@
             self.apply_all(snapshot.servers, snapshot.servers_as_of)
             self._expect_lapses(snapshot.lapsing)
 
+    def _is_newer(self, config: Configuration, revision: int) -> bool:
+        known = self.config
+        if known is None or config.version != known.version:
+            return known is None or config.version > known.version
+        # A version that was lost may have been given out again.
+        is_later = era_of(revision) > era_of(self.config_state.changed)
+        return is_later and config != known
+
     def _expect_lapses(self, lapsing: Iterable[LapsingServer]) -> None:
         now_ms = self.clock.monotonic_ms()
         for server in lapsing:
@@ -231,7 +252,8 @@
             address=server.address,
             version=server.version,
             leaving=server.is_leaving,
-            revision=change.revision,
+            era=era_of(change.revision),
+            revision=number_of(change.revision),
         ).info('server registered')
 
 
@@ -239,8 +261,10 @@
     if change.revision < known.revision and change.server != known.server:
         logger.bind(
             server=change.server_id,
-            revision=change.revision,
-            known_revision=known.revision,
+            era=era_of(change.revision),
+            revision=number_of(change.revision),
+            known_era=era_of(known.revision),
+            known_revision=number_of(known.revision),
             leaving=change.server is None or change.server.is_leaving,
         ).info('outdated change of a server ignored')
 
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -11,6 +11,7 @@
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peer_state import MoveReport
+from marjoramfall.gateway.revision import era_of, number_of
 
 # The canary gets half of the exposure that operators allow a bad version, so
 # that some is left if it starts to fail later.
@@ -140,14 +141,23 @@
         self._canary_share = expose_share * CANARY_SHARE_FACTOR
 
     def begin(self, order: VersionMove, *, elapsed_ms: float = 0) -> None:
-        """Start the move of an order; an older or known order changes nothing."""
+        """Start the move of an order; an older or known order changes nothing.
+
+        A move goes on if a restored store has its order under another revision.
+        """
         known = self._move_by_service.get(order.service_id)
         if known is not None and known.order.revision >= order.revision:
             return
+        if known is not None and known.order.is_repeated_by(order):
+            known.order = order
+            return
         started_ms = self._clock.monotonic_ms() - elapsed_ms
         self._move_by_service[order.service_id] = Move(order, started_ms)
         logger.bind(
-            service=order.service_id, version=order.version, revision=order.revision
+            service=order.service_id,
+            version=order.version,
+            era=era_of(order.revision),
+            revision=number_of(order.revision),
         ).info('version move started')
 
     def choose(self, service_id: str, *, is_in_touch: bool = True) -> VersionChoice:
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -5,6 +5,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.revision import era_of, number_of
 from marjoramfall.gateway.version_moves import Move, Phase, VersionMoves
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
@@ -25,7 +26,8 @@
 class _Status(msgspec.Struct, rename='camel'):
     state: str
     to: str
-    # The revision of the operator's order, which tells moves of a service apart.
+    # The revision of the operator's order within the store's era, which tells moves
+    # of a service apart.
     order_revision: int = 0
     # The time by the store's clock at which the move started.
     started_ms: float = 0
@@ -107,9 +109,12 @@
     def _record(self, move: Move, state: str) -> None:
         row_key = f'{STATUS_PREFIX}{move.order.service_id}'
         rows = self._client.read_table(STATUS_TABLE)
+        order_revision = number_of(move.order.revision)
+        if era_of(rows.revision) != era_of(move.order.revision):
+            raise StoreError('the store was restored, and the order not read since')
         row = next((found for found in rows.rows if found.key == row_key), None)
         recorded = _decode_status(row)
-        if recorded is not None and recorded.order_revision == move.order.revision:
+        if recorded is not None and recorded.order_revision == order_revision:
             self._adopt_status(move, recorded, rows)
             if recorded.state in {state, 'completed', 'rolled_back'}:
                 return
@@ -117,7 +122,7 @@
         else:
             elapsed_ms = self._clock.monotonic_ms() - move.started_ms
             started_ms = rows.store_ms - elapsed_ms
-        status = _Status(state, move.order.version, move.order.revision, started_ms)
+        status = _Status(state, move.order.version, order_revision, started_ms)
         expected_revision = 0 if row is None else row.revision
         written = self._client.write_row(
             STATUS_TABLE,
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -1,6 +1,7 @@
 """Provide a client of the platform's metadata store."""
 
 import base64
+from collections.abc import Iterable
 from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
@@ -14,6 +15,7 @@
     NotReachedError,
 )
 from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
+from marjoramfall.gateway.revision import era_of, make_revision, number_of
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
@@ -37,7 +39,10 @@
 
 
 class HistoryLostError(StoreError):
-    """Report that changes since the requested revision are no longer available."""
+    """Report that changes since the requested revision are no longer available.
+
+    The store has dropped them, or was restored from an older copy.
+    """
 
 
 class _WireRow(msgspec.Struct):
@@ -69,13 +74,23 @@
 
 @dataclass(frozen=True, slots=True)
 class RowSet:
-    """Hold rows, the store's revision at the read and its clock in ms."""
+    """Hold rows, the store's revision at the read and its clock in ms.
+
+    Revisions here and in rows include the era of the store.
+    """
 
     rows: tuple[Row, ...]
     revision: int
     store_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Make calls to the store, one at a time, on a single connection."""
 
@@ -89,16 +104,18 @@
     def read_table(self, table: str) -> RowSet:
         """Return all rows of a table; raises `StoreError`."""
         rows: list[Row] = []
-        start_key = ''
+        query = {'table': table, 'part': ''}
+        first_era: int | None = None
         while True:
-            query = {'table': table, 'part': ''}
-            if start_key:
-                query['from'] = start_key
-            found = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
-            rows.extend(_to_row(row) for row in found.rows)
+            answer = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
+            first_era = answer.era if first_era is None else first_era
+            if answer.era != first_era:
+                raise StoreError('the store was restored during a read')
+            found = _decode_rows(answer)
+            rows.extend(_to_row(row, answer.era) for row in found.rows)
             if not found.has_more:
-                return RowSet(tuple(rows), found.ver, found.now_ms)
-            start_key = f'{found.rows[-1].key}\0'
+                return _to_row_set(rows, found, answer.era)
+            query['from'] = f'{found.rows[-1].key}\0'
 
     def follow_table(self, table: str, after: int, *, wait_ms: int) -> RowSet:
         """Return the changes after a revision; wait up to `wait_ms` for the first.
@@ -106,11 +123,14 @@
         Raises `HistoryLostError` if the table has to be read again, and
         `StoreError` on any other failure.
         """
-        query = {'table': table, 'after': after, 'waitMs': wait_ms}
+        query = {'table': table, 'after': number_of(after), 'waitMs': wait_ms}
         timeout_ms = wait_ms + POLL_TIMEOUT_MARGIN_MS
-        found = self._get('/-/rows-feed', query, timeout_ms)
-        rows = tuple(_to_row(row) for row in found.rows)
-        return RowSet(rows, found.ver, found.now_ms)
+        answer = self._get('/-/rows-feed', query, timeout_ms)
+        if answer.era != era_of(after):
+            raise HistoryLostError('the store was restored from an older copy')
+        found = _decode_rows(answer)
+        rows = [_to_row(row, answer.era) for row in found.rows]
+        return _to_row_set(rows, found, answer.era)
 
     def write_row(
         self,
@@ -146,7 +166,7 @@
         row_id = {'table': table, 'part': '', 'key': key}
         conditions = []
         if expected_revision is not None:
-            conditions.append({**row_id, 'ver': expected_revision})
+            conditions.append({**row_id, 'ver': number_of(expected_revision)})
         body = {
             'expectedRevision': conditions,
             'puts': []
@@ -154,28 +174,27 @@
             else [{**row_id, 'value': encoded_content}],
             'remove': [row_id] if encoded_content is None else [],
         }
-        status, _ = self._call(
+        answer = self._call(
             'POST', '/-/rows-tx', msgspec.json.encode(body), CALL_TIMEOUT_MS
         )
-        if status not in {OK, PRECONDITION_FAILED}:
-            raise StoreError(f'write to table {table} returned status {status}')
-        return status == OK
+        if answer.status not in {OK, PRECONDITION_FAILED}:
+            raise StoreError(f'write to table {table} returned status {answer.status}')
+        if expected_revision and era_of(expected_revision) != answer.era:
+            raise StoreError(f'the store was restored before a write to {table}')
+        return answer.status == OK
 
-    def _get(self, path: str, query: dict[str, object], timeout_ms: float) -> _WireRows:
+    def _get(self, path: str, query: dict[str, object], timeout_ms: float) -> _Answer:
         target = f'{path}?{urlencode(query, quote_via=quote)}'
-        status, body = self._call('GET', target, b'', timeout_ms)
-        if status == GONE:
+        answer = self._call('GET', target, b'', timeout_ms)
+        if answer.status == GONE:
             raise HistoryLostError('the store no longer has the requested history')
-        if status != OK:
-            raise StoreError(f'{path} returned status {status}')
-        try:
-            return msgspec.json.decode(body, type=_WireRows)
-        except msgspec.DecodeError as error:
-            raise StoreError(f'invalid response to {path}: {error}') from error
+        if answer.status != OK:
+            raise StoreError(f'{path} returned status {answer.status}')
+        return answer
 
     def _call(
         self, method: str, target: str, body: bytes, timeout_ms: float
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         self.call_count += 1
         try:
             connection = self._connect()
@@ -187,8 +206,9 @@
             raise StoreError(str(error)) from error
         if not connection.finish(response, self._clock.monotonic_ms()):
             self.close()
-        self._note_era(_read_era(response), target)
-        return response.status, response_body
+        era = _read_era(response)
+        self._note_era(era, target)
+        return _Answer(response.status, response_body, era)
 
     def _note_era(self, era: int, target: str) -> None:
         if self._era is not None and era != self._era:
@@ -226,12 +246,24 @@
     return int(named) if named.isdigit() else 0
 
 
-def _to_row(wire: _WireRow) -> Row:
+def _decode_rows(answer: _Answer) -> _WireRows:
+    try:
+        return msgspec.json.decode(answer.body, type=_WireRows)
+    except msgspec.DecodeError as error:
+        raise StoreError(f'invalid response: {error}') from error
+
+
+def _to_row_set(rows: Iterable[Row], found: _WireRows, era: int) -> RowSet:
+    return RowSet(tuple(rows), make_revision(era, found.ver), found.now_ms)
+
+
+def _to_row(wire: _WireRow, era: int) -> Row:
+    revision = make_revision(era, wire.ver)
     if wire.tombstone:
-        return Row(wire.table, wire.key, None, wire.ver)
+        return Row(wire.table, wire.key, None, revision)
     try:
         content = base64.b64decode(wire.value)
     except ValueError:
         # Empty content makes the decoder of the record report the row as invalid.
         content = b''
-    return Row(wire.table, wire.key, content, wire.ver)
+    return Row(wire.table, wire.key, content, revision)
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -9,6 +9,7 @@
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.registry import Registry, ServerChange
+from marjoramfall.gateway.revision import era_of, number_of
 from marjoramfall.gateway.watch_duty import WatchDuty
 from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.records import (
@@ -111,9 +112,11 @@
             try:
                 self._read_once()
             except HistoryLostError:
-                logger.bind(table=self.table, after=self._applied_revision).warning(
-                    'store history unavailable'
-                )
+                logger.bind(
+                    table=self.table,
+                    era=era_of(self._applied_revision),
+                    after=number_of(self._applied_revision),
+                ).warning('store history unavailable')
                 self._applied_revision = None
             except StoreError as error:
                 self._on_failure(error)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS
+from marjoramfall.gateway.revision import make_revision
 from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
@@ -21,6 +22,7 @@
 )
 from marjoramfall.platform.store import HistoryLostError, StoreError
 from marjoramfall.platform.watch import REST_INTERVAL_MS, SILENCE_TIMEOUT_MS
+from marjoramfall_standins.store import MAX_ROWS
 from tests.platform_records import CONFIG, SERVER
 from tests.store_case import StoreCase
 from tests.watch_case import LONG_POLL_MS, POLL_MS, WatchCase, wait_until
@@ -35,7 +37,7 @@
         self.store.put('op', 'config', {})
         found = self.client.read_table('servers')
         self.assertEqual([row.key for row in found.rows], ['a'])
-        self.assertEqual(found.revision, 2)
+        self.assertEqual(found.revision, make_revision(self.store.era, 2))
 
     def test_follow_table(self):
         """A change and a deletion are returned in order."""
@@ -52,6 +54,29 @@
         with self.assertRaises(HistoryLostError):
             self.client.follow_table('servers', 0, wait_ms=0)
 
+    def test_restored_store(self):
+        """Guards against changes of another era that are taken for all since."""
+        copy = self.store.copy()
+        after = self.client.read_table('servers').revision
+        self.store.restore(copy)
+        self.store.put('servers', 'a', {})
+        with self.assertRaises(HistoryLostError):
+            self.client.follow_table('servers', after, wait_ms=0)
+
+    def test_restored_during_read(self):
+        """Guards against a list whose parts are from before and after a loss."""
+        for number in range(MAX_ROWS + 1):
+            self.store.put('servers', f'{number:04}', {})
+        read = self.client._get
+        with patch.object(self.client, '_get') as get:
+            get.side_effect = lambda *call: (read(*call), self.lose_nothing())[0]
+            with self.assertRaises(StoreError):
+                self.client.read_table('servers')
+
+    def lose_nothing(self):
+        """Restore the store with all that it holds."""
+        self.store.restore(self.store.copy())
+
     def test_conditional_write(self):
         """Guards against overwriting a row that changed since it was read."""
         self.assertTrue(self.client.write_row('t', 'k', b'a', expected_revision=0))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,7 +6,8 @@
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peer_table import PEER_EXPIRY_MS, Member, PeerTable
 from marjoramfall.gateway.registry import LAPSE_GRACE_MS, Registry, ServerChange
-from tests.gateway_fakes import make_config, make_server, make_state
+from marjoramfall.gateway.revision import make_revision
+from tests.gateway_fakes import make_config, make_route, make_server, make_state
 
 
 def change(server_id, revision, **changes):
@@ -43,6 +44,24 @@
         self.assertEqual(self.registry.config.version, 5)
         self.assertEqual(self.versions, [5])
 
+    def test_older_version_of_restored_store(self):
+        """Guards against a configuration that comes back older with the store."""
+        self.registry.put_config(make_config(5), make_revision(1, 11))
+        self.registry.put_config(make_config(4), make_revision(2, 9))
+        self.assertEqual(self.versions, [5])
+
+    def test_version_given_out_again(self):
+        """Guards against ignoring a configuration whose version was lost once.
+
+        What was read before the loss doesn't replace it again.
+        """
+        lost = make_config(5)
+        new = make_config(5, routes=(make_route('new'),))
+        self.registry.put_config(lost, make_revision(1, 11))
+        self.registry.put_config(new, make_revision(2, 9))
+        self.registry.put_config(lost, make_revision(1, 11))
+        self.assertEqual(self.registry.config, new)
+
     def test_snapshot(self):
         """An entry without access to the store gets its state from a peer."""
         self.registry.put_config(make_config(5), 11)
@@ -148,6 +167,29 @@
         self.assertEqual(self.ids(), {'s1'})
 
 
+class TestRestoredStore(RegistryCase):
+    """The store comes back from a copy that is some seconds old."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock.advance_ms(5000)
+
+    def test_not_in_copy(self):
+        """Guards against removing servers that registered in the lost seconds.
+
+        They stay if they register again, and are removed if they don't.
+        """
+        self.registry.apply_changes([change('s2', 30)], 30)
+        self.registry.apply_all([], make_revision(1, 5))
+        self.registry.apply_changes(
+            [change('s2', make_revision(1, 7))], make_revision(1, 7)
+        )
+        self.assertEqual(self.ids(), {'s1', 's2'})
+        self.clock.advance_ms(LAPSE_GRACE_MS + 1)
+        self.registry.drop_lapsed()
+        self.assertEqual(self.ids(), {'s2'})
+
+
 class TestPeerTable(unittest.TestCase):
     """Peers send states, become silent and restart."""
 
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -2,19 +2,21 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 import msgspec
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.revision import make_revision
 from marjoramfall.gateway.version_moves import Phase, VersionMoves
 from marjoramfall.platform.move_status import MoveRecorder
 from marjoramfall.platform.store import StoreError
 from tests.gateway_fakes import make_state
 from tests.test_platform_adapter import StoreCase
 
-ORDER = VersionMove('ledger', 'v2', 10, revision=5)
+ORDER = VersionMove('ledger', 'v2', 10, revision=make_revision(1, 5))
 EXPOSE_SHARE = 0.1
 EXPOSE_SLACK = 50
 REQUESTS_PER_S = 40
@@ -143,7 +145,7 @@
 
     def test_older_order(self):
         """Guards against applying an order that is read after a newer one."""
-        self.moves.begin(VersionMove('ledger', 'v3', 10, revision=4))
+        self.moves.begin(VersionMove('ledger', 'v3', 10, make_revision(1, 4)))
         self.assertEqual(self.move().order.version, 'v2')
 
 
@@ -182,6 +184,27 @@
         self.assertEqual(self.status()['state'], 'completed')
         self.assertIs(self.moves.moves[0].phase, Phase.COMPLETED)
 
+    def test_restored_store(self):
+        """Guards against a lost status, and against a move that starts anew.
+
+        The restored store gives the operator's order another revision.
+        """
+        copy = self.store.copy()
+        self.check()
+        self.paused.advance_ms(9000)
+        self.check()
+        self.store.restore(copy)
+        self.moves.begin(replace(ORDER, revision=make_revision(2, 3)))
+        self.check()
+        self.assertEqual(self.status()['state'], 'completed')
+        self.assertEqual(self.status()['orderRevision'], 3)
+
+    def test_order_not_read_since(self):
+        """Guards against a status that names the order by a revision of its past."""
+        self.store.restore(self.store.copy())
+        self.check()
+        self.assertIsNone(self.store.get('status', 'rollout/ledger'))
+
     def test_first_end_decides(self):
         """Guards against two entries that record different ends of a move."""
         other = VersionMoves(self.paused, expose_share=EXPOSE_SHARE)
