Trust what a server said last over the copy of a restored store

Cause: a restored store holds what servers said some seconds before. A server that has said since that it leaves is ready there, and one that has left is listed again.

Change: across a restoration, a registration counts only if the server's own count of its reports (seq, and born for its incarnation) is not lower than the one known. The periods in which a registration is in doubt move from the registry to a class.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -278,7 +278,7 @@
     def _maintain(self) -> None:
         while True:
             self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
-            self.registry.drop_lapsed()
+            self.registry.end_grace_periods()
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
 
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -149,7 +149,8 @@
 class BackendServer:
     """Describe one incarnation of a registered backend server.
 
-    `born_ms` tells the incarnations of a server id apart.
+    `born_ms` tells the incarnations of a server id apart, and `sequence` counts what
+    this one has said of itself.
     """
 
     server_id: str
@@ -161,6 +162,11 @@
     is_leaving: bool
     born_ms: int
     cold_ms: float
+    sequence: int = 0
+
+    def is_older_than(self, other: 'BackendServer') -> bool:
+        """Return whether the server said this before something else of itself."""
+        return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.grace_periods import GracePeriod, GracePeriods
 from marjoramfall.gateway.model import BackendServer, Configuration, VersionMove
 from marjoramfall.gateway.revision import era_of, number_of
 
@@ -14,6 +15,10 @@
 LAPSE_GRACE_MS = 2100.0
 # A removal within this time after an outage may be such a lapse.
 LAPSE_DETECTION_MS = 1500.0
+# A restored store drops the registration of a server that is gone within this time.
+RESTORE_GRACE_MS = 4000.0
+# More than leave in the time that a restoration loses.
+MAX_REMOVED_SERVERS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,17 +30,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class LapsingServer:
-    """Name a server whose registration may have lapsed in an outage of the store.
-
-    It is removed unless it registers again within `remaining_ms`.
-    """
-
-    server_id: str
-    remaining_ms: float
-
-
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Hold the configuration and servers of an entry for transfer to a peer."""
@@ -47,7 +41,10 @@
     servers_as_of: int
     # Absent in snapshots of versions in which every entry followed the store.
     orders: tuple[VersionMove, ...] = ()
-    lapsing: tuple[LapsingServer, ...] = ()
+    # Used, though their registration may have lapsed in an outage of the store.
+    lapsing: tuple[GracePeriod, ...] = ()
+    # Not used, as they had left before the store came back from an older copy.
+    withheld: tuple[GracePeriod, ...] = ()
 
 
 @dataclass(slots=True)
@@ -75,16 +72,23 @@
     config_state: TableState = field(default_factory=TableState)
     servers_state: TableState = field(default_factory=TableState)
     change_by_id: dict[str, ServerChange] = field(default_factory=dict)
-    lapse_deadline_ms_by_id: dict[str, float] = field(default_factory=dict)
+    removed_by_id: dict[str, ServerChange] = field(default_factory=dict)
     outage_ended_ms: float = float('-inf')
+    lapsing: GracePeriods = field(init=False)
+    withheld: GracePeriods = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start without grace periods."""
+        self.lapsing = GracePeriods(self.clock)
+        self.withheld = GracePeriods(self.clock)
 
     @property
     def servers(self) -> list[BackendServer]:
-        """Return the registered servers and those within the grace period."""
+        """Return the registered servers, and those that may register again."""
         return [
             change.server
-            for change in self.change_by_id.values()
-            if change.server is not None
+            for server_id, change in self.change_by_id.items()
+            if change.server is not None and server_id not in self.withheld
         ]
 
     @property
@@ -153,23 +157,19 @@
         """Record that the store is reachable again after an outage."""
         self.outage_ended_ms = self.clock.monotonic_ms()
 
-    def drop_lapsed(self) -> None:
-        """Remove servers that did not register again within the grace period."""
-        now_ms = self.clock.monotonic_ms()
-        lapsed_ids = [
-            server_id
-            for server_id, deadline_ms in self.lapse_deadline_ms_by_id.items()
-            if deadline_ms <= now_ms
-        ]
+    def end_grace_periods(self) -> None:
+        """Remove servers that did not register again, and use those still listed."""
+        lapsed_ids = self.lapsing.take_due()
         for server_id in lapsed_ids:
-            self.lapse_deadline_ms_by_id.pop(server_id)
             self._remove(server_id, 'lapsed')
-        if lapsed_ids:
+        listed_ids = self.withheld.take_due()
+        for server_id in listed_ids:
+            logger.bind(server=server_id).info('server of a restored store used again')
+        if lapsed_ids or listed_ids:
             self.on_servers()
 
     def snapshot(self) -> Snapshot:
         """Return what this entry knows of the store."""
-        now_ms = self.clock.monotonic_ms()
         return Snapshot(
             config=self.config,
             config_revision=self.config_state.changed,
@@ -177,10 +177,8 @@
             servers=tuple(self.change_by_id.values()),
             servers_as_of=self.servers_state.as_of,
             orders=tuple(self.order_by_service.values()),
-            lapsing=tuple(
-                LapsingServer(server_id, deadline_ms - now_ms)
-                for server_id, deadline_ms in self.lapse_deadline_ms_by_id.items()
-            ),
+            lapsing=self.lapsing.report(),
+            withheld=self.withheld.report(),
         )
 
     def merge(self, snapshot: Snapshot) -> None:
@@ -192,7 +190,9 @@
             self.set_config_as_of(snapshot.config_as_of)
         if snapshot.servers_as_of > self.servers_state.as_of:
             self.apply_all(snapshot.servers, snapshot.servers_as_of)
-            self._expect_lapses(snapshot.lapsing)
+            self.lapsing.merge(snapshot.lapsing)
+            self.withheld.merge(snapshot.withheld)
+            self.on_servers()
 
     def _is_newer(self, config: Configuration, revision: int) -> bool:
         known = self.config
@@ -202,12 +202,6 @@
         is_later = era_of(revision) > era_of(self.config_state.changed)
         return is_later and config != known
 
-    def _expect_lapses(self, lapsing: Iterable[LapsingServer]) -> None:
-        now_ms = self.clock.monotonic_ms()
-        for server in lapsing:
-            deadline_ms = now_ms + server.remaining_ms
-            self.lapse_deadline_ms_by_id.setdefault(server.server_id, deadline_ms)
-
     def _advance_servers(self, as_of: int) -> None:
         self.servers_state.as_of = max(self.servers_state.as_of, as_of)
         self.on_servers()
@@ -215,12 +209,13 @@
     def _apply(self, change: ServerChange) -> None:
         server_id = change.server_id
         known = self.change_by_id.get(server_id)
-        if known is not None and change.revision <= known.revision:
+        if known is not None and _is_outdated(change, known):
             _log_outdated(known, change)
             return
         self.servers_state.changed = max(self.servers_state.changed, change.revision)
         if change.server is not None:
-            self.lapse_deadline_ms_by_id.pop(server_id, None)
+            self.lapsing.cancel(server_id)
+            self._withhold_if_gone(change)
             self.change_by_id[server_id] = change
             self._log_registration(known, change)
         elif known is not None:
@@ -231,13 +226,28 @@
         leaving = known.server is not None and known.server.is_leaving
         if not leaving and now_ms - self.outage_ended_ms < LAPSE_DETECTION_MS:
             lapse_deadline_ms = self.outage_ended_ms + LAPSE_GRACE_MS
-            self.lapse_deadline_ms_by_id.setdefault(known.server_id, lapse_deadline_ms)
+            self.lapsing.begin(known.server_id, lapse_deadline_ms)
             return
         self._remove(known.server_id, 'unregistered')
 
+    def _withhold_if_gone(self, change: ServerChange) -> None:
+        """Don't use a server that had left, as a restored store lists it again."""
+        self.withheld.cancel(change.server_id)
+        removed = self.removed_by_id.pop(change.server_id, None)
+        if removed is None or era_of(change.revision) == era_of(removed.revision):
+            return
+        if not removed.server.is_older_than(change.server):
+            end_ms = self.outage_ended_ms + RESTORE_GRACE_MS
+            self.withheld.begin(change.server_id, end_ms)
+
     def _remove(self, server_id: str, reason: str) -> None:
-        self.change_by_id.pop(server_id, None)
-        self.lapse_deadline_ms_by_id.pop(server_id, None)
+        self.lapsing.cancel(server_id)
+        self.withheld.cancel(server_id)
+        removed = self.change_by_id.pop(server_id, None)
+        if removed is not None:
+            self.removed_by_id[server_id] = removed
+        if len(self.removed_by_id) > MAX_REMOVED_SERVERS:
+            self.removed_by_id.pop(next(iter(self.removed_by_id)))
         logger.bind(server=server_id, reason=reason).info('server removed')
 
     def _log_registration(
@@ -252,13 +262,23 @@
             address=server.address,
             version=server.version,
             leaving=server.is_leaving,
+            withheld=change.server_id in self.withheld,
             era=era_of(change.revision),
             revision=number_of(change.revision),
         ).info('server registered')
 
 
+def _is_outdated(change: ServerChange, known: ServerChange) -> bool:
+    if change.revision <= known.revision:
+        return True
+    if change.server is None or era_of(change.revision) == era_of(known.revision):
+        return False
+    # A restored store holds what the server had said before.
+    return change.server.is_older_than(known.server)
+
+
 def _log_outdated(known: ServerChange, change: ServerChange) -> None:
-    if change.revision < known.revision and change.server != known.server:
+    if change.revision != known.revision and change.server != known.server:
         logger.bind(
             server=change.server_id,
             era=era_of(change.revision),
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -75,6 +75,7 @@
         is_leaving=record.state == LEAVING,
         born_ms=record.born,
         cold_ms=record.cold_remaining_ms,
+        sequence=record.seq,
     )
 
 
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -91,6 +91,8 @@
     cold_remaining_ms: float = 0
     # A time in ms that tells the incarnations of a server id apart.
     born: int = 0
+    # Rises with each report of this incarnation.
+    seq: int = 0
 
 
 class WireRollout(msgspec.Struct, rename='camel'):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,9 +5,20 @@
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peer_table import PEER_EXPIRY_MS, Member, PeerTable
-from marjoramfall.gateway.registry import LAPSE_GRACE_MS, Registry, ServerChange
+from marjoramfall.gateway.registry import (
+    LAPSE_GRACE_MS,
+    RESTORE_GRACE_MS,
+    Registry,
+    ServerChange,
+)
 from marjoramfall.gateway.revision import make_revision
-from tests.gateway_fakes import make_config, make_route, make_server, make_state
+from tests.gateway_fakes import (
+    make_config,
+    make_route,
+    make_server,
+    make_state,
+    new_registry,
+)
 
 
 def change(server_id, revision, **changes):
@@ -85,7 +96,7 @@
         other.merge(self.registry.snapshot())
         self.assertEqual(len(other.servers), 1)
         self.clock.advance_ms(LAPSE_GRACE_MS)
-        other.drop_lapsed()
+        other.end_grace_periods()
         self.assertEqual(other.servers, [])
 
     def test_order_in_snapshot(self):
@@ -151,13 +162,13 @@
         """A server that registers again within the grace period stays."""
         self.registry.apply_changes([change('s1', 22)], 22)
         self.clock.advance_ms(LAPSE_GRACE_MS + 1)
-        self.registry.drop_lapsed()
+        self.registry.end_grace_periods()
         self.assertEqual(self.ids(), {'s1'})
 
     def test_dropped_after_grace(self):
         """Guards against keeping a server that did not register again."""
         self.clock.advance_ms(LAPSE_GRACE_MS + 1)
-        self.registry.drop_lapsed()
+        self.registry.end_grace_periods()
         self.assertFalse(self.ids())
 
     def test_leaving_has_no_grace(self):
@@ -186,9 +197,57 @@
         )
         self.assertEqual(self.ids(), {'s1', 's2'})
         self.clock.advance_ms(LAPSE_GRACE_MS + 1)
-        self.registry.drop_lapsed()
+        self.registry.end_grace_periods()
         self.assertEqual(self.ids(), {'s2'})
 
+    def test_leaving_in_lost_seconds(self):
+        """Guards against using a server again that has said that it leaves.
+
+        The copy holds what the server had said before.
+        """
+        left = change('s1', 30, is_leaving=True, sequence=9)
+        self.registry.apply_changes([left], 30)
+        as_of = make_revision(1, 20)
+        self.registry.apply_all([change('s1', make_revision(1, 10))], as_of)
+        self.assertTrue(self.registry.servers[0].is_leaving)
+
+    def test_started_again(self):
+        """Guards against ignoring a new incarnation of a server that was leaving."""
+        left = change('s1', 30, is_leaving=True, sequence=9)
+        self.registry.apply_changes([left], 30)
+        as_of = make_revision(1, 20)
+        started = change('s1', as_of, born_ms=2, sequence=1)
+        self.registry.apply_all([started], as_of)
+        self.assertFalse(self.registry.servers[0].is_leaving)
+
+    def lose_removal(self):
+        """Remove the server, and restore the store from a copy that has it."""
+        self.registry.apply_changes([ServerChange('s1', None, 30)], 30)
+        as_of = make_revision(1, 20)
+        self.registry.apply_all([change('s1', make_revision(1, 10))], as_of)
+
+    def test_gone_in_lost_seconds(self):
+        """Guards against using a server that has left, and against never using it.
+
+        It is used if the store still lists it once it had dropped a silent one.
+        """
+        self.lose_removal()
+        self.assertFalse(self.ids())
+        other = new_registry(self.clock)
+        other.merge(self.registry.snapshot())
+        self.assertEqual(other.servers, [])
+        self.clock.advance_ms(RESTORE_GRACE_MS)
+        for registry in (self.registry, other):
+            registry.end_grace_periods()
+            self.assertEqual(len(registry.servers), 1)
+
+    def test_gone_says_more(self):
+        """Guards against withholding a server that reports again after the loss."""
+        self.lose_removal()
+        revision = make_revision(1, 21)
+        self.registry.apply_changes([change('s1', revision, sequence=3)], revision)
+        self.assertEqual(self.ids(), {'s1'})
+
 
 class TestPeerTable(unittest.TestCase):
     """Peers send states, become silent and restart."""
