Register entries again whose rows a restored store has lost

An entry that was added in the seconds that the store lost stays unregistered there, so that entries started later do not find it until it sends them a datagram by itself; they divide limits and servers among fewer entries meanwhile.

Change: an entry reads the table again when it hears of a new era, and writes its row if it is missing.

--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -96,6 +96,11 @@
         """Return whether a configuration and the servers are known."""
         return self.config is not None and self.servers_state.as_of > 0
 
+    @property
+    def store_era(self) -> int:
+        """Return the newest era of the store that is known here; 0 if none."""
+        return era_of(max(self.servers_state.as_of, self.config_state.as_of))
+
     def put_config(self, config: Configuration, revision: int) -> None:
         """Apply a configuration if it is newer.
 
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -67,6 +67,7 @@
             vm=settings.entry.vm,
             address=self._entry.peer_address,
             data_centre=settings.entry.data_centre,
+            store_era=lambda: registry.store_era,
         )
 
         self._settings_watch = SettingsWatch(
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -1,10 +1,13 @@
 """Discover the other entries through the store."""
 
+from collections.abc import Callable
+
 import msgspec
 from loguru import logger
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peer_table import Member, PeerTable
+from marjoramfall.gateway.revision import era_of
 from marjoramfall.platform.store import Row, StoreClient, StoreError
 
 ENTRY_TABLE = 'entries'
@@ -12,6 +15,8 @@
 # Entries also learn of each other by datagrams; this read finds an entry whose
 # datagrams were all lost.
 READ_INTERVAL_MS = 60_000
+# How often an entry checks whether the store was restored.
+CHECK_INTERVAL_MS = 500
 
 
 class _EntryRecord(msgspec.Struct, rename='camel'):
@@ -32,7 +37,10 @@
         vm: str,
         address: str,
         data_centre: str,
+        store_era: Callable[[], int],
     ) -> None:
+        self._store_era = store_era
+        self._read_era = 0
         self._client = client
         self._peers = peers
         self._clock = clock
@@ -41,7 +49,7 @@
         self._own_record = msgspec.json.encode(_EntryRecord(address, data_centre))
 
     def run(self) -> None:
-        """Call `register` at a fixed interval, sooner after an error; never returns."""
+        """Register, and again after an interval or a restoration; never returns."""
         while True:
             try:
                 self.register()
@@ -51,18 +59,37 @@
                 )
                 self._clock.sleep_ms(RETRY_DELAY_MS)
             else:
-                self._clock.sleep_ms(READ_INTERVAL_MS)
+                self._rest()
 
     def register(self) -> None:
-        """Write the row of this entry once and read all rows; raises `StoreError`."""
-        if not self._is_registered:
-            self._client.write_row(ENTRY_TABLE, self._vm, self._own_record)
-            self._is_registered = True
-        self._read_peers()
+        """Write the row of this entry and read all; raises `StoreError`.
 
-    def _read_peers(self) -> None:
-        for row in self._client.read_table(ENTRY_TABLE).rows:
+        The row is written again if a restored store has lost it.
+        """
+        if not self._is_registered:
+            self._write_own_row()
+        rows = self._client.read_table(ENTRY_TABLE)
+        for row in rows.rows:
             self._add_peer(row)
+        known_vms = {member.key for member in rows.rows}
+        if self._vm not in known_vms:
+            logger.bind(era=era_of(rows.revision)).warning(
+                'row of this entry missing in the store'
+            )
+            self._write_own_row()
+        self._read_era = era_of(rows.revision)
+
+    def _rest(self) -> None:
+        """Wait until the rows have to be read again."""
+        rest_until_ms = self._clock.monotonic_ms() + READ_INTERVAL_MS
+        while self._clock.monotonic_ms() < rest_until_ms:
+            self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            if self._store_era() > self._read_era:
+                return
+
+    def _write_own_row(self) -> None:
+        self._client.write_row(ENTRY_TABLE, self._vm, self._own_record)
+        self._is_registered = True
 
     def _add_peer(self, row: Row) -> None:
         try:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,7 +4,7 @@
 from unittest.mock import patch
 
 import msgspec
-from gevent import sleep
+from gevent import sleep, spawn
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -220,22 +220,41 @@
 class TestMembers(StoreCase):
     """Entries discover each other through the store."""
 
-    def test_two_entries(self):
-        """An entry reads the addresses of others and skips invalid records."""
-        record = {'address': '10.0.0.2:7', 'dataCentre': 'dc-b'}
-        self.store.put('entries', 'entry-2', record)
-        self.store.put_raw('entries', 'entry-3', b'nonsense')
-        peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
-        directory = MemberDirectory(
+    def setUp(self):
+        super().setUp()
+        self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
+        self.directory = MemberDirectory(
             self.client,
-            peers,
+            self.peers,
             self.clock,
             vm='entry-1',
             address='10.0.0.1:7',
             data_centre='dc-a',
+            store_era=lambda: self.store.era,
+        )
+
+    def test_restored_store(self):
+        """Guards against an entry whose row was lost and that later ones don't find."""
+        copy = self.store.copy()
+        task = spawn(self.directory.run)
+        self.addCleanup(task.kill)
+        self.assertTrue(wait_until(self.is_registered))
+        self.store.restore(copy)
+        self.assertTrue(wait_until(self.is_registered))
+
+    def is_registered(self):
+        """Return whether the store has the row of the entry."""
+        return self.store.get('entries', 'entry-1') is not None
+
+    def test_two_entries(self):
+        """An entry reads the addresses of others and skips invalid records."""
+        record = {'address': '10.0.0.2:7', 'dataCentre': 'dc-b'}
+        self.store.put('entries', 'entry-2', record)
+        self.store.put_raw('entries', 'entry-3', b'nonsense')
+        self.directory.register()
+        self.assertEqual(
+            self.peers.member_by_vm, {'entry-2': Member('10.0.0.2:7', 'dc-b')}
         )
-        directory.register()
-        self.assertEqual(peers.member_by_vm, {'entry-2': Member('10.0.0.2:7', 'dc-b')})
         self.assertIn(b'10.0.0.1:7', self.store.get('entries', 'entry-1'))
 
 
