Write quarantined prompt parts again that a restored store has lost

A part that was quarantined in the lost seconds would be forgotten by the next loss of all entries, and cost servers again; a released one would come back.

Change: the recorder forgets at a new era what it believes to be in the store, reads the rows and writes or removes what differs.

--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -59,6 +59,7 @@
             self._entry.quarantine,
             clock,
             is_first_start=settings.entry.is_first_start,
+            store_era=lambda: registry.store_era,
         )
         self._directory = MemberDirectory(
             self._new_client(),
--- a/marjoramfall/platform/quarantine_record.py
+++ b/marjoramfall/platform/quarantine_record.py
@@ -1,5 +1,7 @@
 """Keep quarantined prompt parts in the store, for a restart of all entries."""
 
+from collections.abc import Callable
+
 import msgspec
 from loguru import logger
 
@@ -34,7 +36,10 @@
         clock: Clock,
         *,
         is_first_start: bool,
+        store_era: Callable[[], int],
     ) -> None:
+        self._store_era = store_era
+        self._known_era = 0
         self._client = client
         self._quarantine = quarantine
         self._clock = clock
@@ -56,6 +61,7 @@
 
     def update(self) -> None:
         """Read the rows once, and write what has changed; raises `StoreError`."""
+        self._check_era()
         if not self._has_read:
             self._read()
         new_part_ids = self._quarantine.part_ids_seen_here() - self._known_part_ids
@@ -67,6 +73,14 @@
             for part_id in released_part_ids:
                 self._remove(part_id, rows)
 
+    def _check_era(self) -> None:
+        """Read the rows again after a restoration, which may have lost some."""
+        era = self._store_era()
+        if self._known_era and era != self._known_era:
+            self._has_read = False
+            self._known_part_ids.clear()
+        self._known_era = era
+
     def _read(self) -> None:
         rows = self._client.read_table(QUARANTINE_TABLE)
         for row in rows.rows:
--- a/tests/test_quarantine_record.py
+++ b/tests/test_quarantine_record.py
@@ -31,7 +31,11 @@
     def new_recorder(self, quarantine, *, is_first_start=False):
         """Return the recorder of an entry."""
         return QuarantineRecorder(
-            self.new_client(), quarantine, self.clock, is_first_start=is_first_start
+            self.new_client(),
+            quarantine,
+            self.clock,
+            is_first_start=is_first_start,
+            store_era=lambda: self.store.era,
         )
 
     def crash_servers(self, quarantine):
@@ -63,6 +67,29 @@
         self.assertTrue(self.is_refused(restarted, 'x', 'crashing', 'own-9'))
         self.assertFalse(self.is_refused(restarted, 'first', 'own-9'))
 
+    def test_restored_store(self):
+        """Guards against rows that were lost as the store came back older."""
+        copy = self.store.copy()
+        self.crash_servers(self.quarantine)
+        self.recorder.update()
+        self.store.restore(copy)
+        self.recorder.update()
+        restarted = self.restart_all()
+        self.assertTrue(self.is_refused(restarted, 'x', 'crashing', 'own-9'))
+
+    def test_released_in_lost_seconds(self):
+        """Guards against a released part that comes back with the store."""
+        self.crash_servers(self.quarantine)
+        self.recorder.update()
+        copy = self.store.copy()
+        now_ms = self.clock.monotonic_ms() + 1
+        served = make_call('first', 'crashing', 'own-9', first_byte_ms=now_ms)
+        self.quarantine.on_served(served)
+        self.recorder.update()
+        self.store.restore(copy)
+        self.recorder.update()
+        self.assertEqual(self.client.read_table(QUARANTINE_TABLE).rows, ())
+
     def test_released(self):
         """Guards against a row that outlasts the release of its part."""
         self.crash_servers(self.quarantine)
