Log the fingerprint of a request in the line of a failed exchange

Whether requests under different ids that were at servers which ended are the same request could not be told from the logs: a new id comes with each attempt, an own prompt part says nothing of path, caller and body, and plain requests have no parts. 'exchange failed' now has a digest of method, target, host, key and body.

The body is only hashed once an exchange has failed. No other change of behaviour.

--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -1,12 +1,16 @@
 """Hold a caller's request and its state while the gateway serves it."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
+from hashlib import blake2b
 
 from marjoramfall.gateway.http_messages import Header, RequestHead
 from marjoramfall.gateway.model import RepeatRule, Route, Team
 
 # Distinct route priorities within each team priority; larger ones are capped.
 ROUTE_RANKS_PER_TEAM_PRIORITY = 8
+# Enough to tell all requests of some minutes apart.
+FINGERPRINT_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +39,7 @@
     own_part_id: str = ''
 
 
-@dataclass(slots=True)
+@dataclass
 class Call:
     """Hold the state of a request from admission to the end of its response.
 
@@ -59,6 +63,16 @@
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what a request has in common with the same one sent again."""
+        fields = self.fields
+        digest = blake2b(self.body, digest_size=FINGERPRINT_BYTES)
+        for part in (self.head.method, self.head.target, fields.host.encode()):
+            digest.update(b'\0' + part)
+        digest.update(b'\0' + (fields.api_key or '').encode())
+        return digest.hexdigest()
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the request may run more than once."""
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -241,4 +241,5 @@
             has_events=call.first_byte_ms is not None,
             shared_parts=call.fields.shared_part_ids[:MAX_LOGGED_PARTS],
             own_part=call.fields.own_part_id,
+            fingerprint=call.fingerprint,
         ).warning('exchange failed')
