--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -127,14 +127,18 @@
         self.addCleanup(connection.close)
         return connection
 
-    def send(self, path, *headers, method='GET', key='key-1', connection=None):
+    def send(
+        self, path, *headers, method='GET', key='key-1', body=b'', connection=None
+    ):
         """Send a request and return the connection."""
         connection = connection or self.connect()
         lines = [f'{method} {path} HTTP/1.1', 'Host: a.example', f'{ATTEMPT}: a-1']
         if key:
             lines.append(f'Authorization: Bearer {key}')
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
         message = '\r\n'.join((*lines, *headers, '', ''))
-        connection.sendall(message.encode())
+        connection.sendall(message.encode() + body)
         return connection
 
     def receive_all(self, connection):
--- a/tests/scripted_backend.py
+++ b/tests/scripted_backend.py
@@ -11,9 +11,10 @@
 class Exchange:
     """Let a script answer one request on one connection."""
 
-    def __init__(self, sock, head: bytes, connection: int) -> None:
+    def __init__(self, sock, head: bytes, body: bytes, connection: int) -> None:
         self.sock = sock
         self.head = head
+        self.body = body
         self.connection = connection
 
     def write(self, text: bytes) -> None:
@@ -60,24 +61,27 @@
         connection = self.connections
         with sock.makefile('rb') as requests, suppress(OSError):
             while True:
-                head = self._read_request(requests)
+                head = self._read_head(requests)
                 if not head:
                     return
+                body = requests.read(self._body_length(head))
                 self.heads.append(head)
                 script = self._scripts[0]
                 if len(self._scripts) > 1:
                     self._scripts.pop(0)
-                if script(Exchange(sock, head, connection)) is False:
+                if script(Exchange(sock, head, body, connection)) is False:
                     return
 
-    def _read_request(self, requests) -> bytes:
+    def _read_head(self, requests) -> bytes:
         head = b''
-        length = 0
         for line in requests:
             head += line
-            if line.lower().startswith(b'content-length:'):
-                length = int(line.partition(b':')[2])
             if line == b'\r\n':
-                requests.read(length)
                 return head
         return b''
+
+    def _body_length(self, head: bytes) -> int:
+        for line in head.lower().splitlines():
+            if line.startswith(b'content-length:'):
+                return int(line.partition(b':')[2])
+        return 0
