Don't let a pausing watch hide that the store refuses an entry

Cause: an entry that pauses after failed calls, up to 3 s, does not notice that it no longer has to follow the store; after 3 s the refusal is forgotten, it takes the duty from the entry that the store serves, and goes on pausing. Its next failure is not told either, as the watch believes that it told it before. In the logs b-1 and a-3 have the duty from 19.57 and 20.17 and make no call until 21.5, while c-2, which reaches the store, leaves it at 19.87.

Change: a pause ends when the entry doesn't have to follow the store any more, and each failure is told to the duty.

Evidence: test_platform_adapter.TestWatch.test_refused_during_pause fails before and passes three times of three with its module.

--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -159,18 +159,26 @@
             logger.bind(table=self.table).info('store reachable again')
 
     def _on_failure(self, error: StoreError) -> None:
+        self._duty.set_store_reachable(is_reachable=False)
         if self._is_connected:
             self._is_connected = False
-            self._duty.set_store_reachable(is_reachable=False)
             logger.bind(table=self.table, details=str(error)).warning(
                 'store unreachable'
             )
-        jitter = random.uniform(0.5, 1)
-        gevent.sleep(self._retry_delay_ms * jitter / MS_PER_SECOND)
+        self._pause(self._retry_delay_ms * random.uniform(0.5, 1))
         is_reserve = self._duty.is_reserve()
         longest_ms = MAX_RESERVE_DELAY_MS if is_reserve else MAX_RETRY_DELAY_MS
         self._retry_delay_ms = min(longest_ms, 2 * self._retry_delay_ms)
 
+    def _pause(self, pause_ms: float) -> None:
+        """Wait, but no longer than this entry has to follow the store."""
+        pause_until_ms = self._clock.monotonic_ms() + pause_ms
+        while self._duty.is_due():
+            remaining_ms = pause_until_ms - self._clock.monotonic_ms()
+            if remaining_ms <= 0:
+                return
+            gevent.sleep(min(remaining_ms, REST_INTERVAL_MS) / MS_PER_SECOND)
+
 
 class OperatorWatch(TableWatch):
     """Follow the configuration and the orders of version moves."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,6 +14,7 @@
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS
 from marjoramfall.gateway.revision import make_revision
 from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS
+from marjoramfall.platform import watch as watch_module
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
     InvalidRecordError,
@@ -21,7 +22,11 @@
     decode_server,
 )
 from marjoramfall.platform.store import HistoryLostError, StoreError
-from marjoramfall.platform.watch import REST_INTERVAL_MS, SILENCE_TIMEOUT_MS
+from marjoramfall.platform.watch import (
+    MAX_RESERVE_DELAY_MS,
+    REST_INTERVAL_MS,
+    SILENCE_TIMEOUT_MS,
+)
 from marjoramfall_standins.store import MAX_ROWS
 from tests.platform_records import CONFIG, SERVER
 from tests.store_case import StoreCase
@@ -127,6 +132,26 @@
             sleep(3 * REST_INTERVAL_MS / MS_PER_SECOND)
         self.assertTrue(wait_until(lambda: not self.duty.is_store_reachable))
 
+    def test_refused_during_pause(self):
+        """Guards against an entry that takes the duty while it pauses after failures.
+
+        The longest pause outlasts the time for which a refusal is remembered.
+        """
+        with patch.object(watch_module, 'MIN_RETRY_DELAY_MS', MAX_RESERVE_DELAY_MS):
+            sleep(2 * POLL_MS / MS_PER_SECOND)
+            self.store.faults.status = 503
+            is_detected = wait_until(
+                lambda: not any(watch.is_connected for watch in self.watches)
+            )
+        self.assertTrue(is_detected)
+        with patch.object(self.duty, '_is_due', return_value=False):
+            self.uptime_ms += REFUSAL_MEMORY_MS
+            self.assertFalse(self.duty.is_due())
+            self.assertTrue(self.duty.is_store_reachable)
+            sleep(3 * REST_INTERVAL_MS / MS_PER_SECOND)
+        sleep(3 * REST_INTERVAL_MS / MS_PER_SECOND)
+        self.assertFalse(self.duty.is_store_reachable)
+
     def test_unreadable_config(self):
         """Guards against an invalid record that blocks later configurations."""
         self.store.put_raw('op', 'config', b'{')
