Keep a cause of crashes while a new crash is known in part

Cause: the requests of a crash become known one by one. A request that was at two crashes before, and is known of the new one first, explains as many crashes as the cause; which of the two was taken depended on the order of the evidence.

Change: among causes that explain equally many crashes, the one goes first that was taken before.

--- a/marjoramfall/gateway/crash_causes.py
+++ b/marjoramfall/gateway/crash_causes.py
@@ -1,6 +1,6 @@
 """Find the prompt parts and requests that explain the crashes of servers."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
 
 from marjoramfall.gateway.crash_report import CrashedRequest
@@ -58,13 +58,15 @@
     """Hold the crashes that a prompt part or a request explains.
 
     `own_part_ids` tell the requests with a part apart, `position` is its last place in
-    a prompt, and `was_served` is true if a response was ever complete in spite of it.
+    a prompt, `was_served` is true if a response was ever complete in spite of it, and
+    `was_taken` if it was taken for a cause before.
     """
 
     cause_id: str
     was_served: bool
     is_request: bool
     position: int = 0
+    was_taken: bool = False
     crashes: list[Crash] = field(default_factory=list)
     own_part_ids: set[str] = field(default_factory=set)
 
@@ -90,13 +92,14 @@
         return crash_count >= MIN_CRASHES and request_count >= MIN_REQUESTS
 
     @property
-    def precedence(self) -> tuple[bool, int, int]:
+    def precedence(self) -> tuple[bool, int, bool, int]:
         """Return what orders causes that explain the same crashes.
 
-        The first parts of a prompt are in many sound requests, and a whole request
-        is only itself.
+        The requests of a new crash become known one by one, which must not release
+        the cause meanwhile. The first parts of a prompt are in many sound requests,
+        and a whole request is only itself.
         """
-        return not self.was_served, len(self.crashes), self.position
+        return not self.was_served, len(self.crashes), self.was_taken, self.position
 
     def add(self, crash: Crash, occurrence: CauseOccurrence) -> None:
         """Add an occurrence at a crashed server."""
@@ -111,10 +114,14 @@
 
 
 def find_crash_causes(
-    crashes: Iterable[Crash], served_ms_by_cause: Mapping[str, float]
+    crashes: Iterable[Crash],
+    served_ms_by_cause: Mapping[str, float],
+    taken_ids: Set[str],
 ) -> dict[str, CrashCause]:
     """Return by id the fewest causes that explain the crashes.
 
+    `taken_ids` are those that were taken for causes before.
+
     A crash that one cause explains is no evidence against the others in it, but
     requests that were at the same crashes are all taken. A cause is cleared of a
     crash by a complete response that was begun after it.
@@ -122,7 +129,7 @@
     unexplained = list(crashes)
     found_by_id: dict[str, CrashCause] = {}
     while True:
-        suspects = _find_suspects(unexplained, served_ms_by_cause)
+        suspects = _find_suspects(unexplained, served_ms_by_cause, taken_ids)
         proven = [suspect for suspect in suspects if suspect.is_proven]
         if not proven:
             return found_by_id
@@ -135,7 +142,9 @@
 
 
 def _find_suspects(
-    crashes: Iterable[Crash], served_ms_by_cause: Mapping[str, float]
+    crashes: Iterable[Crash],
+    served_ms_by_cause: Mapping[str, float],
+    taken_ids: Set[str],
 ) -> Iterable[CrashCause]:
     suspect_by_id: dict[str, CrashCause] = {}
     for crash in crashes:
@@ -150,6 +159,7 @@
                     cause_id,
                     was_served=served_ms is not None,
                     is_request=occurrence.is_request,
+                    was_taken=cause_id in taken_ids,
                 ),
             )
             suspect.add(crash, occurrence)
--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crash_evidence.py
@@ -115,10 +115,15 @@
         """Return the parts and requests that were at any crashed server."""
         return self._suspect_ids
 
-    def find_causes(self) -> dict[str, CrashCause]:
-        """Return by id what explains the crashes of the last minutes."""
+    def find_causes(self, taken_ids: Set[str]) -> dict[str, CrashCause]:
+        """Return by id what explains the crashes of the last minutes.
+
+        `taken_ids` are the causes found before.
+        """
         self._drop_old_crashes()
-        return find_crash_causes(self._crash_by_run.values(), self._served_ms_by_cause)
+        return find_crash_causes(
+            self._crash_by_run.values(), self._served_ms_by_cause, taken_ids
+        )
 
     def _add_request(
         self, run: ServerRun, at_ms: float, request: CrashedRequest
--- a/marjoramfall/gateway/crash_quarantine.py
+++ b/marjoramfall/gateway/crash_quarantine.py
@@ -120,7 +120,7 @@
 
     def _find_causes(self) -> None:
         previous = self._cause_by_id
-        self._cause_by_id = self._evidence.find_causes()
+        self._cause_by_id = self._evidence.find_causes(previous.keys())
         self._cause_ids_seen_here &= self._evidence.suspect_ids
         for cause_id, cause in self._cause_by_id.items():
             if cause_id not in previous:
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -230,6 +230,20 @@
         self.crash(make_call('first', 'own-1'))
         self.assertFalse(self.is_refused('other', 'own-9'))
 
+    def test_crash_known_in_part(self):
+        """Guards against releasing the cause while a new crash is known in part.
+
+        The first request that is known of the new crash was at two others as well.
+        """
+        crashing = make_call('first', 'own-1')
+        beside = make_call('other', 'own-9')
+        self.crash(beside)
+        self.crash(beside, crashing)
+        self.crash(crashing)
+        self.crash(crashing)
+        self.crash(beside)
+        self.assertTrue(self.is_refused('first', 'own-1'))
+
     def test_served_since(self):
         """Guards against refusing a request that a server has completed since."""
         self.crash_again()
