Withdraw requests from servers once they are known to crash them

Cause: a request that waits in a server's queue when it is found to crash servers stayed there until its turn; refusing it in future does not reach what was sent before.

Change: an entry breaks off exchanges of such requests that have no event yet; servers drop what they have not begun when the connection closes. Nothing is counted against the server.

--- a/marjoramfall/gateway/crash_quarantine.py
+++ b/marjoramfall/gateway/crash_quarantine.py
@@ -42,6 +42,7 @@
     def __init__(self, clock: Clock, *, notify_peers: Callable[[], None]) -> None:
         self._clock = clock
         self._notify_peers = notify_peers
+        self.on_new_cause: Callable[[], None] = lambda: None
         self._evidence = CrashEvidence(clock)
         self._cause_by_id: dict[str, CrashCause] = {}
         self._trial_by_cause: dict[str, Trial] = {}
@@ -60,6 +61,13 @@
             if cause is not None and not self._is_trial(call, cause):
                 self._refuse(call, cause)
 
+    def is_refused(self, call: Call) -> bool:
+        """Return whether the request or a part is quarantined and not tried again."""
+        if not self._cause_by_id:
+            return False
+        causes = map(self._cause_by_id.get, _cause_ids(call))
+        return any(cause and not self._is_trying(call, cause) for cause in causes)
+
     def on_crash(self, call: Call, server: BackendServer) -> None:
         """Record that a server crashed when it had just begun with a request."""
         fields = call.fields
@@ -122,20 +130,26 @@
         previous = self._cause_by_id
         self._cause_by_id = self._evidence.find_causes(previous.keys())
         self._cause_ids_seen_here &= self._evidence.suspect_ids
-        for cause_id, cause in self._cause_by_id.items():
-            if cause_id not in previous:
-                _log_quarantine(cause)
+        new_ids = self._cause_by_id.keys() - previous.keys()
+        for cause_id in new_ids:
+            _log_quarantine(self._cause_by_id[cause_id])
+        if new_ids:
+            self.on_new_cause()
         for cause_id in previous.keys() - self._cause_by_id.keys():
             self._trial_by_cause.pop(cause_id, None)
             logger.bind(cause=cause_id).info('cause of crashes released')
 
+    def _is_trying(self, call: Call, cause: CrashCause) -> bool:
+        trial = self._trial_by_cause.get(cause.cause_id)
+        if trial is None or trial.started_ms <= cause.last_crash_ms:
+            return False
+        return trial.attempt_id == call.fields.attempt_id
+
     def _is_trial(self, call: Call, cause: CrashCause) -> bool:
         """Return whether the request may be tried again, after a long time."""
+        if self._is_trying(call, cause):
+            return True
         now_ms = self._clock.monotonic_ms()
-        trial = self._trial_by_cause.get(cause.cause_id)
-        if trial is not None and trial.started_ms > cause.last_crash_ms:
-            if trial.attempt_id == call.fields.attempt_id:
-                return True
         if now_ms < self._next_trial_ms(cause):
             return False
         self._trial_by_cause[cause.cause_id] = Trial(call.fields.attempt_id, now_ms)
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -90,6 +90,7 @@
         self._dialect = dialect
         self._clock = clock
         self._connection: BackendConnection | None = None
+        self._is_broken_off = False
         self._timing = StreamTiming(clock.monotonic_ms())
 
     def run(
@@ -116,6 +117,8 @@
             self._record_timeout()
             return Outcome(Ending.UNKNOWN, str(error))
         except BrokenExchangeError as error:
+            if self._is_broken_off:
+                return Outcome(Ending.UNKNOWN, 'broken off')
             self._load.on_error()
             lost_at_start = (
                 isinstance(error, ConnectionLostError) and self._is_at_start()
@@ -125,6 +128,14 @@
             if self._connection is not None:
                 self._connection.close()
 
+    def break_off(self) -> bool:
+        """End an exchange without a response yet; return whether it was such a one."""
+        if self._connection is None or self._timing.first_event_ms is not None:
+            return False
+        self._is_broken_off = True
+        self._connection.close()
+        return True
+
     def _run(
         self,
         writer: ResponseWriter,
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
 from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
+from marjoramfall.gateway.running_exchanges import RunningExchanges
 from marjoramfall.gateway.service_queue import (
     Assignment,
     OverloadError,
@@ -51,6 +52,8 @@
         self._quarantine = quarantine
         self._dialect = dialect
         self._clock = clock
+        self._running = RunningExchanges(quarantine.is_refused)
+        quarantine.on_new_cause = self._running.break_off_refused
 
     def forward(self, call: Call, writer: ResponseWriter) -> str:
         """Deliver a response and return how the call ended, for log and metrics.
@@ -89,7 +92,8 @@
             self._dialect,
             self._clock,
         )
-        with self._fleet.releasing(assignment):
+        releasing = self._fleet.releasing(assignment)
+        with releasing, self._running.including(call, exchange):
             outcome = exchange.run(
                 writer, splitter, can_fail_over=self._can_fail_over(call, assignment)
             )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,9 @@
 among sound ones with the same path, API key and prompt parts.
 """
 
+from gevent import sleep, spawn
+from gevent.event import Event
+
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
 from tests.gateway_fakes import MODEL, PLAIN
 
@@ -92,6 +95,33 @@
         self.assertIn(b'retry-after', response.lower())
 
 
+class TestWaitingRequest(CrashingRequestCase):
+    """A request that waits at a server is withdrawn once it is known to crash them."""
+
+    def setUp(self):
+        super().setUp()
+        self.was_withdrawn = Event()
+        self.holds_next = True
+
+    def run_request(self, exchange):
+        """Hold the first crashing request until the caller or the gateway leaves."""
+        if CRASHING not in exchange.body or not self.holds_next:
+            return super().run_request(exchange)
+        self.holds_next = False
+        if not exchange.sock.recv(1):
+            self.was_withdrawn.set()
+        return False
+
+    def test_withdrawn(self):
+        """Guards against a crash by a request that was sent before the last one."""
+        waiting = spawn(self.ask, '/post/1', CRASHING)
+        sleep(0)
+        for _ in range(MAX_CRASHES):
+            self.ask('/post/1', CRASHING)
+        self.assertIn(b'502', waiting.get(timeout=1).split(b'\r\n')[0])
+        self.assertTrue(self.was_withdrawn.wait(1))
+
+
 class TestGeneration(CrashingRequestCase):
     """A request to model servers is kept from them, though its parts are sound."""
 
