--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,13 +7,16 @@
 from gevent import sleep, spawn
 from gevent.event import Event
 
+from marjoramfall.gateway.model import RepeatRule
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
-from tests.gateway_fakes import MODEL, PLAIN
+from tests.gateway_fakes import MODEL, PLAIN, make_config, make_route
 
 SERVER_COUNT = 8
 REPEAT_COUNT = 6
 # The users allow some requests more only for a while after the third crash.
 MAX_CRASHES = 3
+# Longer than the test.
+LONG_TIMEOUT_MS = 60_000
 SOUND = b'sound'
 CRASHING = b'crashing'
 
@@ -100,6 +103,8 @@
 
     def setUp(self):
         super().setUp()
+        route = make_route('post', RepeatRule.AT_MOST_ONCE, timeout_ms=LONG_TIMEOUT_MS)
+        self.registry.put_config(make_config(2, routes=(route,)), 2)
         self.was_withdrawn = Event()
         self.holds_next = True
 
