--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 among sound ones with the same path, API key and prompt parts.
 """
 
-from gevent import sleep, spawn
+from gevent import spawn
 from gevent.event import Event
 
 from marjoramfall.gateway.model import RepeatRule
@@ -120,7 +120,7 @@
     def test_withdrawn(self):
         """Guards against a crash by a request that was sent before the last one."""
         waiting = spawn(self.ask, '/post/1', CRASHING)
-        sleep(0)
+        self.wait_for(lambda: not self.holds_next)
         for _ in range(MAX_CRASHES):
             self.ask('/post/1', CRASHING)
         self.assertIn(b'502', waiting.get(timeout=1).split(b'\r\n')[0])
