Keep errors out of streams that go on at another server

The test shows that it can happen here: a stream breaks off after an event, the next server answers the resumption with 500, 503, 429 or 404, and the caller finds the error's whole head and body in the middle of the stream; with 302, 204 or a page of another type, its text, or an end as if the stream were complete (ORDER, MIXED).

Cause: whether an answer is delivered as a whole depended on its status only, and not on what the caller had received already.

Change: after a stream has begun, only a 200 of the same media type may follow; anything else is a failed attempt, which may be sent once more or ends the stream as broken. Other answers to stream requests than 200 are delivered as a whole.

--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -62,6 +62,8 @@
     sends: int = 0
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
+    # The media type of a stream that has begun.
+    stream_type: bytes | None = None
 
     @cached_property
     def fingerprint(self) -> str:
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -1,7 +1,5 @@
 """Send a request to one backend server and deliver its response."""
 
-from dataclasses import dataclass
-
 from loguru import logger
 
 from marjoramfall.clock import Clock
@@ -17,14 +15,17 @@
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.event_splitter import EventSplitter, EventTooLargeError
-from marjoramfall.gateway.http_messages import HEAD_METHOD, Response
+from marjoramfall.gateway.http_messages import HEAD_METHOD, Response, find_header
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.server_limits import ServerLimits
 from marjoramfall.gateway.server_speeds import US_PER_MS
 from marjoramfall.gateway.service_queue import Assignment
+from marjoramfall.gateway.stream_timing import StreamTiming
 
+OK = 200
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
+CONTENT_TYPE = b'content-type'
 # A backend server sends its own error at the deadline; this leaves time for it.
 DEADLINE_GRACE_MS = 120.0
 # A call that may repeat fails over after this multiple of the expected time.
@@ -42,33 +43,6 @@
 RESPONSE_START_MS = 250.0
 
 
-@dataclass(slots=True)
-class StreamTiming:
-    """Record the timing of one stream in monotonic milliseconds.
-
-    `pending_prefill_tokens` are the prompt tokens that waited for prefill at the
-    server when the request was sent, including its own.
-    """
-
-    sent_ms: float
-    pending_prefill_tokens: int = 0
-    first_event_ms: float | None = None
-    last_event_ms: float = 0.0
-    event_count: int = 0
-
-    @property
-    def progress_ms(self) -> float:
-        """Return when the last complete event arrived or the request was sent."""
-        return self.sent_ms if self.first_event_ms is None else self.last_event_ms
-
-    def record_events(self, now_ms: float, event_count: int) -> None:
-        """Record that a number of events arrived now."""
-        if self.first_event_ms is None:
-            self.first_event_ms = now_ms
-        self.last_event_ms = now_ms
-        self.event_count += event_count
-
-
 class Exchange:
     """Send a call to the server it was assigned to and deliver the response."""
 
@@ -161,12 +135,21 @@
         if self._dialect.was_rejected(response):
             self._call.runs -= 1
             return self._read_rejection(response)
-        if response.status >= FIRST_ERROR_STATUS or splitter is None:
+        if writer.has_begun and not self._is_rest_of_stream(response):
+            self._load.on_error()
+            return Outcome(
+                Ending.FAILED, f'answered {response.status} instead of the rest'
+            )
+        if response.status != OK or splitter is None:
             return self._deliver_buffered(response, writer, can_fail_over=can_fail_over)
         return self._deliver_stream(
             response, writer, splitter, can_fail_over=can_fail_over
         )
 
+    def _is_rest_of_stream(self, response: Response) -> bool:
+        media_type = find_header(response.headers, CONTENT_TYPE)
+        return response.status == OK and media_type == self._call.stream_type
+
     def _is_at_start(self) -> bool:
         first_event_ms = self._timing.first_event_ms
         if first_event_ms is None:
@@ -286,6 +269,7 @@
             writer.send_part(events)
             return
         self._call.first_byte_ms = now_ms
+        self._call.stream_type = find_header(response.headers, CONTENT_TYPE)
         self._record_first_event()
         writer.begin(response.status, response.headers, response.reason, events)
 
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -128,11 +128,22 @@
         return connection
 
     def send(
-        self, path, *headers, method='GET', key='key-1', body=b'', connection=None
+        self,
+        path,
+        *headers,
+        method='GET',
+        key='key-1',
+        attempt='a-1',
+        body=b'',
+        connection=None,
     ):
         """Send a request and return the connection."""
         connection = connection or self.connect()
-        lines = [f'{method} {path} HTTP/1.1', 'Host: a.example', f'{ATTEMPT}: a-1']
+        lines = [
+            f'{method} {path} HTTP/1.1',
+            'Host: a.example',
+            f'{ATTEMPT}: {attempt}',
+        ]
         if key:
             lines.append(f'Authorization: Bearer {key}')
         if body:
