Send nothing more to a server that says that it leaves

What callers saw: nothing measured on its own; a server that leaves serves on for drainMs only, and an entry heard of it from the store alone, late when the store is away.

Change: an entry that reads it assigns the server no more requests, also after its registration has lapsed and come back, for as long as the incarnation lives. Running requests go on.

--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -37,6 +37,10 @@
     def read_rate_limit(self, response: Response) -> float | None:
         """Return the requests per second that the server takes from all entries."""
 
+    @abstractmethod
+    def says_leaving(self, response: Response) -> bool:
+        """Return whether the server says that it is about to stop."""
+
     @abstractmethod
     def rejection_headers(
         self, attempt_id: str, retry_after_ms: float | None
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -18,6 +18,7 @@
 from marjoramfall.gateway.http_messages import HEAD_METHOD, Response, find_header
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.server_limits import ServerLimits
+from marjoramfall.gateway.server_notices import ServerNotices
 from marjoramfall.gateway.server_speeds import US_PER_MS
 from marjoramfall.gateway.service_queue import Assignment
 from marjoramfall.gateway.stream_timing import StreamTiming
@@ -52,6 +53,7 @@
         assignment: Assignment,
         pool: ConnectionPool,
         server_limits: ServerLimits,
+        server_notices: ServerNotices,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
@@ -61,6 +63,7 @@
         self._server = assignment.load.server
         self._pool = pool
         self._server_limits = server_limits
+        self._server_notices = server_notices
         self._dialect = dialect
         self._clock = clock
         self._connection: BackendConnection | None = None
@@ -127,11 +130,7 @@
             self._dialect.expected_header(self._call),
         )
         self._load.last_response_ms = self._clock.monotonic_ms()
-        self._server_limits.on_response(
-            self._load,
-            self._dialect.read_rate_limit(response),
-            attempt_id=self._call.fields.attempt_id,
-        )
+        self._read_notices(response)
         if self._dialect.was_rejected(response):
             self._call.runs -= 1
             return self._read_rejection(response)
@@ -146,6 +145,19 @@
             response, writer, splitter, can_fail_over=can_fail_over
         )
 
+    def _read_notices(self, response: Response) -> None:
+        attempt_id = self._call.fields.attempt_id
+        self._server_limits.on_response(
+            self._load,
+            self._dialect.read_rate_limit(response),
+            attempt_id=attempt_id,
+        )
+        self._server_notices.on_response(
+            self._load,
+            says_leaving=self._dialect.says_leaving(response),
+            attempt_id=attempt_id,
+        )
+
     def _is_rest_of_stream(self, response: Response) -> bool:
         media_type = find_header(response.headers, CONTENT_TYPE)
         return response.status == OK and media_type == self._call.stream_type
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -20,6 +20,7 @@
 from marjoramfall.gateway.retry_budget import RetryBudgets
 from marjoramfall.gateway.server_limits import ServerLimits
 from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.server_notices import ServerNotices
 from marjoramfall.gateway.service_queue import Assignment, ServiceQueue
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.version_moves import (
@@ -73,6 +74,7 @@
         self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
         self._retry_budgets = retry_budgets
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
+        self.server_notices = ServerNotices()
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
         self._sharing_basis: SharingBasis | None = None
@@ -220,6 +222,7 @@
         )
         self._load_by_id[server.server_id] = load
         self._peer_loads.apply_to_new_server(load)
+        self.server_notices.apply_to_new_server(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
     def _share_servers(self) -> None:
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -89,6 +89,7 @@
             assignment,
             self._pool,
             self._fleet.server_limits,
+            self._fleet.server_notices,
             self._dialect,
             self._clock,
         )
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -74,6 +74,16 @@
         # Counts the requests to the server once it has named a limit.
         self._shared_limit: SharedLimit | None = None
         self.is_limited = False
+        self._says_leaving = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the server is about to stop."""
+        return self._says_leaving or self.server.is_leaving
+
+    def note_leaving(self) -> None:
+        """Record that the server says that it leaves, before its registration does."""
+        self._says_leaving = True
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -235,8 +235,10 @@
     def _eligible_loads(self, demand: Demand) -> list[ServerLoad]:
         loads = self.load_by_id.values()
         if demand.version is ANY_VERSION and not demand.excluded_server_ids:
-            return [load for load in loads if not load.server.is_leaving]
-        return [load for load in loads if demand.allows(load.server)]
+            return [load for load in loads if not load.is_leaving]
+        return [
+            load for load in loads if not load.is_leaving and demand.allows(load.server)
+        ]
 
     def _peer_sort_keys(self) -> list[tuple[float, float]]:
         return sorted(
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -24,6 +24,9 @@
 NOT_EXECUTED = b'marjoramfall-not-executed'
 # The requests per second that a backend server takes from all entries together.
 SERVER_LIMIT = b'server-limit'
+# Set in all responses of a backend server that is about to stop.
+SERVER_LEAVING = b'server-leaving'
+IS_LEAVING = b'1'
 # The number of prompt tokens and the maximum number of output tokens.
 TOKEN_USAGE = b'marjoramfall-token-usage'
 # The caller's estimate of the number of output tokens.
@@ -128,6 +131,10 @@
         rate_per_s = _read_number(find_header(response.headers, SERVER_LIMIT))
         return None if rate_per_s is None or rate_per_s < 0 else rate_per_s
 
+    def says_leaving(self, response: Response) -> bool:
+        """Return whether the backend server says that it is about to stop."""
+        return find_header(response.headers, SERVER_LEAVING) == IS_LEAVING
+
     def rejection_headers(
         self, attempt_id: str, retry_after_ms: float | None
     ) -> list[Header]:
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,66 @@
+"""Test that entries heed what servers say of themselves in their answers.
+
+The pattern is a server that leaves, or that wants nothing for a while, and says so in
+its answers before the store or any peer does.
+"""
+
+from marjoramfall.gateway.registry import ServerChange
+from tests.gateway_case import GatewayCase, answer
+from tests.gateway_fakes import PLAIN, make_server
+
+REQUEST_COUNT = 20
+SERVER_ID = 'i-noticed'
+
+
+class NoticeCase(GatewayCase):
+    """Send requests to a server that says something of itself, and to another."""
+
+    def register(self, backend, **changes):
+        """Register the server again, with some fields changed."""
+        server = make_server(
+            SERVER_ID, address=backend.address, service_id=PLAIN, **changes
+        )
+        self.apply(server)
+
+    def apply(self, server):
+        """Apply a registration of the server, or its removal."""
+        revision = self.registry.servers_state.as_of + 1
+        change = ServerChange(SERVER_ID, server, revision)
+        self.registry.apply_changes([change], revision)
+
+    def ask_often(self):
+        """Send requests one after the other, and check that all are served."""
+        for _ in range(REQUEST_COUNT):
+            response = self.ask('/read/1')
+            self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
+
+
+class TestLeavingServer(NoticeCase):
+    """A server that says in an answer that it leaves gets no new requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.leaving = self.add_backend(
+            lambda exchange: answer(exchange, extra='Server-Leaving: 1\r\n'),
+            server_id=SERVER_ID,
+        )
+        self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 200'))
+
+    def test_no_requests(self):
+        """Guards against requests until the store says that the server leaves."""
+        self.add_backend(answer)
+        self.ask_often()
+        self.assertEqual(len(self.leaving.heads), 1)
+
+    def test_registered_again(self):
+        """Guards against forgetting it as the registration lapses and comes back."""
+        self.apply(None)
+        self.register(self.leaving)
+        self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 503'))
+        self.assertEqual(len(self.leaving.heads), 1)
+
+    def test_started_again(self):
+        """A new incarnation of the server gets requests again."""
+        self.register(self.leaving, born_ms=2)
+        self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 200'))
+        self.assertEqual(len(self.leaving.heads), 2)
