Give servers the pause that they ask for with a 503

What callers saw: nothing measured on its own; a server that turns a request away with Retry-After got further ones at once.

Change: an entry sends a server nothing until the pause that it asked for is over, also if its registration lapses meanwhile, and also if it is the last server. Waiting requests are sent when it is over; a request that cannot wait so long is refused at once, with that time as its Retry-After. What servers say of themselves in responses is read as one notice.

--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -5,7 +5,7 @@
 from marjoramfall.gateway.backend_connection import ExpectedHeader
 from marjoramfall.gateway.call import Call, CallFields
 from marjoramfall.gateway.http_messages import Header, RequestHead, Response
-from marjoramfall.gateway.model import BackendServer
+from marjoramfall.gateway.model import BackendServer, ServerNotice
 
 
 class Dialect(ABC):
@@ -38,8 +38,8 @@
         """Return the requests per second that the server takes from all entries."""
 
     @abstractmethod
-    def says_leaving(self, response: Response) -> bool:
-        """Return whether the server says that it is about to stop."""
+    def read_notice(self, response: Response) -> ServerNotice:
+        """Return what the server says of itself."""
 
     @abstractmethod
     def rejection_headers(
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -154,7 +154,7 @@
         )
         self._server_notices.on_response(
             self._load,
-            says_leaving=self._dialect.says_leaving(response),
+            self._dialect.read_notice(response),
             attempt_id=attempt_id,
         )
 
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -169,6 +169,17 @@
         return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """Hold what a server says of itself in a response.
+
+    `pause_ms` is how long it wants no requests from this entry, None if it does.
+    """
+
+    is_leaving: bool = False
+    pause_ms: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class VersionMove:
     """Request to move a service's traffic to a version within `duration_s`."""
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -75,6 +75,7 @@
         self._shared_limit: SharedLimit | None = None
         self.is_limited = False
         self._says_leaving = False
+        self._paused_until_ms = 0.0
 
     @property
     def is_leaving(self) -> bool:
@@ -85,6 +86,14 @@
         """Record that the server says that it leaves, before its registration does."""
         self._says_leaving = True
 
+    def pause_until(self, end_ms: float) -> None:
+        """Send nothing to the server until a monotonic time, as it asks for."""
+        self._paused_until_ms = end_ms
+
+    def pause_ms(self, now_ms: float) -> float:
+        """Return how long the server wants nothing from this entry; 0 if it does."""
+        return max(0, self._paused_until_ms - now_ms)
+
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
         self.server = server
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -108,6 +108,8 @@
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
             waiter.expected_wait_ms = wait_ms
             self._check_wait(waiter.demand, wait_ms, usable, now_ms)
+        else:
+            self._check_pause(waiter.demand, now_ms)
         self.waiters.append(waiter)
         self.assign()
 
@@ -134,14 +136,14 @@
         self._refill_limits(now_ms)
         self._assign(now_ms)
         if self.waiters:
-            self._schedule_next_allowed()
+            self._schedule_next_allowed(now_ms)
 
     def has_other_server(self, assignment: Assignment) -> bool:
         """Return whether the request could go to another server."""
         now_ms = self._clock.monotonic_ms()
         return any(
             load is not assignment.load and not load.is_ejected(now_ms)
-            for load in self._eligible_loads(assignment.request.demand)
+            for load in self._open_loads(assignment.request.demand, now_ms)
         )
 
     def occupancy(self) -> float:
@@ -174,12 +176,14 @@
             if load.is_limited:
                 load.refill_limit(now_ms)
 
-    def _schedule_next_allowed(self) -> None:
+    def _schedule_next_allowed(self, now_ms: float) -> None:
         delays_ms = [
             load.ms_until_allowed()
             for load in self.load_by_id.values()
             if load.is_limited and load.running < load.server.slots
         ]
+        pauses_ms = [load.pause_ms(now_ms) for load in self.load_by_id.values()]
+        delays_ms.extend(filter(None, pauses_ms))
         if delays_ms:
             self._schedule_assign(max(MIN_ASSIGN_DELAY_MS, min(delays_ms)))
 
@@ -219,12 +223,12 @@
         return any(other.meets_deadline(demand, now_ms) for other in usable)
 
     def _usable_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
-        """Return the eligible servers that are not ejected.
+        """Return the servers that take requests and are not ejected.
 
         If all are ejected, return those that run no request of this entry, so
         that a single request probes each.
         """
-        eligible = self._eligible_loads(demand)
+        eligible = self._open_loads(demand, now_ms)
         healthy = [
             load
             for load in eligible
@@ -232,6 +236,12 @@
         ]
         return healthy or [load for load in eligible if not load.own_requests]
 
+    def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
+        """Return the eligible servers that have not asked for a pause."""
+        return [
+            load for load in self._eligible_loads(demand) if not load.pause_ms(now_ms)
+        ]
+
     def _eligible_loads(self, demand: Demand) -> list[ServerLoad]:
         loads = self.load_by_id.values()
         if demand.version is ANY_VERSION and not demand.excluded_server_ids:
@@ -262,6 +272,12 @@
         ratio = self._wait_ratio_by_priority.get(demand.priority, 1)
         return (ahead + 1 - free_slots) * self._service_time_ms / max(1, slots) * ratio
 
+    def _check_pause(self, demand: Demand, now_ms: float) -> None:
+        """Raise `OverloadError` if all servers want nothing for too long."""
+        pause_ms = min(load.pause_ms(now_ms) for load in self._eligible_loads(demand))
+        if pause_ms and now_ms + pause_ms > demand.give_up_ms:
+            raise OverloadError('no server takes requests yet', retry_after_ms=pause_ms)
+
     def _check_wait(
         self, demand: Demand, wait_ms: float, usable: list[ServerLoad], now_ms: float
     ) -> None:
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -15,7 +15,7 @@
     end_to_end_headers,
     find_header,
 )
-from marjoramfall.gateway.model import BackendServer
+from marjoramfall.gateway.model import BackendServer, ServerNotice
 
 ATTEMPT_ID = b'marjoramfall-attempt-id'
 DEADLINE = b'marjoramfall-deadline-ms'
@@ -36,7 +36,9 @@
 LAST_EVENT_ID = b'last-event-id'
 AUTHORIZATION = b'authorization'
 BEARER = b'bearer '
+RETRY_AFTER = b'retry-after'
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Longer than any id that the platform gives to a part of a prompt.
 MAX_PART_ID_CHARS = 32
 # Headers that are not copied from a caller's request. The gateway sets some of them
@@ -131,9 +133,15 @@
         rate_per_s = _read_number(find_header(response.headers, SERVER_LIMIT))
         return None if rate_per_s is None or rate_per_s < 0 else rate_per_s
 
-    def says_leaving(self, response: Response) -> bool:
-        """Return whether the backend server says that it is about to stop."""
-        return find_header(response.headers, SERVER_LEAVING) == IS_LEAVING
+    def read_notice(self, response: Response) -> ServerNotice:
+        """Return whether the server stops, and the pause it asks for with a 503."""
+        pause_s: float | None = None
+        if response.status == UNAVAILABLE:
+            pause_s = _read_number(find_header(response.headers, RETRY_AFTER))
+        return ServerNotice(
+            is_leaving=find_header(response.headers, SERVER_LEAVING) == IS_LEAVING,
+            pause_ms=pause_s * MS_PER_SECOND if pause_s and pause_s > 0 else None,
+        )
 
     def rejection_headers(
         self, attempt_id: str, retry_after_ms: float | None
@@ -142,7 +150,7 @@
         headers = [(ATTEMPT_ID, attempt_id.encode('latin-1'))] if attempt_id else []
         if retry_after_ms is not None:
             seconds = f'{retry_after_ms / MS_PER_SECOND:.3f}'
-            headers.append((b'retry-after', seconds.encode()))
+            headers.append((RETRY_AFTER, seconds.encode()))
         return headers
 
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -4,6 +4,8 @@
 its answers before the store or any peer does.
 """
 
+from functools import partial
+
 from marjoramfall.gateway.registry import ServerChange
 from tests.gateway_case import GatewayCase, answer
 from tests.gateway_fakes import PLAIN, make_server
@@ -64,3 +66,76 @@
         self.register(self.leaving, born_ms=2)
         self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 200'))
         self.assertEqual(len(self.leaving.heads), 2)
+
+
+class TestPause(NoticeCase):
+    """A server that turns a request away with Retry-After gets none for so long."""
+
+    def refuse(self, exchange):
+        """Turn a request away, for longer than the test."""
+        extra = f'Marjoramfall-Not-Executed: 1\r\nRetry-After: {self.pause_s}\r\n'
+        answer(exchange, status='503 Service Unavailable', extra=extra)
+
+    def setUp(self):
+        super().setUp()
+        self.pause_s = '60.5'
+        self.refusing = self.add_backend(self.refuse, server_id=SERVER_ID)
+        self.ask('/read/1')
+
+    def test_no_requests(self):
+        """Guards against sending on while the server wants nothing."""
+        self.add_backend(answer)
+        self.ask_often()
+        self.assertEqual(len(self.refusing.heads), 1)
+
+    def test_registered_again(self):
+        """Guards against forgetting it as the registration lapses and comes back."""
+        self.apply(None)
+        self.register(self.refusing)
+        self.ask('/read/1')
+        self.assertEqual(len(self.refusing.heads), 1)
+
+    def test_only_server(self):
+        """Guards against a caller who waits in vain, and is not told until when."""
+        response = self.ask('/read/1')
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'), response)
+        self.assertIn(b'no server takes requests', response)
+        self.assertEqual(len(self.refusing.heads), 1)
+
+    def test_write(self):
+        """Guards against using the only server as it is the last one left."""
+        self.ask('/post/1', method='POST', body=b'x')
+        self.assertEqual(len(self.refusing.heads), 1)
+
+
+class TestShortPause(NoticeCase):
+    """Requests that wait are sent once the pause is over."""
+
+    def test_sent_after_pause(self):
+        """Guards against requests that wait although the server takes them again."""
+        refusal = 'Marjoramfall-Not-Executed: 1\r\nRetry-After: 0.2\r\n'
+        backend = self.add_backend(
+            lambda exchange: answer(
+                exchange, status='503 Service Unavailable', extra=refusal
+            ),
+            answer,
+        )
+        self.ask('/read/1')
+        response = self.ask('/read/1')
+        self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
+        self.assertEqual(len(backend.heads), 2)
+
+    def test_unreadable(self):
+        """A date, or what is no number, asks for no pause."""
+        for text in ('Wed, 21 Oct 2026 07:28:00 GMT', '-1', 'nan', 'inf', ''):
+            with self.subTest(text):
+                refusal = f'Marjoramfall-Not-Executed: 1\r\nRetry-After: {text}\r\n'
+                backend = self.add_backend(
+                    partial(answer, status='503 Service Unavailable', extra=refusal),
+                    answer,
+                )
+                self.ask('/read/1')
+                self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 200'))
+                self.assertEqual(len(backend.heads), 2)
+                self.doCleanups()
+                self.setUp()
