Keep what a server has said in one object

What an incarnation of a server has said to this entry is now one object, which the load and the memory of the fleet share; the longest wait of a refusal is a function.

--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/server_load.py
@@ -31,6 +31,17 @@
 MISSED_DEADLINE_COST_MS = 60_000.0
 
 
+@dataclass(slots=True)
+class HeardNotices:
+    """Hold what an incarnation of a server has said in responses to this entry.
+
+    It wants no requests before `resumed_ms`, in monotonic milliseconds.
+    """
+
+    is_leaving: bool = False
+    resumed_ms: float = 0.0
+
+
 @dataclass(slots=True)
 class RunningRequest:
     """Hold a request of this entry that is running at a server."""
@@ -74,25 +85,20 @@
         # Counts the requests to the server once it has named a limit.
         self._shared_limit: SharedLimit | None = None
         self.is_limited = False
-        self._says_leaving = False
-        self._paused_until_ms = 0.0
+        self._heard = HeardNotices()
 
     @property
     def is_leaving(self) -> bool:
         """Return whether the server is about to stop."""
-        return self._says_leaving or self.server.is_leaving
-
-    def note_leaving(self) -> None:
-        """Record that the server says that it leaves, before its registration does."""
-        self._says_leaving = True
+        return self._heard.is_leaving or self.server.is_leaving
 
-    def pause_until(self, end_ms: float) -> None:
-        """Send nothing to the server until a monotonic time, as it asks for."""
-        self._paused_until_ms = end_ms
+    def use_notices(self, heard: HeardNotices) -> None:
+        """Heed what this entry has heard from the server, now and later."""
+        self._heard = heard
 
     def pause_ms(self, now_ms: float) -> float:
         """Return how long the server wants nothing from this entry; 0 if it does."""
-        return max(0, self._paused_until_ms - now_ms)
+        return max(0, self._heard.resumed_ms - now_ms)
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -286,7 +286,7 @@
         first_response_ms = min(load.first_response_ms(demand) for load in usable)
         if now_ms + wait_ms + first_response_ms > demand.give_up_ms:
             raise OverloadError(
-                'no place in time', retry_after_ms=self._retry_after(wait_ms)
+                'no place in time', retry_after_ms=_retry_after(wait_ms)
             )
 
     def _reject_expired(self, now_ms: float) -> None:
@@ -313,7 +313,7 @@
             self._update_wait_ratio(waiter, now_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
         wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
-        retry_after_ms = self._retry_after(wait_ms)
+        retry_after_ms = _retry_after(wait_ms)
         waiter.on_reject(OverloadError(reason, retry_after_ms=retry_after_ms))
 
     def _update_wait_ratio(self, waiter: Waiter, now_ms: float) -> None:
@@ -332,8 +332,9 @@
         updated = current + WAIT_SMOOTHING * (observed - current)
         self._wait_ratio_by_priority[priority] = updated
 
-    def _retry_after(self, wait_ms: float) -> float:
-        return max(MIN_RETRY_AFTER_MS, wait_ms)
+
+def _retry_after(wait_ms: float) -> float:
+    return max(MIN_RETRY_AFTER_MS, wait_ms)
 
 
 def _sort_key(demand: Demand, now_ms: float) -> tuple[float, float]:
