Split the tests of blame, and count the use of a peer in one place

The fields of a call are built in one place for tests. How the use that a peer reports is counted stood in Entry and in the simulation of groups; it is now a method of SharedLimits, which both call.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -215,20 +215,7 @@
     def on_peer_state(self, state: PeerState) -> None:
         """Apply the new state of a peer."""
         now_ms = self._clock.monotonic_ms()
-        if state.has_all_limits:
-            # The part of the peer's uptime in which this entry has run as well.
-            recent_share = min(1, self.uptime_ms() / max(1, state.uptime_ms))
-            self._limits.add_peer(
-                state.vm,
-                state.incarnation,
-                state.limit_uses,
-                now_ms,
-                recent_share=recent_share,
-            )
-        else:
-            self._limits.subtract_peer_use(
-                state.vm, state.incarnation, state.limit_uses, now_ms
-            )
+        self._limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
         self.moves.on_reports(state.vm, state.moves)
         self.quarantine.merge(state.crash_evidence)
         self._fleet.on_report(report_of_state(state))
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -7,7 +7,7 @@
 from marjoramfall.gateway.group_digest import GroupDigest, Scope
 from marjoramfall.gateway.model import LimitRule, ServerLimit, Team
 from marjoramfall.gateway.outside_groups import source_of
-from marjoramfall.gateway.peer_state import LimitUse
+from marjoramfall.gateway.peer_state import LimitUse, PeerState
 
 
 @dataclass(slots=True)
@@ -211,6 +211,19 @@
         """Return the limit of a team, or None if it has none."""
         return None if team is None else self._limit_by_name.get(team.name)
 
+    def add_state(self, state: PeerState, now_ms: float, *, uptime_ms: int) -> None:
+        """Subtract the use that a peer reports; `uptime_ms` is that of this entry."""
+        vm = state.vm
+        uses = state.limit_uses
+        if state.has_all_limits:
+            # The part of the peer's uptime in which this entry has run as well.
+            recent_share = min(1, uptime_ms / max(1, state.uptime_ms))
+            self.add_peer(
+                vm, state.incarnation, uses, now_ms, recent_share=recent_share
+            )
+        else:
+            self.subtract_peer_use(vm, state.incarnation, uses, now_ms)
+
     def add_peer(
         self,
         vm: str,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,5 +1,6 @@
 """Build the parts of a gateway for tests."""
 
+from marjoramfall.gateway.call import CallFields
 from marjoramfall.gateway.demand import Demand
 from marjoramfall.gateway.model import (
     BackendServer,
@@ -61,6 +62,24 @@
     return Demand(**{**fields, **changes})
 
 
+def make_fields(**changes):
+    """Return the fields of a request for a generation."""
+    fields = {
+        'attempt_id': 'a-1',
+        'host': 'a.example',
+        'path': '/review/',
+        'api_key': None,
+        'caller_timeout_ms': None,
+        'is_generation': True,
+        'prompt_tokens': 1000,
+        'output_tokens': 100,
+        'likely_output_tokens': 80,
+        'last_event_id': None,
+        'headers': (),
+    }
+    return CallFields(**{**fields, **changes})
+
+
 def make_route(name, rule=RepeatRule.IDEMPOTENT, **changes):
     """Return a route of the host `a.example`."""
     fields = {
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -133,19 +133,7 @@
         if self.peers.update(state) is state:
             return
         now_ms = self.clock.monotonic_ms()
-        if state.has_all_limits:
-            recent_share = min(1, self.uptime_ms() / max(1, state.uptime_ms))
-            self.limits.add_peer(
-                state.vm,
-                state.incarnation,
-                state.limit_uses,
-                now_ms,
-                recent_share=recent_share,
-            )
-        else:
-            self.limits.subtract_peer_use(
-                state.vm, state.incarnation, state.limit_uses, now_ms
-            )
+        self.limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
         self.peer_loads.replace(report_of_state(state), 0)
 
     def check(self, *, is_heartbeat):
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -2,26 +2,12 @@
 
 import unittest
 
-from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.demand import build_demand
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.version_moves import ANY_VERSION
-from tests.gateway_fakes import TEAM, make_route
-
-FIELDS = CallFields(
-    attempt_id='a-1',
-    host='a.example',
-    path='/review/',
-    api_key=None,
-    caller_timeout_ms=None,
-    is_generation=True,
-    prompt_tokens=1000,
-    output_tokens=100,
-    likely_output_tokens=80,
-    last_event_id=None,
-    headers=(),
-)
+from tests.gateway_fakes import TEAM, make_fields, make_route
 
 
 class TestDemand(unittest.TestCase):
@@ -38,7 +24,7 @@
         self.call = Call(
             head=RequestHead(),
             body=b'',
-            fields=FIELDS,
+            fields=make_fields(),
             received_ms=1000,
             route=route,
             team=TEAM,
--- a/tests/test_quarantine_record.py
+++ b/tests/test_quarantine_record.py
@@ -10,8 +10,8 @@
 )
 from marjoramfall.platform.store import StoreError
 from tests.gateway_fakes import MODEL, make_server
+from tests.quarantine_case import make_call
 from tests.store_case import StoreCase
-from tests.test_crash_quarantine import make_call
 
 SERVER_COUNT = 3
 
