Don't take the first read of the store for one after a restoration

What callers saw: nothing measured. Found by reading the diff. Change: only a further era is a restoration. Evidence: test_registry.TestRestoredStore.test_first_read fails before.

--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -147,7 +147,8 @@
                 known_as_of=number_of(self.servers_state.as_of),
             ).warning('outdated list of servers ignored')
             return
-        if era_of(as_of) > era_of(self.servers_state.as_of):
+        is_first = not self.servers_state.as_of
+        if not is_first and era_of(as_of) > era_of(self.servers_state.as_of):
             # Servers that registered in the lost seconds will do so again.
             self.note_outage_end()
         listed = {change.server_id: change for change in changes}
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -200,6 +200,18 @@
         self.registry.end_grace_periods()
         self.assertEqual(self.ids(), {'s2'})
 
+    def test_first_read(self):
+        """Guards against taking the first read for one after a restoration.
+
+        A server that is removed soon after it is not kept.
+        """
+        registry = new_registry(self.clock)
+        as_of = make_revision(1, 10)
+        registry.apply_all([change('s1', as_of)], as_of)
+        removed = ServerChange('s1', None, make_revision(1, 11))
+        registry.apply_changes([removed], removed.revision)
+        self.assertEqual(registry.servers, [])
+
     def test_leaving_in_lost_seconds(self):
         """Guards against using a server again that has said that it leaves.
 
