Don't ask the store for the status of an order that it has lost

What callers saw: nothing measured. Cause: an order that a restored store lost and the operator does not write again kept its old era, so that its recorder read the status table every 200 ms without end. Found by reading the diff. Change: a recorder waits until its order is read in the newest era known. Evidence: test_version_moves.TestRecorder.test_order_lost_for_good, which counts the calls.

--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -53,6 +53,7 @@
             self._entry.peers,
             clock,
             vm=settings.entry.vm,
+            store_era=lambda: registry.store_era,
         )
         self._quarantine_recorder = QuarantineRecorder(
             self._new_client(),
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -1,5 +1,7 @@
 """Write the status of version moves to the table that operators read."""
 
+from collections.abc import Callable
+
 import msgspec
 from loguru import logger
 
@@ -49,7 +51,9 @@
         clock: Clock,
         *,
         vm: str,
+        store_era: Callable[[], int],
     ) -> None:
+        self._store_era = store_era
         self._client = client
         self._moves = moves
         self._peers = peers
@@ -67,6 +71,9 @@
 
     def record_state(self, move: Move) -> None:
         """Record each state of a move once, as soon as this entry may write it."""
+        if self._store_era() > era_of(move.order.revision):
+            # The restored store may not have the order yet, or not any more.
+            return
         state = self._state_to_record(move)
         key = (move.order.revision, state)
         if key in self._recorded or not self._may_write(key):
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -155,6 +155,7 @@
     def setUp(self):
         super().setUp()
         self.paused = PausedClock()
+        self.known_era = 1
         self.peers = PeerTable(self.paused, own_vm='entry-1', data_centre='dc-a')
         self.moves = VersionMoves(self.paused, expose_share=EXPOSE_SHARE)
         self.moves.begin(ORDER)
@@ -163,7 +164,12 @@
     def new_recorder(self, moves):
         """Return the recorder of an entry with these moves."""
         return MoveRecorder(
-            self.new_client(), moves, self.peers, self.paused, vm='entry-1'
+            self.new_client(),
+            moves,
+            self.peers,
+            self.paused,
+            vm='entry-1',
+            store_era=lambda: self.known_era,
         )
 
     def status(self):
@@ -205,6 +211,14 @@
         self.check()
         self.assertIsNone(self.store.get('status', 'rollout/ledger'))
 
+    def test_order_lost_for_good(self):
+        """Guards against calls to the store for an order that it has no more."""
+        self.store.restore(self.store.copy())
+        self.known_era = 2
+        calls = self.store.calls
+        self.check()
+        self.assertEqual(self.store.calls, calls)
+
     def test_first_end_decides(self):
         """Guards against two entries that record different ends of a move."""
         other = VersionMoves(self.paused, expose_share=EXPOSE_SHARE)
