Let a server give its incarnation, and end no answer that has begun

ServerRun, which two modules use, moves to the model, and a server gives its own. Whether a request is withdrawn now also depends on whether a response without events is being read: a server that answers did not crash. An answer of the store without Store-Era, as in trouble, does not make the log say that it was restored.

--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crash_evidence.py
@@ -1,7 +1,6 @@
 """Keep which requests were at servers that crashed, and what was served since."""
 
 from collections.abc import Iterable, Set
-from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.crash_causes import Crash, CrashCause, find_crash_causes
@@ -11,7 +10,7 @@
     EvidenceReport,
     ServedCause,
 )
-from marjoramfall.gateway.model import BackendServer
+from marjoramfall.gateway.model import BackendServer, ServerRun
 
 CRASH_MEMORY_MS = 600_000.0
 MAX_CRASHES = 64
@@ -22,14 +21,6 @@
 MAX_REPORTED_CRASHES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class ServerRun:
-    """Identify one incarnation of a server."""
-
-    server_id: str
-    born_ms: int
-
-
 class CrashEvidence:
     """Merge the crashes that this entry and its peers saw.
 
@@ -46,8 +37,7 @@
 
     def add_crash(self, server: BackendServer, request: CrashedRequest) -> bool:
         """Add a request that had begun at a server; return whether that is new."""
-        run = ServerRun(server.server_id, server.born_ms)
-        return self._add_request(run, self._clock.monotonic_ms(), request)
+        return self._add_request(server.run, self._clock.monotonic_ms(), request)
 
     def add_served(self, cause_ids: Iterable[str], begun_ms: float) -> bool:
         """Add a complete response; return whether that clears anything of a crash."""
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -67,6 +67,7 @@
         self._dialect = dialect
         self._clock = clock
         self._connection: BackendConnection | None = None
+        self._is_answered = False
         self._is_broken_off = False
         self._timing = StreamTiming(clock.monotonic_ms())
 
@@ -107,7 +108,8 @@
 
     def break_off(self) -> bool:
         """End an exchange without a response yet; return whether it was such a one."""
-        if self._connection is None or self._timing.first_event_ms is not None:
+        is_answered = self._is_answered or self._timing.first_event_ms is not None
+        if self._connection is None or is_answered:
             return False
         self._is_broken_off = True
         self._connection.close()
@@ -202,6 +204,7 @@
     def _deliver_buffered(
         self, response: Response, writer: ResponseWriter, *, can_fail_over: bool
     ) -> Outcome:
+        self._is_answered = True
         body = self._connection.read_all(response, self._deadline_timeout_ms())
         now_ms = self._clock.monotonic_ms()
         self._release(response)
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -145,6 +145,14 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class ServerRun:
+    """Identify one incarnation of a server."""
+
+    server_id: str
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class BackendServer:
     """Describe one incarnation of a registered backend server.
@@ -164,6 +172,11 @@
     cold_ms: float
     sequence: int = 0
 
+    @property
+    def run(self) -> ServerRun:
+        """Return what identifies this incarnation."""
+        return ServerRun(self.server_id, self.born_ms)
+
     def is_older_than(self, other: 'BackendServer') -> bool:
         """Return whether the server said this before something else of itself."""
         return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
--- a/marjoramfall/gateway/server_notices.py
+++ b/marjoramfall/gateway/server_notices.py
@@ -3,8 +3,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.crash_evidence import ServerRun
-from marjoramfall.gateway.model import ServerNotice
+from marjoramfall.gateway.model import ServerNotice, ServerRun
 from marjoramfall.gateway.server_load import HeardNotices, ServerLoad
 
 # More incarnations than a large system replaces while one of them leaves.
@@ -40,20 +39,16 @@
 
     def apply_to_new_server(self, load: ServerLoad) -> None:
         """Apply what the server has said before it was registered again."""
-        heard = self._heard_by_run.get(_run_of(load))
+        heard = self._heard_by_run.get(load.server.run)
         if heard is not None:
             load.use_notices(heard)
 
     def _find(self, load: ServerLoad) -> HeardNotices:
-        heard = self._heard_by_run.get(_run_of(load))
+        heard = self._heard_by_run.get(load.server.run)
         if heard is None:
             heard = HeardNotices()
-            self._heard_by_run[_run_of(load)] = heard
+            self._heard_by_run[load.server.run] = heard
             load.use_notices(heard)
         if len(self._heard_by_run) > MAX_RUNS:
             self._heard_by_run.pop(next(iter(self._heard_by_run)))
         return heard
-
-
-def _run_of(load: ServerLoad) -> ServerRun:
-    return ServerRun(load.server.server_id, load.server.born_ms)
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -211,6 +211,9 @@
         return _Answer(response.status, response_body, era)
 
     def _note_era(self, era: int, target: str) -> None:
+        if not era:
+            # Not every answer of a store in trouble names it.
+            return
         if self._era is not None and era != self._era:
             logger.bind(previous=self._era, era=era, call=target).warning(
                 'store restored from an older copy'
