Restore the store from a copy in the soak

The soak now also loses what was written to the store since a copy: revisions go back, the era rises, the operator and the servers write again, and servers that are gone stay listed for up to 3 s. No change of the product.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -75,9 +75,11 @@
         self._store_proxies = [LoopbackProxy(target) for _ in range(ENTRIES)]
         self._backend_proxies: list[LoopbackProxy] = []
         self._backends: list[CountingBackend] = []
+        self._all_server_ids: set[str] = set()
         for number in range(BACKENDS):
             self._add_backend(f'i-{number}')
         self._change_config()
+        self._copy = self._store.copy()
         self._entries = [
             EntryProcess(number, _choose_base_port(), proxy.address, directory)
             for number, proxy in enumerate(self._store_proxies)
@@ -145,6 +147,7 @@
                 self._replace_backend,
                 self._change_config,
                 self._store.forget_history,
+                self._lose_writes,
             )
         )
         self._report.injected_faults.append(inject_fault.__name__)
@@ -189,11 +192,26 @@
     def _fail_store(self) -> None:
         self._store.faults.status = self._rng.choice((429, 503))
         delay_s = self._rng.uniform(0.3, 2)
-        gevent.spawn_later(delay_s, self._restore_store)
+        gevent.spawn_later(delay_s, self._end_store_failure)
 
-    def _restore_store(self) -> None:
+    def _end_store_failure(self) -> None:
         self._store.faults.status = 0
 
+    def _lose_writes(self) -> None:
+        """Restore the store from a copy; operator and servers write again."""
+        self._store.restore(self._copy)
+        self._write_config()
+        for backend, proxy in zip(self._backends, self._backend_proxies, strict=True):
+            self._register(backend, proxy)
+        gevent.spawn_later(self._rng.uniform(0.1, 3), self._drop_silent_servers)
+        self._copy = self._store.copy()
+
+    def _drop_silent_servers(self) -> None:
+        live_ids = {backend.server_id for backend in self._backends}
+        for server_id in self._all_server_ids - live_ids:
+            if self._store.get('servers', server_id) is not None:
+                self._store.drop('servers', server_id)
+
     def _replace_backend(self) -> None:
         index = self._rng.randrange(len(self._backends))
         old_backend = self._backends.pop(index)
@@ -208,6 +226,10 @@
         proxy = LoopbackProxy(('127.0.0.1', backend.port))
         self._backends.append(backend)
         self._backend_proxies.append(proxy)
+        self._all_server_ids.add(server_id)
+        self._register(backend, proxy)
+
+    def _register(self, backend: CountingBackend, proxy: LoopbackProxy) -> None:
         record = {
             'service': 'ledger',
             'address': proxy.address,
@@ -215,17 +237,20 @@
             'slots': 6,
             'state': 'ready',
         }
-        self._store.put('servers', server_id, record)
+        self._store.put('servers', backend.server_id, record)
 
     def _change_config(self) -> None:
         self._config_version += 1
+        self._write_config()
+
+    def _write_config(self) -> None:
         routes = [*CONFIG['routes'], SUMMARY_ROUTE]
         config = {**CONFIG, 'version': self._config_version, 'routes': routes}
         config['tenants'] = [{'name': 'hule930', 'apiKeys': ['key-a']}]
         self._store.put('op', 'config', config)
 
     def _end_faults(self) -> None:
-        self._restore_store()
+        self._end_store_failure()
         for proxy in (*self._store_proxies, *self._backend_proxies):
             proxy.apply_fault(LinkFault.NONE)
         for entry in self._entries:
