--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -9,7 +9,7 @@
     """Each row of the proofs names a place that exists once."""
 
     def test_places(self):
-        """Guards against rows that prove nothing any more, as their code has changed."""
+        """Guards against rows that prove nothing, as their code has changed."""
         for case in load_cases(CASES):
             with self.subTest(case.mechanism):
                 text = (ROOT / case.file).read_text('utf-8')
