Heed what a server says though it registered again meanwhile

What callers saw: nothing measured; found by reading the diff. Cause: a notice in a response was linked to the registration to which the request had been sent; if that had lapsed and come back while the server answered, the new one heard nothing of it. Change: it is linked to the registration of now. Evidence: test_server_notices.TestLapseMeanwhile fails before.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -74,7 +74,7 @@
         self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
         self._retry_budgets = retry_budgets
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
-        self.server_notices = ServerNotices(clock)
+        self.server_notices = ServerNotices(clock, self._load_by_id.get)
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
         self._sharing_basis: SharingBasis | None = None
--- a/marjoramfall/gateway/server_notices.py
+++ b/marjoramfall/gateway/server_notices.py
@@ -1,5 +1,7 @@
 """Heed what servers say of themselves in their responses."""
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from marjoramfall.clock import Clock
@@ -16,8 +18,11 @@
     This outlasts a registration that lapses and comes back.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, find_load: Callable[[str], ServerLoad | None]
+    ) -> None:
         self._clock = clock
+        self._find_load = find_load
         # The first heard of come first.
         self._heard_by_run: dict[ServerRun, HeardNotices] = {}
 
@@ -27,7 +32,7 @@
         """Apply what the response to a request says of the server."""
         if not notice.is_leaving and notice.pause_ms is None:
             return
-        heard = self._find(load)
+        heard = self._find(load.server.run)
         log = logger.bind(request=attempt_id, server=load.server.server_id)
         if notice.is_leaving and not heard.is_leaving:
             heard.is_leaving = True
@@ -43,11 +48,15 @@
         if heard is not None:
             load.use_notices(heard)
 
-    def _find(self, load: ServerLoad) -> HeardNotices:
-        heard = self._heard_by_run.get(load.server.run)
-        if heard is None:
-            heard = HeardNotices()
-            self._heard_by_run[load.server.run] = heard
+    def _find(self, run: ServerRun) -> HeardNotices:
+        heard = self._heard_by_run.get(run)
+        if heard is not None:
+            return heard
+        heard = HeardNotices()
+        self._heard_by_run[run] = heard
+        # The server may have been registered again since the request was sent.
+        load = self._find_load(run.server_id)
+        if load is not None and load.server.run == run:
             load.use_notices(heard)
         if len(self._heard_by_run) > MAX_RUNS:
             self._heard_by_run.pop(next(iter(self._heard_by_run)))
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -68,6 +68,23 @@
         self.assertEqual(len(self.leaving.heads), 2)
 
 
+class TestLapseMeanwhile(NoticeCase):
+    """A server that registers again while it answers is heeded, too."""
+
+    def answer_after_lapse(self, exchange):
+        """Register again, and then answer."""
+        self.apply(None)
+        self.register(self.backend)
+        answer(exchange, extra='Server-Leaving: 1\r\n')
+
+    def test_leaving(self):
+        """Guards against a notice that only the earlier registration heeds."""
+        self.backend = self.add_backend(self.answer_after_lapse, server_id=SERVER_ID)
+        self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 200'))
+        self.assertTrue(self.ask('/read/1').startswith(b'HTTP/1.1 503'))
+        self.assertEqual(len(self.backend.heads), 1)
+
+
 class TestPause(NoticeCase):
     """A server that turns a request away with Retry-After gets none for so long."""
 
