--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -128,6 +128,13 @@
             self.crash(make_call('own-1'))
         self.assertTrue(self.is_refused('own-1'))
 
+    def test_many_beside(self):
+        """Guards against a cause that is not noted among all that wait at a server."""
+        for number in range(MIN_CRASHES_OF_ONE_REQUEST):
+            waiting = [make_call('other', f'own-{number}-{slot}') for slot in range(12)]
+            self.crash(*waiting, make_call('first', 'own-1'))
+        self.assertTrue(self.is_refused('first', 'own-1'))
+
     def test_sent_again_beside(self):
         """Guards against sending the cause on, as another request looks the same.
 
