Log why a result counts as bad for a version move

The log gives the sums of results only, which does not tell a failure of a server from one of the path.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -134,6 +134,8 @@
             route=call.route.name,
             failed=not delivered or status >= FIRST_SERVER_ERROR_STATUS,
             first_response_ms=first_response_ms,
+            reason=outcome.reason or f'answered {status}',
+            attempt_id=call.fields.attempt_id,
         )
 
     def on_request(self, call: Call) -> None:
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -186,8 +186,13 @@
         route: str,
         failed: bool,
         first_response_ms: float | None,
+        reason: str = '',
+        attempt_id: str = '',
     ) -> None:
-        """Count the result of a request and withdraw the version if it is bad."""
+        """Count the result of a request and withdraw the version if it is bad.
+
+        `reason` says why the request failed, for the log.
+        """
         move = self._move_by_service.get(service_id)
         is_new = move is not None and move.order.version == version
         is_bad = failed or self._is_slow(route, first_response_ms)
@@ -195,6 +200,16 @@
             self._update_baseline(route, first_response_ms)
         if move is None:
             return
+        if is_bad and move.phase is Phase.RUNNING:
+            logger.bind(
+                request=attempt_id,
+                service=service_id,
+                version=version,
+                route=route,
+                reason=reason if failed else 'slow',
+                first_response_ms=first_response_ms,
+                usual_ms=round(self._baseline_ms_by_route[route], 1),
+            ).info('bad result counted for a version move')
         if is_new:
             move.own.new += 1
             move.own.new_bad += is_bad
