Count only results that a server gave for or against its version

While entries had lost their links to servers, a bad version was not withdrawn, took all traffic at 0.6 of the move and was completed.

Cause: a request that timed out on a dead link counted as a bad result of the version it was meant for, nearly always the old one. A bad rate of the old version of 25% allows 58% to the new one. Errors of servers at a deadline that had left them no time counted as well, and exchanges that the entry itself broke off.

Change: a result without an answer is withheld, and counts only if the server answers this entry within a second afterwards, as it was reachable then. A time-out or a 504 counts only if the server had the request for longer than a slow response takes. Answers that are no proper HTTP count at once.

--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -93,15 +93,18 @@
             return Outcome(Ending.NOT_REACHED, str(error))
         except ServerTimeoutError as error:
             self._record_timeout()
-            return Outcome(Ending.UNKNOWN, str(error))
+            return Outcome(Ending.UNKNOWN, str(error), is_timeout=True)
         except BrokenExchangeError as error:
             if self._is_broken_off:
-                return Outcome(Ending.UNKNOWN, 'broken off')
+                return Outcome(Ending.UNKNOWN, 'broken off', is_broken_off=True)
             self._load.on_error()
-            lost_at_start = (
-                isinstance(error, ConnectionLostError) and self._is_at_start()
+            is_lost = isinstance(error, ConnectionLostError)
+            return Outcome(
+                Ending.UNKNOWN,
+                str(error),
+                lost_at_start=is_lost and self._is_at_start(),
+                is_server_fault=not is_lost,
             )
-            return Outcome(Ending.UNKNOWN, str(error), lost_at_start=lost_at_start)
         finally:
             if self._connection is not None:
                 self._connection.close()
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -28,6 +28,7 @@
     VersionChoice,
     VersionMoves,
 )
+from marjoramfall.gateway.version_results import UnansweredResults, VersionResult
 
 # Additional cost of a server in another data centre.
 REMOTE_COST_MS = 5.0
@@ -36,6 +37,8 @@
 OTHER_GROUP_COST_MS = 200.0
 OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
+# The status of a server that did not finish a request before its deadline.
+GATEWAY_TIMEOUT = 504
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
         self._peers = peers
         self._pool = pool
         self._moves = moves
+        self._unanswered_results = UnansweredResults(clock)
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
@@ -122,21 +126,17 @@
         self, call: Call, assignment: Assignment, outcome: Outcome, *, status: int
     ) -> None:
         """Record the result of a request at a server for version moves."""
-        if outcome.ending.guarantees_not_run:
+        if outcome.ending is Ending.NOT_REACHED or outcome.is_broken_off:
             return
-        delivered = outcome.ending is Ending.DELIVERED
-        first_response_ms = None
-        if call.first_byte_ms is not None:
-            first_response_ms = call.first_byte_ms - assignment.request.started_ms
-        self._moves.on_result(
-            assignment.load.server.service_id,
-            assignment.load.server.version,
-            route=call.route.name,
-            failed=not delivered or status >= FIRST_SERVER_ERROR_STATUS,
-            first_response_ms=first_response_ms,
-            reason=outcome.reason or f'answered {status}',
-            attempt_id=call.fields.attempt_id,
-        )
+        run = assignment.load.server.run
+        if not outcome.is_answered:
+            result = self._result_of(call, assignment, outcome, status)
+            self._unanswered_results.add(run, result)
+            return
+        for result in self._unanswered_results.take_answered(run):
+            self._moves.on_result(result)
+        if outcome.ending is not Ending.NOT_RUN:
+            self._moves.on_result(self._result_of(call, assignment, outcome, status))
 
     def on_request(self, call: Call) -> None:
         """Count a request for the retry budget of its service."""
@@ -197,6 +197,32 @@
         self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
+    def _result_of(
+        self, call: Call, assignment: Assignment, outcome: Outcome, status: int
+    ) -> VersionResult:
+        started_ms = assignment.request.started_ms
+        first_response_ms = None
+        if call.first_byte_ms is not None:
+            first_response_ms = call.first_byte_ms - started_ms
+        if outcome.response is not None:
+            status = outcome.response.status
+        failure = outcome.reason
+        if outcome.ending is Ending.DELIVERED:
+            has_failed = status >= FIRST_SERVER_ERROR_STATUS
+            failure = f'answered {status}' if has_failed else ''
+        is_timeout = outcome.is_timeout or status == GATEWAY_TIMEOUT
+        return VersionResult(
+            service_id=assignment.load.server.service_id,
+            version=assignment.load.server.version,
+            route=call.route.name,
+            failure=failure,
+            first_response_ms=first_response_ms,
+            timed_out_ms=self._clock.monotonic_ms() - started_ms
+            if is_timeout
+            else None,
+            attempt_id=call.fields.attempt_id,
+        )
+
     def _assign_soon(self) -> None:
         if self._peers.is_large:
             # Hundreds of datagrams arrive per second; one run serves many of them.
--- a/marjoramfall/gateway/outcome.py
+++ b/marjoramfall/gateway/outcome.py
@@ -39,6 +39,15 @@
     response: Response | None = None
     body: bytes = b''
     lost_at_start: bool = False
+    is_server_fault: bool = False
+    is_timeout: bool = False
+    is_broken_off: bool = False
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the server is known to have sent what ended the exchange."""
+        is_silent = self.ending in {Ending.NOT_REACHED, Ending.UNKNOWN}
+        return self.is_server_fault or not is_silent
 
 
 class GatewayFailureError(Exception):
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -12,6 +12,7 @@
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peer_state import MoveReport
 from marjoramfall.gateway.revision import era_of, number_of
+from marjoramfall.gateway.version_results import VersionResult
 
 # The canary gets half of the exposure that operators allow a bad version, so
 # that some is left if it starts to fail later.
@@ -178,38 +179,21 @@
             return VersionChoice(only=version)
         return VersionChoice(excluded=version)
 
-    def on_result(
-        self,
-        service_id: str,
-        version: str,
-        *,
-        route: str,
-        failed: bool,
-        first_response_ms: float | None,
-        reason: str = '',
-        attempt_id: str = '',
-    ) -> None:
-        """Count the result of a request and withdraw the version if it is bad.
-
-        `reason` says why the request failed, for the log.
-        """
-        move = self._move_by_service.get(service_id)
-        is_new = move is not None and move.order.version == version
-        is_bad = failed or self._is_slow(route, first_response_ms)
-        if not is_new and first_response_ms is not None and not failed:
-            self._update_baseline(route, first_response_ms)
+    def on_result(self, result: VersionResult) -> None:
+        """Count the result of a request and withdraw the version if it is bad."""
+        if self._had_too_little_time(result):
+            return
+        move = self._move_by_service.get(result.service_id)
+        is_new = move is not None and move.order.version == result.version
+        is_bad = bool(result.failure) or self._is_slow(
+            result.route, result.first_response_ms
+        )
+        if not is_new and result.first_response_ms is not None and not result.failure:
+            self._update_baseline(result.route, result.first_response_ms)
         if move is None:
             return
         if is_bad and move.phase is Phase.RUNNING:
-            logger.bind(
-                request=attempt_id,
-                service=service_id,
-                version=version,
-                route=route,
-                reason=reason if failed else 'slow',
-                first_response_ms=first_response_ms,
-                usual_ms=round(self._baseline_ms_by_route[route], 1),
-            ).info('bad result counted for a version move')
+            self._log_bad_result(result)
         if is_new:
             move.own.new += 1
             move.own.new_bad += is_bad
@@ -290,6 +274,25 @@
             old_bad=results.old_bad,
         ).info('version move phase changed')
 
+    def _had_too_little_time(self, result: VersionResult) -> bool:
+        """Return whether a request ran out of time before its server was slow."""
+        timed_out_ms = result.timed_out_ms
+        return timed_out_ms is not None and not self._is_slow(
+            result.route, timed_out_ms
+        )
+
+    def _log_bad_result(self, result: VersionResult) -> None:
+        logger.bind(
+            request=result.attempt_id,
+            service=result.service_id,
+            version=result.version,
+            route=result.route,
+            reason=result.failure or 'slow',
+            first_response_ms=result.first_response_ms,
+            timed_out_ms=result.timed_out_ms,
+            usual_ms=round(self._baseline_ms_by_route[result.route], 1),
+        ).info('bad result counted for a version move')
+
     def _is_slow(self, route: str, first_response_ms: float | None) -> bool:
         baseline_ms = self._baseline_ms_by_route[route]
         if first_response_ms is None or not baseline_ms:
