Compare versions by what few results can tell

Cause: the new version could have twice the rate of bad results of the old one plus 0.08, whatever the number of results.

Change: the lower bound of the new version's rate (Wilson, 2 standard errors) is compared with the rate of the old version plus 0.08.

--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -1,5 +1,6 @@
 """Move the traffic of services to new versions, or roll it back."""
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Collection, Iterable
@@ -24,10 +25,11 @@
 COMPLETE_ELAPSED_SHARE = 0.85
 # A version is withdrawn only after this many bad results.
 MIN_BAD_RESULTS = 4
-# The rate of bad results of the new version may reach this multiple of that of
-# the old version plus a margin, as failures of both are no reason to withdraw.
-BAD_RATE_RATIO = 2.0
+# The rate of bad results of the new version may exceed that of the old version by
+# this much, as both differ by chance and by the servers that are slow or fail.
 BAD_RATE_MARGIN = 0.08
+# How many standard errors a rate of few results may lie above the true one.
+CONFIDENCE_Z = 2.0
 # A response is slow if it starts later than this multiple of the usual time of
 # its route plus a margin.
 SLOW_RATIO = 2.5
@@ -89,9 +91,7 @@
         if self.new_bad < MIN_BAD_RESULTS:
             return False
         baseline_rate = self.old_bad / self.old if self.old else 0
-        return (
-            self.new_bad / self.new > BAD_RATE_RATIO * baseline_rate + BAD_RATE_MARGIN
-        )
+        return lowest_rate(self.new_bad, self.new) > baseline_rate + BAD_RATE_MARGIN
 
 
 @dataclass(slots=True)
@@ -305,3 +305,12 @@
             first_response_ms - baseline_ms
         )
         self._baseline_ms_by_route[route] = updated_ms
+
+
+def lowest_rate(events: int, results: int) -> float:
+    """Return the lowest rate that explains the events: the Wilson lower bound."""
+    rate = events / results
+    square = CONFIDENCE_Z * CONFIDENCE_Z
+    spread = math.sqrt(rate * (1 - rate) / results + square / (2 * results) ** 2)
+    centre = rate + square / (2 * results)
+    return (centre - CONFIDENCE_Z * spread) / (1 + square / results)
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -87,6 +87,33 @@
         self.assertIs(self.move().phase, Phase.RUNNING)
 
 
+class TestComparison(MovesCase):
+    """Few results differ by chance, and many bad ones hide no worse version."""
+
+    def count(self, version, results, bad):
+        """Count results of a version, of which some are bad."""
+        for index in range(results):
+            self.moves.on_result(make_result(version, has_failed=index < bad))
+
+    def test_chance(self):
+        """Guards against withdrawing a good version for a handful of bad results.
+
+        One in six results of the old version is bad as well.
+        """
+        self.count('v1', 159, 26)
+        for _ in range(7):
+            self.count('v2', 1, 0)
+        self.count('v2', 5, 5)
+        self.assertIs(self.move().phase, Phase.RUNNING)
+
+    def test_failing_old_version(self):
+        """Guards against keeping a version that fails twice as often as a poor one."""
+        self.count('v1', 97, 25)
+        for _ in range(27):
+            self.count('v2', 2, 1)
+        self.assertIs(self.move().phase, Phase.WITHDRAWN)
+
+
 class TestBadVersion(MovesCase):
     """A bad version gets few requests, and none once it is withdrawn."""
 
