Let a new version show that it is sound before it replaces the old one

Cause: the steps of a move depended on time alone.

Change: a version gets all traffic, and is completed, only after ten results, or results of a quarter of the requests where there are few. While it lacks them it gets a larger share, from 0.3 of the move on; if it still lacks them at 0.95 the move is rolled back. Requests that chose a version are counted and reported to peers, as those without an answer leave no result.

Evidence: test_not_all_traffic and test_not_completed fail before.

--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -72,6 +72,8 @@
     new_bad: int
     old: int
     old_bad: int
+    # Absent in reports of versions that do not count requests.
+    requests: int = 0
 
 
 class PeerState(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/version_moves.py
@@ -21,8 +21,18 @@
 # Shares of the duration of a move. The canary phase is long, as a version may
 # fail only later or under load; all traffic switches early enough to observe
 # the version under full load before the move completes.
+RAISE_ELAPSED_SHARE = 0.3
 SWITCH_ELAPSED_SHARE = 0.6
 COMPLETE_ELAPSED_SHARE = 0.85
+# The latest a version may lack results: its end is recorded before the deadline.
+GIVE_UP_ELAPSED_SHARE = 0.95
+# A version needs this many results, or those of a part of all requests if there are
+# few, before it gets all traffic or replaces the old one.
+MIN_PROOF_RESULTS = 10
+PROOF_SHARE_OF_REQUESTS = 0.25
+# Shares of the requests that a version gets while it lacks results.
+RAISED_SHARE_FACTOR = 4.0
+LATE_PROOF_SHARE = 0.5
 # A version is withdrawn only after this many bad results.
 MIN_BAD_RESULTS = 4
 # The rate of bad results of the new version may exceed that of the old version by
@@ -71,13 +81,15 @@
 class Results:
     """Count results and bad results of the new version and of all others.
 
-    A result is bad if the request failed or its response started late.
+    A result is bad if the request failed or its response started late. `requests`
+    were to get a server of either version, and may have got no answer.
     """
 
     new: int = 0
     new_bad: int = 0
     old: int = 0
     old_bad: int = 0
+    requests: int = 0
 
     def add(self, other: 'Results') -> None:
         """Add the counts of another entry."""
@@ -85,6 +97,12 @@
         self.new_bad += other.new_bad
         self.old += other.old
         self.old_bad += other.old_bad
+        self.requests += other.requests
+
+    def is_proof(self) -> bool:
+        """Return whether there are enough results to tell that the version is sound."""
+        needed = min(MIN_PROOF_RESULTS, PROOF_SHARE_OF_REQUESTS * self.requests)
+        return self.new >= needed
 
     def is_bad(self) -> bool:
         """Return whether the new version has clearly more bad results than others."""
@@ -173,9 +191,8 @@
         version = move.order.version
         if move.phase is not Phase.RUNNING or not is_in_touch:
             return VersionChoice(excluded=version)
-        if move.elapsed_share(self._clock.monotonic_ms()) >= SWITCH_ELAPSED_SHARE:
-            return VersionChoice(only=version)
-        if random.random() < self._canary_share:
+        move.own.requests += 1
+        if random.random() < self._new_share(move):
             return VersionChoice(only=version)
         return VersionChoice(excluded=version)
 
@@ -211,7 +228,11 @@
             started_ms = self._clock.monotonic_ms() - report.elapsed_ms
             move.started_ms = min(move.started_ms, started_ms)
             move.peer_results_by_vm[vm] = Results(
-                report.new, report.new_bad, report.old, report.old_bad
+                report.new,
+                report.new_bad,
+                report.old,
+                report.old_bad,
+                report.requests,
             )
             if report.phase > move.phase:
                 self._change_phase(move, Phase(report.phase), f'reported by {vm}')
@@ -232,18 +253,35 @@
             for move in self._move_by_service.values()
         ]
 
-    def is_end_due(self, move: Move) -> bool:
-        """Return whether to record the end of a move in the store now."""
+    def due_end(self, move: Move) -> Phase | None:
+        """Return the end of a move to record in the store now, None if none is due."""
         if move.phase is Phase.WITHDRAWN:
-            return True
+            return Phase.ROLLED_BACK
         elapsed = move.elapsed_share(self._clock.monotonic_ms())
-        return move.phase is Phase.RUNNING and elapsed >= COMPLETE_ELAPSED_SHARE
+        if move.phase is not Phase.RUNNING or elapsed < COMPLETE_ELAPSED_SHARE:
+            return None
+        if move.results().is_proof():
+            return Phase.COMPLETED
+        if elapsed < GIVE_UP_ELAPSED_SHARE:
+            return None
+        self._change_phase(move, Phase.WITHDRAWN, 'too few results')
+        return Phase.ROLLED_BACK
 
     def end(self, move: Move, *, completed: bool) -> None:
         """Enter the final phase once the end of a move is recorded."""
         phase = Phase.COMPLETED if completed else Phase.ROLLED_BACK
         self._change_phase(move, phase, 'recorded')
 
+    def _new_share(self, move: Move) -> float:
+        """Return the share of the requests that the new version gets."""
+        elapsed = move.elapsed_share(self._clock.monotonic_ms())
+        if elapsed < RAISE_ELAPSED_SHARE:
+            return self._canary_share
+        is_proven = move.results().is_proof()
+        if elapsed >= SWITCH_ELAPSED_SHARE:
+            return 1 if is_proven else LATE_PROOF_SHARE
+        return self._canary_share * (1 if is_proven else RAISED_SHARE_FACTOR)
+
     def _report(self, move: Move, results: Results) -> MoveReport:
         return MoveReport(
             service_id=move.order.service_id,
@@ -254,6 +292,7 @@
             new_bad=results.new_bad,
             old=results.old,
             old_bad=results.old_bad,
+            requests=results.requests,
         )
 
     def _withdraw_if_bad(self, move: Move) -> None:
@@ -272,6 +311,7 @@
             new_bad=results.new_bad,
             old=results.old,
             old_bad=results.old_bad,
+            requests=results.requests,
         ).info('version move phase changed')
 
     def _had_too_little_time(self, result: VersionResult) -> bool:
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -98,11 +98,8 @@
     def _state_to_record(self, move: Move) -> str:
         # The end of a move is recorded before this entry applies it, so the phase is
         # still RUNNING or WITHDRAWN when the end is due.
-        if not self._moves.is_end_due(move):
-            return STATE_BY_PHASE.get(move.phase, RUNNING)
-        if move.phase is Phase.WITHDRAWN:
-            return STATE_BY_PHASE[Phase.ROLLED_BACK]
-        return STATE_BY_PHASE[Phase.COMPLETED]
+        phase = self._moves.due_end(move) or move.phase
+        return STATE_BY_PHASE.get(phase, RUNNING)
 
     def _may_write(self, key: tuple[int, str]) -> bool:
         now_ms = self._clock.monotonic_ms()
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -74,10 +74,18 @@
         self.assertLess(self.new_version_requests, 5 * REQUESTS_PER_S * EXPOSE_SHARE)
         self.run_traffic(3.6)
         self.assertFalse(self.moves.choose('ledger').allows('v1'))
-        self.assertTrue(self.moves.is_end_due(self.move()))
+        self.assertIs(self.moves.due_end(self.move()), Phase.COMPLETED)
         self.moves.end(self.move(), completed=True)
         self.assertTrue(self.moves.choose('ledger').allows('v1'))
 
+    def test_few_requests(self):
+        """Guards against a good version rolled back as its service is hardly used."""
+        for _ in range(10):
+            self.clock.advance_ms(870)
+            is_new = self.moves.choose('ledger').allows('v2')
+            self.moves.on_result(make_result('v2' if is_new else 'v1'))
+        self.assertIs(self.moves.due_end(self.move()), Phase.COMPLETED)
+
     def test_failures_of_both_versions(self):
         """Guards against a withdrawal for failures that occur in both versions."""
         for _ in range(200):
@@ -87,6 +95,37 @@
         self.assertIs(self.move().phase, Phase.RUNNING)
 
 
+class TestUnprovenVersion(MovesCase):
+    """A version without results neither gets all traffic nor is completed."""
+
+    def run_unanswered(self, seconds):
+        """Send requests of which those to the new version get no answer."""
+        for _ in range(int(seconds * REQUESTS_PER_S)):
+            self.clock.advance_ms(1000 / REQUESTS_PER_S)
+            if self.moves.choose('ledger').allows('v1'):
+                self.moves.on_result(make_result('v1'))
+
+    def test_not_all_traffic(self):
+        """Guards against giving all traffic to a version that nobody has tried."""
+        self.run_unanswered(7)
+        choices = [self.moves.choose('ledger') for _ in range(100)]
+        self.assertTrue(any(choice.allows('v1') for choice in choices))
+
+    def test_not_completed(self):
+        """Guards against stopping the old servers before the new ones have answered."""
+        self.run_unanswered(9)
+        self.assertIsNone(self.moves.due_end(self.move()))
+        self.run_unanswered(0.6)
+        self.assertIs(self.moves.due_end(self.move()), Phase.ROLLED_BACK)
+        self.assertFalse(self.moves.choose('ledger').allows('v2'))
+
+    def test_proven_late(self):
+        """Guards against a good version rolled back though it answers in the end."""
+        self.run_unanswered(8)
+        self.run_traffic(1)
+        self.assertIs(self.moves.due_end(self.move()), Phase.COMPLETED)
+
+
 class TestComparison(MovesCase):
     """Few results differ by chance, and many bad ones hide no worse version."""
 
