Count a time-out for a version if its server had the request

Cause: requests that may repeat are sent elsewhere before a slow server answers them.

Change: at a time-out the system tells whether the host of the server has acknowledged the whole request (TIOCOUTQ). If it has, the server is to blame and the result counts; if not, the path may be. A connection that the system gave up (ETIMEDOUT) proves nothing.

--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -1,6 +1,10 @@
 """Send HTTP/1.1 requests over a connection to a backend server."""
 
+import errno
+import fcntl
 import select
+import struct
+import termios
 import time
 from dataclasses import dataclass
 from socket import (
@@ -15,6 +19,7 @@
 )
 
 from gevent import Greenlet, getcurrent, socket, spawn
+from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.http_messages import (
@@ -26,6 +31,7 @@
 )
 
 RECEIVE_BYTES = 65536
+INT_BYTES = struct.calcsize('i')
 # If more than this is left after the first send, another greenlet sends it while
 # the response is read: a server may answer before it has read the whole body.
 CONCURRENT_SEND_BYTES = 8192
@@ -59,7 +65,15 @@
 
 
 class ServerTimeoutError(BrokenExchangeError):
-    """Indicate that the server did not send the awaited data in time."""
+    """Indicate that the server did not send the awaited data in time.
+
+    `was_received` is true if the host of the server has acknowledged the whole
+    request, so that the server rather than the path is to blame.
+    """
+
+    def __init__(self, reason: str, *, was_received: bool = False) -> None:
+        super().__init__(reason)
+        self.was_received = was_received
 
 
 def configure_socket(connection: socket.socket) -> None:
@@ -79,6 +93,12 @@
     return bool(poll.poll(0))
 
 
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return how many bytes the peer has not acknowledged; raises `OSError`."""
+    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+    return struct.unpack('i', answer)[0]
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of `host:port`."""
     host, _, port = address.rpartition(':')
@@ -257,12 +277,15 @@
 
     def _receive(self, timeout_s: float) -> None:
         if timeout_s <= 0:
-            raise ServerTimeoutError(f'{self.address} sent nothing in time')
+            raise self._timeout_error()
         self._socket.settimeout(timeout_s)
         try:
             received = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
-            raise ServerTimeoutError(f'{self.address} sent nothing in time') from error
+            # The system gives a connection up under the same error.
+            if error.errno == errno.ETIMEDOUT:
+                raise ServerTimeoutError(f'{self.address} is lost') from error
+            raise self._timeout_error() from error
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
         if received:
@@ -270,6 +293,22 @@
         elif not self._parser.feed_eof():
             raise ConnectionLostError('the connection ended early')
 
+    def _timeout_error(self) -> ServerTimeoutError:
+        return ServerTimeoutError(
+            f'{self.address} sent nothing in time', was_received=self._was_received()
+        )
+
+    def _was_received(self) -> bool:
+        if self._sender is not None and not self._sender.ready():
+            return False
+        try:
+            return unacknowledged_bytes(self._socket) == 0
+        except OSError as error:
+            logger.bind(address=self.address, details=str(error)).warning(
+                'unacknowledged bytes of a connection are not known'
+            )
+            return False
+
     def _parse(self, received: bytes) -> None:
         had_complete_response = (
             bool(self._parser.responses) and self._parser.responses[0].is_complete
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/exchange.py
@@ -93,7 +93,12 @@
             return Outcome(Ending.NOT_REACHED, str(error))
         except ServerTimeoutError as error:
             self._record_timeout()
-            return Outcome(Ending.UNKNOWN, str(error), is_timeout=True)
+            return Outcome(
+                Ending.UNKNOWN,
+                str(error),
+                is_server_fault=error.was_received,
+                is_timeout=True,
+            )
         except BrokenExchangeError as error:
             if self._is_broken_off:
                 return Outcome(Ending.UNKNOWN, 'broken off', is_broken_off=True)
--- a/marjoramfall/gateway/outcome.py
+++ b/marjoramfall/gateway/outcome.py
@@ -45,7 +45,7 @@
 
     @property
     def is_answered(self) -> bool:
-        """Return whether the server is known to have sent what ended the exchange."""
+        """Return whether the server is known to have had the request."""
         is_silent = self.ending in {Ending.NOT_REACHED, Ending.UNKNOWN}
         return self.is_server_fault or not is_silent
 
--- a/tests/test_version_results.py
+++ b/tests/test_version_results.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.call import Call
@@ -149,6 +150,16 @@
             self.answer('new')
         self.assertIs(self.phase(), Phase.WITHDRAWN)
 
+    def test_request_received(self):
+        """Guards against keeping a version that is too slow to answer in time.
+
+        Its servers have acknowledged the requests, and answer no others meanwhile.
+        """
+        received = replace(TIMED_OUT, is_server_fault=True, is_timeout=True)
+        for _ in range(4):
+            self.result('new', received, took_ms=300)
+        self.assertIs(self.phase(), Phase.WITHDRAWN)
+
     def test_late_errors(self):
         """Guards against keeping a version that lets deadlines pass."""
         for _ in range(4):
