Delegate requests to a peer where the path to the servers is lost

While some entries are cut off from all servers, their callers are served 4% to 14% of the time, the others 98%.

Cause: each request tried one server after the other until its time was over. An entry could not tell servers that are down from a path that is, and had nobody to turn to.

Change: gateway/delegation/. An entry counts the path to a service as lost once three of its servers fail in a row; it then connects to one server every 0.4 s to notice its return, and no request has to try. Entries say in their state which services have answered them lately, and a digest offers three entries of each group. A request without a path, or that missed two servers, goes to one of them in one hop, on a connection of its own: the peer serves it like a caller's, but counts no limit of a team, and does not pass it on. A peer without a path, that stops or that knows an older configuration says so, and another is tried, three at most. If the connection to the peer breaks, the request may have run, and is never called not run. Streams pass event by event, and resume elsewhere.

An entry without a path is no witness: it reports no server as unreachable, and takes none for crashed unless another one accepts a connection. Requests count for the retry budget where a server gets them.

--- a/marjoramfall/gateway/call.py
+++ b/marjoramfall/gateway/call.py
@@ -39,13 +39,26 @@
     own_part_id: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Delegation:
+    """Say what the entry knew that delegated a request to this one.
+
+    The request may have run `runs` times before.
+    """
+
+    service_id: str
+    runs: int
+    config_version: int
+
+
 @dataclass
 class Call:
     """Hold the state of a request from admission to the end of its response.
 
     `sends` counts the attempts that reached a backend server, `runs` those of
     them that it did not reject, among them any that ended without a complete
-    response, because the request may have run.
+    response, because the request may have run. `unreached_servers` counts the
+    attempts that reached none.
     """
 
     head: RequestHead
@@ -64,6 +77,10 @@
     first_byte_ms: float | None = None
     # The media type of a stream that has begun.
     stream_type: bytes | None = None
+    unreached_servers: int = 0
+    # Set if a peer has accepted the request from its caller.
+    delegation: Delegation | None = None
+    tried_delegates: set[str] = field(default_factory=set)
 
     @cached_property
     def fingerprint(self) -> str:
@@ -82,6 +99,17 @@
         digest.update(b'\0' + self.body)
         return digest.hexdigest()
 
+    @property
+    def is_delegated(self) -> bool:
+        """Return whether a peer has accepted the request from its caller."""
+        return self.delegation is not None
+
+    @property
+    def attempts_left(self) -> int:
+        """Return how often the route lets the request run yet."""
+        earlier_runs = self.delegation.runs if self.delegation else 0
+        return self.route.max_attempts - earlier_runs - self.runs
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the request may run more than once."""
--- a/marjoramfall/gateway/connection_pool.py
+++ b/marjoramfall/gateway/connection_pool.py
@@ -54,14 +54,18 @@
         A server that can't be reached otherwise may be running behind a partition.
         """
         try:
-            connection = self._open(address)
+            self.open_idle(server_id, address)
         except ConnectionRefusedByServerError:
             return True
         except NotReachedError:
             return False
+        return False
+
+    def open_idle(self, server_id: str, address: str) -> None:
+        """Open a connection and keep it for a request; raises `NotReachedError`."""
+        connection = self._open(address)
         connection.idle_since_ms = self._clock.monotonic_ms()
         self.release(server_id, connection)
-        return False
 
     def set_max_idle(self, server_id: str, limit: int) -> None:
         """Limit how many idle connections to the server are kept."""
--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -21,6 +21,10 @@
     ) -> bytes:
         """Encode a request whose deadline is `remaining_ms` from now."""
 
+    @abstractmethod
+    def delegated_headers(self, call: Call, remaining_ms: float) -> list[Header]:
+        """Return the headers of a request that another entry is to serve."""
+
     @abstractmethod
     def expected_header(self, call: Call) -> ExpectedHeader:
         """Return the header that identifies the response to a request."""
--- a/marjoramfall/gateway/digest_builder.py
+++ b/marjoramfall/gateway/digest_builder.py
@@ -1,8 +1,10 @@
 """Sum up what an entry knows of its group, or of all others, in a digest."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.delegation.delegates import offers_of
+from marjoramfall.gateway.delegation.offers import DelegateOffer, draw_offers
 from marjoramfall.gateway.group_digest import (
     DIGEST_FORM,
     GroupDigest,
@@ -66,6 +68,9 @@
             moves=self._moves.reports(self._move_sources(scope), with_own=is_group),
             crash_evidence=own_state.crash_evidence,
             server_limits=own_state.server_limits,
+            offers=draw_offers(
+                _group_offers(states) if is_group else _outside_offers(states)
+            ),
         )
 
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
@@ -103,3 +108,13 @@
                 if self._peers.groups.has_member(vm)
             }
         return {source_of(digest) for digest in self._outside_states()}
+
+
+def _group_offers(states: Iterable[PeerState]) -> Iterator[DelegateOffer]:
+    for state in states:
+        yield from offers_of(state)
+
+
+def _outside_offers(digests: Iterable[GroupDigest]) -> Iterator[DelegateOffer]:
+    for digest in digests:
+        yield from digest.offers
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -9,11 +9,11 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.caller_listener import CallerListener
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.digest_builder import DigestBuilder
+from marjoramfall.gateway.entry_listeners import EntryListeners
 from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
@@ -125,14 +125,14 @@
             ready_path=ready_path,
             is_ready=self._is_ready,
         )
-        self._callers = CallerListener(settings.front_address, self._gateway, clock)
+        self._listeners = EntryListeners(settings, self._gateway, clock)
 
     def run(self) -> None:
         """Serve until a stop has completed; raises `OSError`."""
         self._exchange.start()
         spawn(self._maintain)
         self._endpoints.start()
-        self._callers.start()
+        self._listeners.start()
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
@@ -188,6 +188,8 @@
             is_store_unreachable=not self.watch_duty.is_store_reachable,
             crash_evidence=self.quarantine.report(is_full=with_speeds),
             server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
+            delegation_address=self._settings.delegation_address,
+            reached_service_ids=self._fleet.paths.reached_service_ids(),
         )
 
     def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
@@ -277,12 +279,14 @@
         # Callers may still arrive if most entries of a data centre stop.
         self._gateway.set_latest_deadline(started_ms + grace_ms)
         while self._clock.monotonic_ms() - started_ms < grace_ms:
-            self._callers.close_idle()
-            is_done = not self._gateway.in_flight and not self._callers.connections
-            if is_done and not self._callers.accept_pending():
+            self._listeners.close_idle()
+            is_done = (
+                not self._gateway.in_flight and not self._listeners.has_connections
+            )
+            if is_done and not self._listeners.accept_pending():
                 break
             self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS / 5)
-        self._callers.close()
-        if self._callers.connections:
+        self._listeners.close()
+        if self._listeners.has_connections:
             self._clock.sleep_ms(LAST_ANSWERS_MS)
         self._stopped.set()
--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -41,4 +41,6 @@
     ready_address: str
     metrics_address: str
     is_first_start: bool
+    # Where peers send the requests whose servers they can't reach.
+    delegation_address: str
     bounds: EntryBounds
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -11,7 +11,9 @@
 from marjoramfall.gateway.assign_timer import AssignTimer
 from marjoramfall.gateway.call import Call
 from marjoramfall.gateway.connection_pool import ConnectionPool, max_idle_connections
-from marjoramfall.gateway.exchange import FIRST_SERVER_ERROR_STATUS
+from marjoramfall.gateway.delegation.delegates import Delegates
+from marjoramfall.gateway.delegation.service_paths import ServicePaths
+from marjoramfall.gateway.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
 from marjoramfall.gateway.outcome import Ending, Outcome
 from marjoramfall.gateway.own_load import OwnLoad
@@ -28,7 +30,6 @@
     VersionChoice,
     VersionMoves,
 )
-from marjoramfall.gateway.version_results import UnansweredResults, VersionResult
 
 # Additional cost of a server in another data centre.
 REMOTE_COST_MS = 5.0
@@ -37,8 +38,6 @@
 OTHER_GROUP_COST_MS = 200.0
 OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
-# The status of a server that did not finish a request before its deadline.
-GATEWAY_TIMEOUT = 504
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +74,21 @@
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
-        self.own_load = OwnLoad(clock, peers, self._load_by_id, self._queue_by_service)
+        self.paths = ServicePaths(
+            clock,
+            pool,
+            load_by_id=self._load_by_id,
+            find_queue=self.queue,
+            notify_peers=notify_peers,
+        )
+        self.delegates = Delegates(peers, self.paths)
+        self.own_load = OwnLoad(
+            clock,
+            peers,
+            self._load_by_id,
+            self._queue_by_service,
+            is_path_lost=self.paths.is_lost,
+        )
         self._retry_budgets = retry_budgets
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
         self.server_notices = ServerNotices(clock, self._load_by_id.get)
@@ -125,18 +138,27 @@
     def on_outcome(
         self, call: Call, assignment: Assignment, outcome: Outcome, *, status: int
     ) -> None:
-        """Record the result of a request at a server for version moves."""
-        if outcome.ending is Ending.NOT_REACHED or outcome.is_broken_off:
+        """Record what the result of a request says of its server and the path."""
+        if outcome.is_broken_off:
+            return
+        self._record_path(assignment, outcome)
+        if outcome.ending is Ending.NOT_REACHED:
             return
         run = assignment.load.server.run
+        result = result_of(
+            call,
+            assignment,
+            outcome,
+            status=status,
+            now_ms=self._clock.monotonic_ms(),
+        )
         if not outcome.is_answered:
-            result = self._result_of(call, assignment, outcome, status)
             self._unanswered_results.add(run, result)
             return
-        for result in self._unanswered_results.take_answered(run):
-            self._moves.on_result(result)
+        for earlier in self._unanswered_results.take_answered(run):
+            self._moves.on_result(earlier)
         if outcome.ending is not Ending.NOT_RUN:
-            self._moves.on_result(self._result_of(call, assignment, outcome, status))
+            self._moves.on_result(result)
 
     def on_request(self, call: Call) -> None:
         """Count a request for the retry budget of its service."""
@@ -197,31 +219,12 @@
         self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
-    def _result_of(
-        self, call: Call, assignment: Assignment, outcome: Outcome, status: int
-    ) -> VersionResult:
-        started_ms = assignment.request.started_ms
-        first_response_ms = None
-        if call.first_byte_ms is not None:
-            first_response_ms = call.first_byte_ms - started_ms
-        if outcome.response is not None:
-            status = outcome.response.status
-        failure = outcome.reason
-        if outcome.ending is Ending.DELIVERED:
-            has_failed = status >= FIRST_SERVER_ERROR_STATUS
-            failure = f'answered {status}' if has_failed else ''
-        is_timeout = outcome.is_timeout or status == GATEWAY_TIMEOUT
-        return VersionResult(
-            service_id=assignment.load.server.service_id,
-            version=assignment.load.server.version,
-            route=call.route.name,
-            failure=failure,
-            first_response_ms=first_response_ms,
-            timed_out_ms=self._clock.monotonic_ms() - started_ms
-            if is_timeout
-            else None,
-            attempt_id=call.fields.attempt_id,
-        )
+    def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
+        server = assignment.load.server
+        if not outcome.is_answered:
+            self.paths.on_failure(server)
+        elif outcome.ending is not Ending.NOT_RUN or outcome.response is not None:
+            self.paths.on_response(server, assignment.request.started_ms)
 
     def _assign_soon(self) -> None:
         if self._peers.is_large:
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -9,6 +9,9 @@
 from marjoramfall.gateway.caller_connection import ResponseWriter
 from marjoramfall.gateway.connection_pool import ConnectionPool
 from marjoramfall.gateway.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.delegation.delegates import MAX_UNREACHED_SERVERS
+from marjoramfall.gateway.delegation.exchange import DelegatedExchange
+from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.demand import Demand, build_demand
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.event_splitter import EventSplitter
@@ -19,7 +22,9 @@
 from marjoramfall.gateway.running_exchanges import RunningExchanges
 from marjoramfall.gateway.service_queue import (
     Assignment,
+    NoServerError,
     OverloadError,
+    PathLostError,
     ServiceQueue,
     Waiter,
 )
@@ -50,6 +55,7 @@
         self._fleet = fleet
         self._pool = pool
         self._quarantine = quarantine
+        self._delegates = fleet.delegates
         self._dialect = dialect
         self._clock = clock
         self._running = RunningExchanges(quarantine.is_refused)
@@ -62,20 +68,74 @@
         """
         is_stream = call.route.is_stream and call.head.method != HEAD_METHOD
         splitter = EventSplitter() if is_stream else None
-        self._fleet.on_request(call)
         while True:
-            assignment = self._acquire_checked(call)
-            outcome = self._exchange(call, assignment, writer, splitter)
+            offer = self._delegates.choose(call)
+            if offer is None:
+                self._check_path(call)
+                outcome = self._serve_here(call, writer, splitter)
+            else:
+                outcome = self._delegate(call, offer, writer, splitter)
             if outcome.ending is Ending.DELIVERED:
-                self._record_served(call, writer)
                 return outcome.ending
-            self._log_failure(call, assignment, outcome)
-            self._record_crash(call, assignment, outcome)
             if splitter is not None:
                 splitter.discard_partial_event()
             if not self._should_retry(call, outcome):
                 return self._finish_failed(call, writer, outcome)
-            call.excluded_server_ids.add(assignment.load.server.server_id)
+
+    def _serve_here(
+        self, call: Call, writer: ResponseWriter, splitter: EventSplitter | None
+    ) -> Outcome:
+        try:
+            assignment = self._acquire_checked(call)
+        except PathLostError as error:
+            return Outcome(Ending.NOT_REACHED, str(error))
+        outcome = self._exchange(call, assignment, writer, splitter)
+        if outcome.ending is Ending.DELIVERED:
+            self._record_served(call, writer)
+            return outcome
+        self._log_failure(call, assignment, outcome)
+        self._record_crash(call, assignment, outcome)
+        call.excluded_server_ids.add(assignment.load.server.server_id)
+        return outcome
+
+    def _delegate(
+        self,
+        call: Call,
+        offer: DelegateOffer,
+        writer: ResponseWriter,
+        splitter: EventSplitter | None,
+    ) -> Outcome:
+        self._quarantine.check(call)
+        call.tried_delegates.add(offer.vm)
+        log = logger.bind(
+            request=call.fields.attempt_id, service=call.service_id, peer=offer.vm
+        )
+        log.bind(
+            is_path_lost=self._fleet.paths.is_lost(call.service_id),
+            unreached_servers=call.unreached_servers,
+            runs=call.runs,
+        ).info('request delegated to a peer')
+        exchange = DelegatedExchange(
+            call, offer, self._dialect, self._clock, is_live=self._delegates.is_live
+        )
+        outcome = exchange.run(writer, splitter)
+        if outcome.ending is not Ending.DELIVERED:
+            log.bind(ending=outcome.ending.value, reason=outcome.reason).warning(
+                'delegated request failed'
+            )
+        return outcome
+
+    def _check_path(self, call: Call) -> None:
+        """Raise `GatewayFailureError` if the request should go to another entry."""
+        is_lost = self._fleet.paths.is_lost(call.service_id)
+        if call.is_delegated:
+            is_unreached = call.unreached_servers >= MAX_UNREACHED_SERVERS
+            if is_lost or is_unreached:
+                raise self._rejection(
+                    call, 'no path', OVERLOAD_RETRY_AFTER_MS, is_elsewhere=True
+                )
+        elif is_lost and call.tried_delegates:
+            raise self._rejection(call, 'no path', OVERLOAD_RETRY_AFTER_MS)
 
     def _exchange(
         self,
@@ -98,11 +158,19 @@
             outcome = exchange.run(
                 writer, splitter, can_fail_over=self._can_fail_over(call, assignment)
             )
-        if outcome.ending is not Ending.NOT_REACHED:
-            call.sends += 1
+        if outcome.ending is Ending.NOT_REACHED:
+            call.unreached_servers += 1
+        else:
+            self._count_send(call)
         self._fleet.on_outcome(call, assignment, outcome, status=writer.status)
         return outcome
 
+    def _count_send(self, call: Call) -> None:
+        if not call.sends:
+            # The entry whose servers get the request counts it for their budget.
+            self._fleet.on_request(call)
+        call.sends += 1
+
     def _record_served(self, call: Call, writer: ResponseWriter) -> None:
         if writer.status < FIRST_ERROR_STATUS:
             self._quarantine.on_served(call)
@@ -113,7 +181,8 @@
         if not outcome.lost_at_start:
             return
         server = assignment.load.server
-        if self._pool.is_refused(server.server_id, server.address):
+        is_refused = self._pool.is_refused(server.server_id, server.address)
+        if is_refused and self._fleet.paths.reaches_another(server):
             self._quarantine.on_crash(call, server)
 
     def _acquire_checked(self, call: Call) -> Assignment:
@@ -146,9 +215,16 @@
             raise self._rejection(
                 call, 'no place in time', OVERLOAD_RETRY_AFTER_MS
             ) from error
+        except PathLostError:
+            raise
         except OverloadError as error:
             self._log_overload(call, queue, error)
-            raise self._rejection(call, str(error), error.retry_after_ms) from error
+            raise self._rejection(
+                call,
+                str(error),
+                error.retry_after_ms,
+                is_elsewhere=isinstance(error, NoServerError),
+            ) from error
         finally:
             queue.withdraw(waiter)
             if assignment is None and assigned.successful():
@@ -158,17 +234,29 @@
         return assignment
 
     def _rejection(
-        self, call: Call, reason: str, retry_after_ms: float
+        self,
+        call: Call,
+        reason: str,
+        retry_after_ms: float,
+        *,
+        is_elsewhere: bool = False,
     ) -> GatewayFailureError:
         # A 503 states that the request did not run.
         if call.runs or call.first_byte_ms is not None:
             return GatewayFailureError(BAD_GATEWAY, reason)
-        return GatewayFailureError(UNAVAILABLE, reason, retry_after_ms=retry_after_ms)
+        return GatewayFailureError(
+            UNAVAILABLE,
+            reason,
+            retry_after_ms=retry_after_ms,
+            is_elsewhere=is_elsewhere,
+        )
 
     def _can_fail_over(self, call: Call, assignment: Assignment) -> bool:
-        if not call.may_repeat or call.runs + 1 >= call.route.max_attempts:
+        # One attempt is for this exchange.
+        if not call.may_repeat or call.attempts_left <= 1:
             return False
-        return self._fleet.queue(call.service_id).has_other_server(assignment)
+        has_other = self._fleet.queue(call.service_id).has_other_server(assignment)
+        return has_other or self._delegates.has_offer(call)
 
     def _should_retry(self, call: Call, outcome: Outcome) -> bool:
         now_ms = self._clock.monotonic_ms()
@@ -180,7 +268,7 @@
         if outcome.ending is Ending.NOT_RUN:
             allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
         else:
-            allowed = call.may_repeat and call.runs < call.route.max_attempts
+            allowed = call.may_repeat and call.attempts_left > 0
         return allowed and self._fleet.try_retry(call)
 
     def _finish_failed(
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -4,12 +4,13 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.call import Call, CallFields, Delegation
 from marjoramfall.gateway.caller_connection import (
     CallerGoneError,
     RequestHandler,
     ResponseWriter,
 )
+from marjoramfall.gateway.delegation.messages import failure_headers
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import pick_weighted
 from marjoramfall.gateway.forwarder import Forwarder
@@ -72,22 +73,49 @@
 
     def handle(self, head: RequestHead, body: bytes, writer: ResponseWriter) -> None:
         """Answer one request, with 502 if the gateway itself fails."""
+        self._answer(head, body, writer, None)
+
+    def handle_delegated(
+        self,
+        head: RequestHead,
+        body: bytes,
+        writer: ResponseWriter,
+        delegation: Delegation,
+    ) -> None:
+        """Answer a request that a peer has accepted from its caller."""
+        self._answer(head, body, writer, delegation)
+
+    def _answer(
+        self,
+        head: RequestHead,
+        body: bytes,
+        writer: ResponseWriter,
+        delegation: Delegation | None,
+    ) -> None:
         received_ms = self._clock.monotonic_ms()
         self.in_flight += 1
         try:
-            self._handle(head, body, writer, received_ms)
+            self._handle(head, body, writer, received_ms, delegation)
         except CallerGoneError:
             raise
         except Exception:
             logger.exception('unhandled exception while serving a request')
             self._send_failure(
-                writer, '', GatewayFailureError(BAD_GATEWAY, 'internal fault')
+                writer,
+                '',
+                GatewayFailureError(BAD_GATEWAY, 'internal fault'),
+                is_delegated=delegation is not None,
             )
         finally:
             self.in_flight -= 1
 
     def _handle(
-        self, head: RequestHead, body: bytes, writer: ResponseWriter, received_ms: float
+        self,
+        head: RequestHead,
+        body: bytes,
+        writer: ResponseWriter,
+        received_ms: float,
+        delegation: Delegation | None,
     ) -> None:
         try:
             fields = self._dialect.read_fields(head)
@@ -98,13 +126,16 @@
         call: Call | None = None
         ending = 'left'
         try:
-            call = self._admit(head, body, fields, received_ms)
+            call = self._admit(head, body, fields, received_ms, delegation)
             self._check_deadline(call)
             ending = self._serve(call, writer)
         except GatewayFailureError as failure:
             ending = failure.code
             self._send_failure(
-                writer, fields.attempt_id, self._cap_retry_after(failure, call)
+                writer,
+                fields.attempt_id,
+                self._cap_retry_after(failure, call),
+                is_delegated=delegation is not None,
             )
         finally:
             self._record_end(fields, call, writer, ending, received_ms)
@@ -112,11 +143,15 @@
     def _check_deadline(self, call: Call) -> None:
         if call.deadline_ms > self._latest_deadline_ms:
             raise GatewayFailureError(
-                UNAVAILABLE, 'stopping', retry_after_ms=STOPPING_RETRY_AFTER_MS
+                UNAVAILABLE,
+                'stopping',
+                retry_after_ms=STOPPING_RETRY_AFTER_MS,
+                is_elsewhere=True,
             )
 
     def _serve(self, call: Call, writer: ResponseWriter) -> str:
-        limit = self._limits.find(call.team)
+        # The entry that accepted a delegated request has counted it.
+        limit = None if call.is_delegated else self._limits.find(call.team)
         if limit is None:
             return self._forwarder.forward(call, writer)
         limit.refill(self._clock.monotonic_ms(), self._peers.unresponsive_share())
@@ -136,14 +171,21 @@
             raise
 
     def _admit(
-        self, head: RequestHead, body: bytes, fields: CallFields, received_ms: float
+        self,
+        head: RequestHead,
+        body: bytes,
+        fields: CallFields,
+        received_ms: float,
+        delegation: Delegation | None,
     ) -> Call:
         config = self._registry.config
-        if config is None:
+        known_elsewhere = delegation.config_version if delegation else 0
+        if config is None or config.version < known_elsewhere:
             raise GatewayFailureError(
                 UNAVAILABLE,
                 'not configured yet',
                 retry_after_ms=NOT_CONFIGURED_RETRY_AFTER_MS,
+                is_elsewhere=True,
             )
         route = config.find_route(fields.host, fields.path)
         if route is None:
@@ -159,10 +201,11 @@
             received_ms=received_ms,
             route=route,
             team=team,
-            service_id=_choose_service(route),
+            service_id=_choose_service(route, delegation),
             config_version=config.version,
             deadline_ms=received_ms + timeout_ms,
             last_event_id=fields.last_event_id,
+            delegation=delegation,
         )
 
     def _current_config_version(self) -> int:
@@ -180,12 +223,21 @@
         return failure
 
     def _send_failure(
-        self, writer: ResponseWriter, attempt_id: str, failure: GatewayFailureError
+        self,
+        writer: ResponseWriter,
+        attempt_id: str,
+        failure: GatewayFailureError,
+        *,
+        is_delegated: bool = False,
     ) -> None:
         if writer.has_begun:
             return
         headers = self._dialect.rejection_headers(attempt_id, failure.retry_after_ms)
         headers.append((b'content-type', b'application/json'))
+        if is_delegated:
+            headers.extend(
+                failure_headers(failure.code, is_elsewhere=failure.is_elsewhere)
+            )
         body = msgspec.json.encode({'error': failure.code})
         writer.send_response(failure.status, headers, body)
 
@@ -213,6 +265,8 @@
             else self._current_config_version(),
             status=writer.status,
             ending=str(ending),
+            is_delegated=call.is_delegated if call else False,
+            delegates=sorted(call.tried_delegates) if call else [],
             sends=call.sends if call else 0,
             runs=call.runs if call else 0,
             first_ms=first_ms,
@@ -246,7 +300,12 @@
     ).warning('team limit reached')
 
 
-def _choose_service(route: Route) -> str:
+def _choose_service(route: Route, delegation: Delegation | None) -> str:
+    """Return the service of a new request, or the one that a peer has chosen."""
+    if delegation is not None:
+        service_ids = {service.service_id for service in route.services}
+        if delegation.service_id in service_ids:
+            return delegation.service_id
     if len(route.services) == 1:
         return route.services[0].service_id
     index = pick_weighted([service.weight for service in route.services])
--- a/marjoramfall/gateway/group_digest.py
+++ b/marjoramfall/gateway/group_digest.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from marjoramfall.gateway.crash_report import EvidenceReport
+from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.peer_state import (
     LimitUse,
     MoveReport,
@@ -68,6 +69,8 @@
     # Absent unless there are crashes to report.
     crash_evidence: EvidenceReport | None = None
     server_limits: list[ServerLimitReport] = []
+    # Some of the entries that serve requests of others.
+    offers: list[DelegateOffer] = []
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/outcome.py
+++ b/marjoramfall/gateway/outcome.py
@@ -54,9 +54,16 @@
     """Make the gateway answer a request with its own error response."""
 
     def __init__(
-        self, status: int, code: str, *, retry_after_ms: float | None = None
+        self,
+        status: int,
+        code: str,
+        *,
+        retry_after_ms: float | None = None,
+        is_elsewhere: bool = False,
     ) -> None:
+        """Create the error; `is_elsewhere` says that another entry may serve it."""
         super().__init__(code)
+        self.is_elsewhere = is_elsewhere
         self.status = status
         self.code = code
         self.retry_after_ms = retry_after_ms
--- a/marjoramfall/gateway/own_load.py
+++ b/marjoramfall/gateway/own_load.py
@@ -1,6 +1,6 @@
 """Report the load of this entry to its peers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peer_state import (
@@ -29,11 +29,14 @@
         peers: PeerTable,
         load_by_id: Mapping[str, ServerLoad],
         queue_by_service: Mapping[str, ServiceQueue],
+        *,
+        is_path_lost: Callable[[str], bool],
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._load_by_id = load_by_id
         self._queue_by_service = queue_by_service
+        self._is_path_lost = is_path_lost
 
     def uses(self) -> list[ServerUse]:
         """Return the running requests and pending prefill tokens by server."""
@@ -52,12 +55,16 @@
         ]
 
     def unreachable_server_ids(self) -> list[str]:
-        """Return the servers that this entry recently failed to reach."""
+        """Return the servers that this entry recently failed to reach.
+
+        An entry that has lost the path to all of a service knows nothing of them.
+        """
         now_ms = self._clock.monotonic_ms()
         return [
             server_id
             for server_id, load in self._load_by_id.items()
             if load.is_recently_unreachable(now_ms)
+            and not self._is_path_lost(load.server.service_id)
         ]
 
     def speeds(self) -> list[ServerSpeed]:
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peer_state.py
@@ -108,6 +108,10 @@
     # Absent unless there are crashes to report.
     crash_evidence: EvidenceReport | None = None
     server_limits: list[ServerLimitReport] = []
+    # Where the entry serves requests of peers, empty if it does not, and the services
+    # whose servers it reaches.
+    delegation_address: str = ''
+    reached_service_ids: list[str] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/service_queue.py
@@ -43,6 +43,14 @@
         self.retry_after_ms = retry_after_ms
 
 
+class NoServerError(OverloadError):
+    """Raised when this entry knows no server that may get the request."""
+
+
+class PathLostError(OverloadError):
+    """Raised when this entry no longer reaches the servers of the service."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerWaiter:
     """Hold the sort key of a request that waits at a peer."""
@@ -102,7 +110,7 @@
         now_ms = self._clock.monotonic_ms()
         self._refill_limits(now_ms)
         if not self._eligible_loads(waiter.demand):
-            raise OverloadError('no server', retry_after_ms=self._service_time_ms)
+            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
         if usable:
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -114,6 +114,17 @@
         first_line = call.head.method + b' ' + call.head.target + b' HTTP/1.1'
         return encode_head(first_line, headers) + call.body
 
+    def delegated_headers(self, call: Call, remaining_ms: float) -> list[Header]:
+        """Return the caller's headers with its key and the remaining time, in ms."""
+        headers = list(call.fields.headers)
+        headers.append((DEADLINE, str(max(1, int(remaining_ms))).encode()))
+        if call.fields.api_key is not None:
+            key = call.fields.api_key.encode('latin-1')
+            headers.append((AUTHORIZATION, BEARER + key))
+        if call.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, call.last_event_id))
+        return headers
+
     def expected_header(self, call: Call) -> ExpectedHeader:
         """Return the attempt id header, which a backend server echoes."""
         return ExpectedHeader(ATTEMPT_ID, call.fields.attempt_id.encode('latin-1'))
--- a/marjoramfall/platform/settings.py
+++ b/marjoramfall/platform/settings.py
@@ -11,6 +11,9 @@
 SETTINGS_VARIABLE = 'MARJORAMFALL_NODE_FILE'
 
 
+INTERNAL_PORTS = 'internalPorts'
+
+
 class _Listen(msgspec.Struct, rename='camel'):
     front: str
     ready: str
@@ -37,7 +40,7 @@
     ip: str = msgspec.field(name='ip')
     # The users' page says zone for what this project calls a data centre.
     data_centre: str = msgspec.field(name='zone')
-    internal_ports: tuple[int, int] = msgspec.field(name='internalPorts')
+    internal_ports: tuple[int, int] = msgspec.field(name=INTERNAL_PORTS)
     listen: _Listen = msgspec.field(name='listen')
     store: _Store = msgspec.field(name='platform')
     # True only at the first start of the whole system.
@@ -63,6 +66,11 @@
 LIMIT_TOLERANCE_SHARE = 0.3
 
 
+def has_one_port(ports: object) -> bool:
+    """Return whether a range of ports holds just one."""
+    return isinstance(ports, list) and len(ports) == 2 and ports[0] == ports[1]
+
+
 def settings_path() -> str:
     """Return the path of the settings file from the environment."""
     return os.environ.get(SETTINGS_VARIABLE, '/etc/marjoramfall/settings.toml')
@@ -93,6 +101,8 @@
             msgspec.convert(document[field.encode_name], field.type)
         except msgspec.ValidationError as error:
             yield f'{field.encode_name}: {error}'
+    if has_one_port(document.get(INTERNAL_PORTS)):
+        yield f'{INTERNAL_PORTS}: at least two ports are needed'
 
 
 def _to_settings(decoded: _Settings) -> GatewaySettings:
@@ -107,6 +117,7 @@
         ready_address=decoded.listen.ready,
         metrics_address=metrics,
         is_first_start=decoded.is_first_start,
+        delegation_address=f'{decoded.ip}:{decoded.internal_ports[0] + 1}',
         bounds=EntryBounds(
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -11,7 +11,7 @@
 nodeName = "{vm}"
 ip = "{ip}"
 zone = "{zone}"
-internalPorts = [{peer_port},{peer_port}]
+internalPorts = [{peer_port},{delegation_port}]
 [listen]
 front = "{ip}:{front_port}"
 ready = "{ip}:{ready_port}"
@@ -43,7 +43,8 @@
             front_port=base_port,
             ready_port=base_port + 1,
             peer_port=base_port + 2,
-            metrics_port=base_port + 3,
+            delegation_port=base_port + 3,
+            metrics_port=base_port + 4,
             store=store,
         )
         self._settings_path = directory / f'{self.vm}.toml'
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -78,6 +78,7 @@
             ready_address=free_address(),
             metrics_address=free_address(),
             is_first_start=True,
+            delegation_address=free_address(),
             bounds=bounds,
         )
         return Entry(
@@ -97,7 +98,7 @@
                 sleep(PAUSE_S)
             else:
                 break
-        self.wait_for(lambda: not self.entry._callers.connections)
+        self.wait_for(lambda: not self.entry._listeners.callers.connections)
 
     def wait_for(self, condition):
         """Wait until the condition holds, at most for 5 s."""
@@ -118,7 +119,7 @@
         """Guards against resetting requests that wait in the listener's backlog."""
         self.entry.begin_stop()
         # Connections that arrive now stay in the backlog until the process exits.
-        self.entry._callers.stop_accepting()
+        self.entry._listeners.callers.stop_accepting()
         callers = [self.connect() for _ in range(8)]
         for caller in callers:
             caller.sendall(REQUEST)
@@ -139,8 +140,8 @@
     def test_kept_connection(self):
         """Guards against closing a connection whose next request was received."""
         caller = self.connect()
-        self.wait_for(lambda: self.entry._callers.connections)
-        accepted = self.entry._callers.connections[0]
+        self.wait_for(lambda: self.entry._listeners.callers.connections)
+        accepted = self.entry._listeners.callers.connections[0]
         self.wait_for(lambda: accepted.is_idle)
         caller.sendall(REQUEST)
         self.assertFalse(accepted.is_idle)
