Take no server record that ends the task which reads it

Cause: JSON nested 100,000 deep ends the decoder with RecursionError, which the watch of the store does not catch, so that its task ends.

Change: one decoder for all JSON of the store, which reports each of these as an invalid record. A server is taken only with an IPv4 address and a port, counts of 64 bits and an id that a header can hold. Rows of entries, moves and the quarantine are decoded the same way.

--- /dev/null
+++ b/marjoramfall/platform/json_records.py
@@ -0,0 +1,36 @@
+"""Decode JSON that any writer may have left in the store."""
+
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, TypeVar
+
+import msgspec
+
+Record = TypeVar('Record')
+LAST_PORT = 65_535
+MAX_SHOWN_CHARS = 20
+# Counts and times in ms that any message between entries can hold.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class InvalidRecordError(Exception):
+    """Report a record that is malformed or has invalid values."""
+
+
+def decode_record(encoded: bytes, record: type[Record]) -> Record:
+    """Decode and validate a record; raises `InvalidRecordError`."""
+    try:
+        return msgspec.json.decode(encoded, type=record)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidRecordError(str(error)) from error
+
+
+def check_address(address: str) -> None:
+    """Raise `InvalidRecordError` unless this is an IPv4 address with a port."""
+    host, _, port = address.rpartition(':')
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise InvalidRecordError(f'invalid host: {error}') from error
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(LAST_PORT))
+    if not is_number or not 1 <= int(port) <= LAST_PORT:
+        raise InvalidRecordError(f'invalid port {port[:MAX_SHOWN_CHARS]!r}')
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -8,6 +8,11 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peer_table import Member, PeerTable
 from marjoramfall.gateway.revision import era_of
+from marjoramfall.platform.json_records import (
+    InvalidRecordError,
+    check_address,
+    decode_record,
+)
 from marjoramfall.platform.store import Row, StoreClient, StoreError
 
 ENTRY_TABLE = 'entries'
@@ -93,8 +98,9 @@
 
     def _add_peer(self, row: Row) -> None:
         try:
-            record = msgspec.json.decode(row.content or b'', type=_EntryRecord)
-        except msgspec.DecodeError as error:
+            record = decode_record(row.content or b'', _EntryRecord)
+            check_address(record.address)
+        except InvalidRecordError as error:
             logger.bind(vm=row.key, details=str(error)).warning('invalid entry record')
             return
         self._peers.add_member(row.key, Member(record.address, record.data_centre))
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -9,6 +9,7 @@
 from marjoramfall.gateway.peer_table import PeerTable
 from marjoramfall.gateway.revision import era_of, number_of
 from marjoramfall.gateway.version_moves import Move, Phase, VersionMoves
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 STATUS_TABLE = 'status'
@@ -151,8 +152,8 @@
 
 def _decode_status(row: Row | None) -> _Status | None:
     try:
-        return msgspec.json.decode(row.content or b'', type=_Status) if row else None
-    except msgspec.DecodeError as error:
+        return decode_record(row.content or b'', _Status) if row else None
+    except InvalidRecordError as error:
         logger.bind(key=row.key, details=str(error)).warning(
             'invalid move status record'
         )
--- a/marjoramfall/platform/quarantine_record.py
+++ b/marjoramfall/platform/quarantine_record.py
@@ -8,6 +8,7 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.crash_report import CrashReport, EvidenceReport
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 QUARANTINE_TABLE = 'quarantine'
@@ -133,8 +134,8 @@
 
 def _decode_record(row: Row) -> _EvidenceRecord | None:
     try:
-        return msgspec.json.decode(row.content or b'', type=_EvidenceRecord)
-    except msgspec.DecodeError as error:
+        return decode_record(row.content or b'', _EvidenceRecord)
+    except InvalidRecordError as error:
         logger.bind(key=row.key, details=str(error)).warning(
             'invalid quarantine record'
         )
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -1,9 +1,5 @@
 """Decode and validate the records of operators and backend servers."""
 
-from typing import TypeVar
-
-import msgspec
-
 from marjoramfall.gateway.model import (
     BackendServer,
     CallerLimits,
@@ -16,6 +12,11 @@
     WeightedService,
     group_routes,
 )
+from marjoramfall.platform.json_records import (
+    InvalidRecordError,
+    check_address,
+    decode_record,
+)
 from marjoramfall.platform.wire_records import (
     WireConfig,
     WireRollout,
@@ -27,16 +28,12 @@
 
 LEAVING = 'draining'
 READY = 'ready'
-Record = TypeVar('Record')
-
-
-class InvalidRecordError(Exception):
-    """Report a record that is malformed or has invalid values."""
+MAX_SLOTS = 1_000_000
 
 
 def decode_configuration(encoded: bytes) -> Configuration:
     """Decode the operator's configuration; raises `InvalidRecordError`."""
-    config = _decode(encoded, WireConfig)
+    config = decode_record(encoded, WireConfig)
     teams = [(wire_team, _to_team(wire_team)) for wire_team in config.tenants]
     return Configuration(
         version=config.version,
@@ -57,14 +54,8 @@
 
 def decode_server(server_id: str, encoded: bytes) -> BackendServer:
     """Decode the registration of a backend server; raises `InvalidRecordError`."""
-    record = _decode(encoded, WireServer)
-    if record.state not in {READY, LEAVING} or record.slots < 1:
-        raise InvalidRecordError(
-            f'unknown state {record.state!r} or fewer than one slot'
-        )
-    host, separator, port = record.address.rpartition(':')
-    if not (host and separator and port.isdigit()):
-        raise InvalidRecordError(f'invalid address {record.address!r}')
+    record = decode_record(encoded, WireServer)
+    _check_server(server_id, record)
     return BackendServer(
         server_id=server_id,
         service_id=record.service,
@@ -79,19 +70,24 @@
     )
 
 
+def _check_server(server_id: str, record: WireServer) -> None:
+    """Raise `InvalidRecordError` unless requests can be sent to the server."""
+    # The id and the version are sent in headers.
+    if not (server_id.isascii() and server_id.isprintable()):
+        raise InvalidRecordError(f'invalid server id {server_id!r}')
+    if record.state not in {READY, LEAVING} or not 1 <= record.slots <= MAX_SLOTS:
+        raise InvalidRecordError(
+            f'unknown state {record.state!r} or number of slots {record.slots}'
+        )
+    check_address(record.address)
+
+
 def decode_move(encoded: bytes, revision: int) -> VersionMove:
     """Decode the order for a version move of a service; raises `InvalidRecordError`."""
-    order = _decode(encoded, WireRollout)
+    order = decode_record(encoded, WireRollout)
     return VersionMove(order.service, order.to, order.duration_s, revision)
 
 
-def _decode(encoded: bytes, record: type[Record]) -> Record:
-    try:
-        return msgspec.json.decode(encoded, type=record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidRecordError(str(error)) from error
-
-
 def _to_route(wire: WireRoute) -> Route:
     splits = [
         WeightedService(split.service, split.weight) for split in wire.traffic_split
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -16,6 +16,7 @@
 )
 from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
 from marjoramfall.gateway.revision import era_of, make_revision, number_of
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
@@ -251,8 +252,8 @@
 
 def _decode_rows(answer: _Answer) -> _WireRows:
     try:
-        return msgspec.json.decode(answer.body, type=_WireRows)
-    except msgspec.DecodeError as error:
+        return decode_record(answer.body, _WireRows)
+    except InvalidRecordError as error:
         raise StoreError(f'invalid response: {error}') from error
 
 
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from marjoramfall.platform.json_records import Count
+
 DEFAULT_SLOTS = 4
 
 
@@ -90,9 +92,9 @@
     slots: int = DEFAULT_SLOTS
     cold_remaining_ms: float = 0
     # A time in ms that tells the incarnations of a server id apart.
-    born: int = 0
+    born: Count = 0
     # Rises with each report of this incarnation.
-    seq: int = 0
+    seq: Count = 0
 
 
 class WireRollout(msgspec.Struct, rename='camel'):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -313,12 +313,29 @@
             {'address': 7},
             {'slots': 0},
             {'born': 'yesterday'},
+            {'born': 2**64},
+            {'seq': 2**64},
+            {'slots': 2**64},
+            {'address': '10.128.0.9:99999'},
+            {'address': '10.128.0.9:0'},
+            {'address': '10.128.0.9:²'},
+            {'address': '10.128.0.9:' + '8' * 5000},
+            {'address': 'backend.example:8080'},
             {'service': None},
         ):
             with self.assertRaises(InvalidRecordError):
                 decode_server('i-1', msgspec.json.encode({**SERVER, **change}))
         with self.assertRaises(InvalidRecordError):
             decode_server('i-1', b'\xff\xfe')
+        with self.assertRaises(InvalidRecordError):
+            decode_server('i-1\r\nX: y', msgspec.json.encode(SERVER))
+
+    def test_deep_nesting(self):
+        """Guards against a field of another writer that ends the reading task."""
+        nested = b'[' * 100_000 + b']' * 100_000
+        encoded = msgspec.json.encode(SERVER)[:-1] + b',"x":' + nested + b'}'
+        with self.assertRaises(InvalidRecordError):
+            decode_server('i-1', encoded)
 
     @given(st.binary(max_size=60))
     def test_arbitrary_bytes(self, content):
