Answer unfinished requests before a stopping entry exits

Here a request that came in the first 2.6 s of a stop, with a deadline past the grace, was cut like that.

Cause: the process exits at the end of the grace whatever is still running.

Change: at the end of the grace the work on each unfinished request is stopped, and its caller gets 502, or 503 if it was sent to no server yet. Later requests were already refused if their deadline is past the grace.

Evidence: test_unfinished_request fails before (no byte received) and passes; test_late_request, a posting whose deadline is just before the exit, passes before and after.

--- a/marjoramfall/gateway/caller_connection.py
+++ b/marjoramfall/gateway/caller_connection.py
@@ -47,6 +47,10 @@
     """Stop the work on a request whose caller has disconnected."""
 
 
+class EntryStopsError(GreenletExit):
+    """Stop the work on a request as the process is about to exit."""
+
+
 class ResponseWriter:
     """Write the response to one request of a caller."""
 
@@ -200,6 +204,11 @@
         finally:
             self._clean_up()
 
+    def end_work(self) -> None:
+        """Let the handler answer a request at once that is still being served."""
+        if self._worker is not None:
+            self._worker.kill(EntryStopsError, block=False)
+
     def close(self) -> None:
         """Close the socket; may be called twice."""
         self._is_closed = True
--- a/marjoramfall/gateway/caller_listener.py
+++ b/marjoramfall/gateway/caller_listener.py
@@ -52,6 +52,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def end_work(self) -> None:
+        """Let all requests be answered at once that are still being served."""
+        for connection in self.connections:
+            connection.end_work()
+
     def close(self) -> None:
         """Serve what waits in the backlog and close the listener."""
         self._server.stop_accepting()
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -42,6 +42,8 @@
 STOP_MARGIN_MS = 250
 # Time for the answers to the last callers that were accepted, within this margin.
 LAST_ANSWERS_MS = 100
+# Time to tell the callers of unfinished requests that these have failed.
+LAST_FAILURES_MS = 50
 
 
 class Entry(PeerListener):
@@ -289,4 +291,6 @@
         self._listeners.close()
         if self._listeners.has_connections:
             self._clock.sleep_ms(LAST_ANSWERS_MS)
+            self._listeners.end_work()
+            self._clock.sleep_ms(LAST_FAILURES_MS)
         self._stopped.set()
--- a/marjoramfall/gateway/entry_listeners.py
+++ b/marjoramfall/gateway/entry_listeners.py
@@ -38,6 +38,11 @@
         self.callers.close_idle()
         self._peers.close_idle()
 
+    def end_work(self) -> None:
+        """Let all requests be answered at once that are still being served."""
+        self.callers.end_work()
+        self._peers.end_work()
+
     def close(self) -> None:
         """Serve what waits in the backlogs and stop listening."""
         self.callers.close()
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -7,6 +7,7 @@
 from marjoramfall.gateway.call import Call, CallFields, Delegation
 from marjoramfall.gateway.caller_connection import (
     CallerGoneError,
+    EntryStopsError,
     RequestHandler,
     ResponseWriter,
 )
@@ -130,16 +131,29 @@
             self._check_deadline(call)
             ending = self._serve(call, writer)
         except GatewayFailureError as failure:
-            ending = failure.code
-            self._send_failure(
-                writer,
-                fields.attempt_id,
-                self._cap_retry_after(failure, call),
-                is_delegated=delegation is not None,
-            )
+            ending = self._refuse(call, fields, writer, delegation, failure)
+        except EntryStopsError:
+            failure = _failure_at_exit(call)
+            ending = self._refuse(call, fields, writer, delegation, failure)
         finally:
             self._record_end(fields, call, writer, ending, received_ms)
 
+    def _refuse(
+        self,
+        call: Call | None,
+        fields: CallFields,
+        writer: ResponseWriter,
+        delegation: Delegation | None,
+        failure: GatewayFailureError,
+    ) -> str:
+        self._send_failure(
+            writer,
+            fields.attempt_id,
+            self._cap_retry_after(failure, call),
+            is_delegated=delegation is not None,
+        )
+        return failure.code
+
     def _check_deadline(self, call: Call) -> None:
         if call.deadline_ms > self._latest_deadline_ms:
             raise GatewayFailureError(
@@ -288,6 +302,15 @@
     return team
 
 
+def _failure_at_exit(call: Call | None) -> GatewayFailureError:
+    """Return the answer to a request that is unfinished when the process exits."""
+    if call is None or not call.runs:
+        return GatewayFailureError(
+            UNAVAILABLE, 'stopped', retry_after_ms=STOPPING_RETRY_AFTER_MS
+        )
+    return GatewayFailureError(BAD_GATEWAY, 'stopped')
+
+
 def _log_limit(call: Call, limit: SharedLimit) -> None:
     logger.bind(
         request=call.fields.attempt_id,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,12 +10,14 @@
 
 from marjoramfall.clock import RuntimeClock
 from marjoramfall.gateway import entry as entry_module
+from marjoramfall.gateway.backend_connection import has_input
 from marjoramfall.gateway.entry import Entry
 from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
+from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.registry import ServerChange
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_case import ATTEMPT, TIMEOUT_S, answer
-from tests.gateway_fakes import make_config, make_server
+from tests.gateway_fakes import make_config, make_route, make_server
 from tests.scripted_backend import ScriptedBackend
 
 REQUEST = (
@@ -146,6 +148,52 @@
         caller.sendall(REQUEST)
         self.assertFalse(accepted.is_idle)
 
+    def test_unfinished_request(self):
+        """Guards against a posting cut off with no answer at the end of the grace."""
+        self.use_hanging_server()
+        caller = self.post(deadline_ms=9000)
+        self.entry.begin_stop()
+        self.assertIn(b'HTTP/1.1 502', self.receive_until_exit(caller))
+
+    def test_late_request(self):
+        """Guards against a request taken late in the grace and cut at its end.
+
+        Its deadline is just before the exit of the process, and its server's own
+        error is awaited for a moment longer.
+        """
+        self.use_hanging_server()
+        self.post(deadline_ms=9000)
+        self.entry.begin_stop()
+        sleep(1)
+        caller = self.post(deadline_ms=2700)
+        self.assertIn(b'HTTP/1.1 50', self.receive_until_exit(caller))
+
+    def use_hanging_server(self):
+        """Replace the server by one that never answers."""
+        post = make_route('post', RepeatRule.AT_MOST_ONCE, timeout_ms=9000)
+        self.entry.registry.put_config(make_config(2, routes=(post,)), 2)
+        hanging = ScriptedBackend(lambda exchange: sleep(TIMEOUT_S))
+        self.addCleanup(hanging.stop)
+        change = ServerChange('s1', make_server('s1', address=hanging.address), 2)
+        self.entry.registry.apply_changes([change], 2)
+
+    def post(self, *, deadline_ms):
+        """Send a posting and return its connection."""
+        caller = self.connect()
+        deadline = f'Marjoramfall-Deadline-Ms: {deadline_ms}'
+        caller.sendall(
+            f'POST /post/1 HTTP/1.1\r\nHost: a.example\r\n{deadline}\r\n'
+            f'{ATTEMPT}: a-1\r\nAuthorization: Bearer key-1\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+        return caller
+
+    def receive_until_exit(self, caller):
+        """Return what a caller has got when the process exits."""
+        self.runner.join(TIMEOUT_S)
+        self.assertTrue(self.runner.ready())
+        return caller.recv(65536) if has_input(caller) else b''
+
     def ask_until_exit(self, cut):
         """Send requests on new connections and note those without an answer."""
         while True:
