Let a dead peer be noticed by several probes, not by one

What callers saw: nothing yet; the users' pages say that a user timeout also decides when keep-alive probes give up, and that a sound engine may be silent for a second or so.

Cause: TCP_USER_TIMEOUT was 2 s beside probes after 1 s, of which two, 1 s apart, were to fail. Linux then ends a connection 2 s after the last byte with one probe unanswered: a server that pauses for 1.1 s from the wrong moment on loses its connections, and a posting on one of them is answered with 502.

Evidence: test_user_timeout fails before (2000 < 3000).

--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -42,7 +42,12 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
-UNACKNOWLEDGED_TIMEOUT_MS = 2000
+# Linux ends a connection after this time with a single probe unanswered, whatever
+# the count, so that a shorter one would end it while a peer pauses for a second.
+USER_TIMEOUT_MS = MS_PER_SECOND * (
+    KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S
+)
+SEND_TIMEOUT_MS = 2000
 # Idle connections expire this long before the server's own keep-alive timeout.
 IDLE_MARGIN_MS = 800
 DEFAULT_IDLE_TIMEOUT_MS = 4000
@@ -83,7 +88,7 @@
     connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
-    connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 def has_input(connection: socket.socket) -> bool:
@@ -168,7 +173,7 @@
         if only part of the request was sent.
         """
         self._parser.expects_body = expects_body
-        self._socket.settimeout(UNACKNOWLEDGED_TIMEOUT_MS / MS_PER_SECOND)
+        self._socket.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
         try:
             sent = self._socket.send(message)
         except OSError as error:
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -1,13 +1,22 @@
 """Test what a connection to a backend server tells of the path to it."""
 
 import unittest
+from socket import (
+    IPPROTO_TCP,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
 
-from gevent import event
+from gevent import event, socket
 from gevent.server import StreamServer
 
+from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.backend_connection import (
     BackendConnection,
     ServerTimeoutError,
+    configure_socket,
 )
 
 TIMEOUT_MS = 100
@@ -48,3 +57,22 @@
         """Guards against blaming a server for a request that has not arrived."""
         error = self.time_out(bytes(HUGE_BODY_BYTES))
         self.assertFalse(error.was_received)
+
+
+class TestDeadPeerDetection(unittest.TestCase):
+    """A dead peer is noticed by several probes, not by a single one."""
+
+    def test_user_timeout(self):
+        """Guards against connections that end while a sound server is silent.
+
+        A user timeout also decides when keep-alive probes give up.
+        """
+        with socket.socket() as connection:
+            configure_socket(connection)
+            probing_s = connection.getsockopt(IPPROTO_TCP, TCP_KEEPIDLE)
+            probes = connection.getsockopt(IPPROTO_TCP, TCP_KEEPCNT)
+            interval_s = connection.getsockopt(IPPROTO_TCP, TCP_KEEPINTVL)
+            user_timeout_ms = connection.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT)
+        self.assertGreaterEqual(
+            user_timeout_ms, MS_PER_SECOND * (probing_s + probes * interval_s)
+        )
