Log, not raise, in the greenlet that sends the rest of a request

What operators saw: a traceback on standard error ('Greenlet ... failed with ConnectionLostError') when a connection was closed while the rest of a large request was still being sent.

Cause: the greenlet told itself from the caller by a field that the close clears.

Change: a method of its own for the greenlet, with a log line.

Evidence: the traceback is gone from the run of tests.test_backend_connection, test_gateway_path, test_server_faults and test_server_notices (53 pass).

--- a/marjoramfall/gateway/backend_connection.py
+++ b/marjoramfall/gateway/backend_connection.py
@@ -18,7 +18,7 @@
     TCP_USER_TIMEOUT,
 )
 
-from gevent import Greenlet, getcurrent, socket, spawn
+from gevent import Greenlet, socket, spawn
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND
@@ -180,7 +180,7 @@
             raise NotReachedError(f'{self.address}: {error}') from error
         unsent = message[sent:]
         if len(unsent) > CONCURRENT_SEND_BYTES:
-            self._sender = spawn(self._send_remaining, unsent)
+            self._sender = spawn(self._send_beside_reader, unsent)
         elif unsent:
             self._send_remaining(unsent)
 
@@ -275,11 +275,17 @@
         try:
             self._socket.sendall(unsent)
         except OSError as error:
-            # The greenlet that reads gets a response, an error or a timeout.
-            if getcurrent() is self._sender:
-                return
             raise ConnectionLostError(str(error)) from error
 
+    def _send_beside_reader(self, unsent: bytes) -> None:
+        try:
+            self._send_remaining(unsent)
+        except ConnectionLostError as error:
+            # The greenlet that reads gets a response, an error or a timeout.
+            logger.bind(address=self.address, details=str(error)).debug(
+                'the rest of a request was not sent'
+            )
+
     def _receive(self, timeout_s: float) -> None:
         if timeout_s <= 0:
             raise self._timeout_error()
