Offer paths that quiet services have, and spare the last peer of a group

What callers saw: nothing yet; found while reading the change to delegation.

Cause: an entry offered only services that had answered within 3 s, so that nobody offers one that is hardly used; one reachable peer of a group would get the requests of all others; and an exchange with the only server was given up early because a peer offers help, which ended in 502.

Change: an entry also offers a service that has answered before if no request has failed since; peers of other groups help where fewer than three of the own one do; only a request that would be delegated now gives a server up early. What is unfinished and not sent as a peer stops may go elsewhere.

--- a/marjoramfall/gateway/delegation/delegates.py
+++ b/marjoramfall/gateway/delegation/delegates.py
@@ -13,6 +13,8 @@
 # path to the service does not count as lost yet.
 MAX_UNREACHED_SERVERS = 2
 MAX_DELEGATIONS = 3
+# Fewer peers of the group would be overloaded by the requests of all others.
+MIN_GROUP_OFFERS = 3
 
 
 class Delegates:
@@ -33,10 +35,6 @@
         offers = self._open_offers(call)
         return random.choice(offers) if offers else None
 
-    def has_offer(self, call: Call) -> bool:
-        """Return whether a peer would serve the request."""
-        return bool(self._open_offers(call))
-
     def is_live(self, vm: str) -> bool:
         """Return whether a peer was heard lately, or is of another group."""
         if not self._peers.groups.has_member(vm):
@@ -53,14 +51,20 @@
         ]
 
     def _offers(self, service_id: str) -> list[DelegateOffer]:
-        """Return the peers of the group that reach the service, or else others."""
-        in_group = list(self._group_offers(service_id))
-        return in_group or [
-            offer
-            for received in self._peers.outside.live()
-            for offer in received.digest.offers
-            if offer.service_id == service_id
-        ]
+        """Return the peers of the group that reach the service.
+
+        Those of other groups help where few are left.
+        """
+        offers = list(self._group_offers(service_id))
+        if len(offers) < MIN_GROUP_OFFERS:
+            offers.extend(self._outside_offers(service_id))
+        return offers
+
+    def _outside_offers(self, service_id: str) -> Iterator[DelegateOffer]:
+        for received in self._peers.outside.live():
+            for offer in received.digest.offers:
+                if offer.service_id == service_id:
+                    yield offer
 
     def _group_offers(self, service_id: str) -> Iterator[DelegateOffer]:
         for peer in self._peers.live_peers():
--- a/marjoramfall/gateway/delegation/service_paths.py
+++ b/marjoramfall/gateway/delegation/service_paths.py
@@ -60,12 +60,11 @@
         return self._path_by_service[service_id].is_lost
 
     def reached_service_ids(self) -> list[str]:
-        """Return the services whose servers have answered this entry lately."""
-        oldest_ms = self._clock.monotonic_ms() - RESPONSE_VALID_MS
+        """Return the services whose servers this entry is likely to reach."""
         return [
             service_id
             for service_id, path in self._path_by_service.items()
-            if not path.is_lost and self._last_response_ms(service_id) >= oldest_ms
+            if self._is_reached(service_id, path)
         ]
 
     def on_response(self, server: BackendServer, sent_ms: float) -> None:
@@ -101,6 +100,14 @@
         others.sort(key=lambda server: server.service_id == failed.service_id)
         return any(self._probe(server) for server in others[:MAX_WITNESSES])
 
+    def _is_reached(self, service_id: str, path: _Path) -> bool:
+        """Return whether servers have answered, lately or with no failure since."""
+        last_response_ms = self._last_response_ms(service_id)
+        if path.is_lost or not last_response_ms:
+            return False
+        oldest_ms = self._clock.monotonic_ms() - RESPONSE_VALID_MS
+        return last_response_ms >= oldest_ms or not path.failed_ms_by_server
+
     def _lose(self, service_id: str, path: _Path) -> None:
         path.is_lost = True
         now_ms = self._clock.monotonic_ms()
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -256,7 +256,7 @@
         if not call.may_repeat or call.attempts_left <= 1:
             return False
         has_other = self._fleet.queue(call.service_id).has_other_server(assignment)
-        return has_other or self._delegates.has_offer(call)
+        return has_other or self._delegates.choose(call) is not None
 
     def _should_retry(self, call: Call, outcome: Outcome) -> bool:
         now_ms = self._clock.monotonic_ms()
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -306,7 +306,10 @@
     """Return the answer to a request that is unfinished when the process exits."""
     if call is None or not call.runs:
         return GatewayFailureError(
-            UNAVAILABLE, 'stopped', retry_after_ms=STOPPING_RETRY_AFTER_MS
+            UNAVAILABLE,
+            'stopped',
+            retry_after_ms=STOPPING_RETRY_AFTER_MS,
+            is_elsewhere=True,
         )
     return GatewayFailureError(BAD_GATEWAY, 'stopped')
 
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -5,12 +5,14 @@
 """
 
 from functools import partial
+from unittest.mock import patch
 
 from gevent import sleep, socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
 from marjoramfall.gateway.caller_connection import CallerConnection
+from marjoramfall.gateway.delegation import service_paths
 from marjoramfall.gateway.delegation.delegates import MAX_DELEGATIONS
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.digest_builder import DigestBuilder
@@ -392,7 +394,30 @@
 
 
 class TestOffers(DelegationCase):
-    """Entries of other groups are found by digests."""
+    """Entries offer to serve requests, also to other groups."""
+
+    def test_quiet_service(self):
+        """Guards against no offers for a service that is hardly used."""
+        paths = self.fleet.paths
+        self.add_backend(answer, server_id='reached')
+        self.wait_for(lambda: b'200 OK' in self.ask('/read/1'))
+        paths.on_response(make_server('reached'), self.clock.monotonic_ms())
+        with patch.object(service_paths, 'RESPONSE_VALID_MS', -1):
+            self.assertIn(PLAIN, paths.reached_service_ids())
+            paths.on_failure(make_server('reached'))
+            self.assertNotIn(PLAIN, paths.reached_service_ids())
+
+    def test_only_server(self):
+        """Guards against giving up on the only server, as a peer offers help."""
+        changes = [
+            ServerChange(f'{PLAIN}-{number}', None, 100)
+            for number in range(SERVER_COUNT)
+        ]
+        self.registry.apply_changes(changes, 100)
+        slow = self.add_backend(lambda exchange: sleep(0.4) or answer(exchange))
+        self.add_peer().add_backend(answer)
+        self.assertIn(b'200 OK', self.ask('/read/1'))
+        self.assertEqual(len(slow.heads), 1)
 
     def test_digest(self):
         """Guards against a whole group that finds no entry with a path."""
