Pause a brittle server after it had to reject a request

What callers saw: nothing yet. The users' pages say that a brittle server falls over if it has to turn more than N requests away in a second, from all entries.

Cause of the risk: entries that do not know each other's load, after a cut, a freeze or a kill, each send a full server more, and each on its own.

Change: an entry that such a server rejects for lack of room sends it nothing for as long as it takes all entries to be rejected once at N a second, 3 s at most.

Evidence: test_few_rejections fails before (20 requests to the full server; 1 at most now).

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -91,7 +91,9 @@
         )
         self._retry_budgets = retry_budgets
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
-        self.server_notices = ServerNotices(clock, self._load_by_id.get)
+        self.server_notices = ServerNotices(
+            clock, self._load_by_id.get, entry_count=peers.entry_count
+        )
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
         self._sharing_basis: SharingBasis | None = None
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -187,10 +187,13 @@
     """Hold what a server says of itself in a response.
 
     `pause_ms` is how long it wants no requests from this entry, None if it does.
+    `rejections_per_s` is set as it rejects a request for lack of room and would fall
+    over if it had to reject more than that, from all entries together.
     """
 
     is_leaving: bool = False
     pause_ms: float | None = None
+    rejections_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -27,6 +27,9 @@
 # Set in all responses of a backend server that is about to stop.
 SERVER_LEAVING = b'server-leaving'
 IS_LEAVING = b'1'
+# Set in all responses of a server that falls over if it has to reject more requests
+# than that in a second.
+SERVER_BRITTLE = b'server-brittle'
 # The number of prompt tokens and the maximum number of output tokens.
 TOKEN_USAGE = b'marjoramfall-token-usage'
 # The caller's estimate of the number of output tokens.
@@ -147,11 +150,16 @@
     def read_notice(self, response: Response) -> ServerNotice:
         """Return whether the server stops, and the pause it asks for with a 503."""
         pause_s: float | None = None
+        rejections_per_s: float | None = None
         if response.status == UNAVAILABLE:
             pause_s = _read_number(find_header(response.headers, RETRY_AFTER))
+            rejections_per_s = _read_number(
+                find_header(response.headers, SERVER_BRITTLE)
+            )
         return ServerNotice(
             is_leaving=find_header(response.headers, SERVER_LEAVING) == IS_LEAVING,
             pause_ms=pause_s * MS_PER_SECOND if pause_s and pause_s > 0 else None,
+            rejections_per_s=rejections_per_s,
         )
 
     def rejection_headers(
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -8,7 +8,7 @@
 
 from marjoramfall.gateway.registry import ServerChange
 from tests.gateway_case import GatewayCase, answer
-from tests.gateway_fakes import PLAIN, make_server
+from tests.gateway_fakes import PLAIN, make_server, make_state
 
 REQUEST_COUNT = 20
 SERVER_ID = 'i-noticed'
@@ -68,6 +68,39 @@
         self.assertEqual(len(self.leaving.heads), 2)
 
 
+class TestBrittleServer(NoticeCase):
+    """A server that would fall over is asked again only once it may have room.
+
+    Entries that do not know each other's load send it more than it can take.
+    """
+
+    def setUp(self):
+        super().setUp()
+        extra = 'Marjoramfall-Not-Executed: 1\r\nServer-Brittle: 2\r\n'
+        self.full = self.add_backend(
+            lambda exchange: answer(
+                exchange, status='503 Service Unavailable', extra=extra
+            ),
+            server_id=SERVER_ID,
+        )
+
+    def test_few_rejections(self):
+        """Guards against entries that together make a full server fall over."""
+        self.add_backend(answer)
+        for vm in ('entry-2', 'entry-3', 'entry-4'):
+            self.peers.update(make_state(vm))
+        self.ask_often()
+        self.assertLessEqual(len(self.full.heads), 1)
+
+    def test_has_room(self):
+        """A server that serves its requests gets more, though it is brittle."""
+        brittle = self.add_backend(
+            lambda exchange: answer(exchange, extra='Server-Brittle: 2\r\n')
+        )
+        self.ask_often()
+        self.assertEqual(len(brittle.heads), REQUEST_COUNT)
+
+
 class TestLapseMeanwhile(NoticeCase):
     """A server that registers again while it answers is heeded, too."""
 
