--- /dev/null
+++ b/marjoramfall/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the connections of callers and hold their requests."""
--- a/marjoramfall/gateway/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -7,7 +7,6 @@
 from gevent import Greenlet, GreenletExit, socket, spawn
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import configure_socket, has_input
 from marjoramfall.gateway.http_messages import (
     HEAD_METHOD,
     BadMessageError,
@@ -18,6 +17,7 @@
     end_to_end_headers,
 )
 from marjoramfall.gateway.model import CallerLimits
+from marjoramfall.gateway.servers.backend_connection import configure_socket, has_input
 
 RECEIVE_BYTES = 65536
 # How often a connection without input is checked for header and idle timeouts.
--- a/marjoramfall/gateway/caller_listener.py
+++ b/marjoramfall/gateway/callers/caller_listener.py
@@ -4,8 +4,11 @@
 from gevent.server import StreamServer
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import split_address
-from marjoramfall.gateway.caller_connection import CallerConnection, RequestHandler
+from marjoramfall.gateway.callers.caller_connection import (
+    CallerConnection,
+    RequestHandler,
+)
+from marjoramfall.gateway.servers.backend_connection import split_address
 
 CALLER_BACKLOG = 512
 
--- a/marjoramfall/gateway/entry_listeners.py
+++ b/marjoramfall/gateway/callers/entry_listeners.py
@@ -1,7 +1,7 @@
 """Listen for callers, and for peers that delegate their requests."""
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.caller_listener import CallerListener
+from marjoramfall.gateway.callers.caller_listener import CallerListener
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.entry_settings import GatewaySettings
 from marjoramfall.gateway.gateway import Gateway
--- /dev/null
+++ b/marjoramfall/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Find the requests that crash backend servers and refuse them."""
--- a/marjoramfall/gateway/crash_causes.py
+++ b/marjoramfall/gateway/crashes/crash_causes.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.crash_report import CrashedRequest
+from marjoramfall.gateway.crashes.crash_report import CrashedRequest
 
 # One crash may have any cause. A part in two, of different requests, is the likely
 # cause, or a request at three if it is sent again and again.
--- a/marjoramfall/gateway/crash_evidence.py
+++ b/marjoramfall/gateway/crashes/crash_evidence.py
@@ -3,8 +3,12 @@
 from collections.abc import Iterable, Set
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.crash_causes import Crash, CrashCause, find_crash_causes
-from marjoramfall.gateway.crash_report import (
+from marjoramfall.gateway.crashes.crash_causes import (
+    Crash,
+    CrashCause,
+    find_crash_causes,
+)
+from marjoramfall.gateway.crashes.crash_report import (
     CrashedRequest,
     CrashReport,
     EvidenceReport,
--- a/marjoramfall/gateway/crash_quarantine.py
+++ b/marjoramfall/gateway/crashes/crash_quarantine.py
@@ -7,16 +7,16 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.crash_causes import CrashCause
-from marjoramfall.gateway.crash_evidence import CrashEvidence
-from marjoramfall.gateway.crash_report import (
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.crashes.crash_causes import CrashCause
+from marjoramfall.gateway.crashes.crash_evidence import CrashEvidence
+from marjoramfall.gateway.crashes.crash_report import (
     CrashedRequest,
     CrashReport,
     EvidenceReport,
 )
 from marjoramfall.gateway.model import BackendServer
-from marjoramfall.gateway.outcome import GatewayFailureError
+from marjoramfall.gateway.servers.outcome import GatewayFailureError
 
 # How long after the last crash an entry tries a cause again with one request. The
 # entries draw different times, so that the first one tries for all.
--- a/marjoramfall/gateway/delegation/__init__.py
+++ b/marjoramfall/gateway/delegation/__init__.py
@@ -0,0 +1,1 @@
+"""Let a peer serve requests whose servers this entry cannot reach."""
--- a/marjoramfall/gateway/delegation/delegates.py
+++ b/marjoramfall/gateway/delegation/delegates.py
@@ -3,11 +3,11 @@
 import random
 from collections.abc import Iterator
 
-from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
-from marjoramfall.gateway.peer_state import PeerState
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_state import PeerState
+from marjoramfall.gateway.peers.peer_table import PeerTable
 
 # A request that could not be sent to so many servers goes to a peer, even if the
 # path to the service does not count as lost yet.
--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -4,25 +4,28 @@
 from typing import TypeVar
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.backend_connection import (
-    BackendConnection,
-    BrokenExchangeError,
-    NotReachedError,
-    ServerTimeoutError,
-)
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.caller_connection import ResponseWriter
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.caller_connection import ResponseWriter
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.event_splitter import EventSplitter, EventTooLargeError
 from marjoramfall.gateway.http_messages import (
     HEAD_METHOD,
     Response,
     encode_head,
     find_header,
 )
-from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
+from marjoramfall.gateway.servers.backend_connection import (
+    BackendConnection,
+    BrokenExchangeError,
+    NotReachedError,
+    ServerTimeoutError,
+)
+from marjoramfall.gateway.servers.event_splitter import (
+    EventSplitter,
+    EventTooLargeError,
+)
+from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
 
 CONNECT_TIMEOUT_MS = 250.0
 # The peer waits this long past the deadline for its server's own error.
--- a/marjoramfall/gateway/delegation/requests.py
+++ b/marjoramfall/gateway/delegation/requests.py
@@ -2,8 +2,11 @@
 
 from dataclasses import replace
 
-from marjoramfall.gateway.call import Delegation
-from marjoramfall.gateway.caller_connection import RequestHandler, ResponseWriter
+from marjoramfall.gateway.callers.call import Delegation
+from marjoramfall.gateway.callers.caller_connection import (
+    RequestHandler,
+    ResponseWriter,
+)
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.gateway import Gateway
 from marjoramfall.gateway.http_messages import RequestHead
--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -2,10 +2,10 @@
 
 from abc import ABC, abstractmethod
 
-from marjoramfall.gateway.backend_connection import ExpectedHeader
-from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.callers.call import Call, CallFields
 from marjoramfall.gateway.http_messages import Header, RequestHead, Response
 from marjoramfall.gateway.model import BackendServer, ServerNotice
+from marjoramfall.gateway.servers.backend_connection import ExpectedHeader
 
 
 class Dialect(ABC):
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -9,29 +9,29 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.callers.entry_listeners import EntryListeners
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.digest_builder import DigestBuilder
-from marjoramfall.gateway.entry_listeners import EntryListeners
 from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.gateway import Gateway
-from marjoramfall.gateway.group_digest import GroupDigest, Scope
 from marjoramfall.gateway.internal_endpoints import InternalEndpoints
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.model import Configuration
-from marjoramfall.gateway.outside_groups import source_of
-from marjoramfall.gateway.peer_exchange import PeerExchange, PeerListener
-from marjoramfall.gateway.peer_loads import report_of_digest, report_of_state
-from marjoramfall.gateway.peer_state import PeerState
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.digest_builder import DigestBuilder
+from marjoramfall.gateway.peers.group_digest import GroupDigest, Scope
+from marjoramfall.gateway.peers.outside_groups import source_of
+from marjoramfall.gateway.peers.peer_exchange import PeerExchange, PeerListener
+from marjoramfall.gateway.peers.peer_loads import report_of_digest, report_of_state
+from marjoramfall.gateway.peers.peer_state import PeerState
+from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry
-from marjoramfall.gateway.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import VersionMoves
-from marjoramfall.gateway.watch_duty import WatchDuty
+from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
 MAINTENANCE_INTERVAL_MS = 250
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -8,24 +8,27 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.assign_timer import AssignTimer
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.connection_pool import ConnectionPool, max_idle_connections
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
-from marjoramfall.gateway.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
-from marjoramfall.gateway.outcome import Ending, Outcome
-from marjoramfall.gateway.own_load import OwnLoad
-from marjoramfall.gateway.peer_loads import LoadReport, PeerLoads
-from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.retry_budget import RetryBudgets
-from marjoramfall.gateway.server_limits import ServerLimits
-from marjoramfall.gateway.server_load import ServerLoad
-from marjoramfall.gateway.server_notices import ServerNotices
-from marjoramfall.gateway.service_queue import Assignment, ServiceQueue
+from marjoramfall.gateway.peers.own_load import OwnLoad
+from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
+from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.servers.assign_timer import AssignTimer
+from marjoramfall.gateway.servers.connection_pool import (
+    ConnectionPool,
+    max_idle_connections,
+)
+from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.retry_budget import RetryBudgets
+from marjoramfall.gateway.servers.server_limits import ServerLimits
+from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_notices import ServerNotices
+from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import (
+from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
+from marjoramfall.gateway.versions.version_moves import (
     ANY_VERSION,
     VersionChoice,
     VersionMoves,
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -5,22 +5,22 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.caller_connection import ResponseWriter
-from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.caller_connection import ResponseWriter
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.delegation.delegates import MAX_UNREACHED_SERVERS
 from marjoramfall.gateway.delegation.exchange import DelegatedExchange
 from marjoramfall.gateway.delegation.offers import DelegateOffer
-from marjoramfall.gateway.demand import Demand, build_demand
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.event_splitter import EventSplitter
-from marjoramfall.gateway.exchange import FIRST_ERROR_STATUS, Exchange
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
-from marjoramfall.gateway.outcome import Ending, GatewayFailureError, Outcome
-from marjoramfall.gateway.running_exchanges import RunningExchanges
-from marjoramfall.gateway.service_queue import (
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.demand import Demand, build_demand
+from marjoramfall.gateway.servers.event_splitter import EventSplitter
+from marjoramfall.gateway.servers.exchange import FIRST_ERROR_STATUS, Exchange
+from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
+from marjoramfall.gateway.servers.running_exchanges import RunningExchanges
+from marjoramfall.gateway.servers.service_queue import (
     Assignment,
     NoServerError,
     OverloadError,
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -4,8 +4,8 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.call import Call, CallFields, Delegation
-from marjoramfall.gateway.caller_connection import (
+from marjoramfall.gateway.callers.call import Call, CallFields, Delegation
+from marjoramfall.gateway.callers.caller_connection import (
     CallerGoneError,
     EntryStopsError,
     RequestHandler,
@@ -18,9 +18,9 @@
 from marjoramfall.gateway.http_messages import BadMessageError, RequestHead
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.model import CallerLimits, Configuration, Route, Team
-from marjoramfall.gateway.outcome import GatewayFailureError
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
+from marjoramfall.gateway.servers.outcome import GatewayFailureError
 from marjoramfall.gateway.shared_limit import SharedLimit, SharedLimits
 
 BAD_REQUEST = 400
--- a/marjoramfall/gateway/internal_http_server.py
+++ b/marjoramfall/gateway/internal_http_server.py
@@ -5,7 +5,7 @@
 
 from gevent.pywsgi import WSGIServer
 
-from marjoramfall.gateway.backend_connection import split_address
+from marjoramfall.gateway.servers.backend_connection import split_address
 
 STATUS_LINES = {200: '200 OK', 404: '404 Not Found', 503: '503 Service Unavailable'}
 
--- /dev/null
+++ b/marjoramfall/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange state with the other entries, in groups where there are many."""
--- a/marjoramfall/gateway/digest_builder.py
+++ b/marjoramfall/gateway/peers/digest_builder.py
@@ -5,7 +5,7 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.delegation.delegates import offers_of
 from marjoramfall.gateway.delegation.offers import DelegateOffer, draw_offers
-from marjoramfall.gateway.group_digest import (
+from marjoramfall.gateway.peers.group_digest import (
     DIGEST_FORM,
     GroupDigest,
     Scope,
@@ -14,11 +14,11 @@
     sum_uses,
     unreachable_servers,
 )
-from marjoramfall.gateway.outside_groups import source_of
-from marjoramfall.gateway.peer_state import PeerState, WaitingCall
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.outside_groups import source_of
+from marjoramfall.gateway.peers.peer_state import PeerState, WaitingCall
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import VersionMoves
+from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 
 class DigestBuilder:
--- a/marjoramfall/gateway/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from marjoramfall.gateway.crash_report import EvidenceReport
+from marjoramfall.gateway.crashes.crash_report import EvidenceReport
 from marjoramfall.gateway.delegation.offers import DelegateOffer
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.peer_state import (
     LimitUse,
     MoveReport,
     PeerState,
--- a/marjoramfall/gateway/group_relay.py
+++ b/marjoramfall/gateway/peers/group_relay.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.group_digest import (
+from marjoramfall.gateway.peers.group_digest import (
     GroupDigest,
     Scope,
     decode_digest,
@@ -15,7 +15,7 @@
     mark_forwarded,
     was_forwarded,
 )
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_table import PeerTable
 
 # Speeds and the use of all teams change slowly and are large, so that they are
 # sent less often.
--- a/marjoramfall/gateway/outside_groups.py
+++ b/marjoramfall/gateway/peers/outside_groups.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.group_digest import GroupDigest, Scope
+from marjoramfall.gateway.peers.group_digest import GroupDigest, Scope
 
 DIGEST_INTERVAL_MS = 250.0
 # Lengthens the interval with the number of groups, so that the traffic of a relay
--- a/marjoramfall/gateway/own_load.py
+++ b/marjoramfall/gateway/peers/own_load.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable, Mapping
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.peer_state import (
     ServerSpeed,
     ServerUse,
     WaitingCall,
     waiting_sort_key,
 )
-from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.server_load import ServerLoad
-from marjoramfall.gateway.service_queue import ServiceQueue
+from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
 
 # Bounds the size of the datagram; requests beyond it wait behind these anyway.
 # In a large system fewer suffice, as many entries compete for few free slots;
--- a/marjoramfall/gateway/peer_exchange.py
+++ b/marjoramfall/gateway/peers/peer_exchange.py
@@ -11,27 +11,27 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.backend_connection import (
-    BackendConnection,
-    BrokenExchangeError,
-    NotReachedError,
-    split_address,
-)
-from marjoramfall.gateway.group_digest import (
+from marjoramfall.gateway.http_messages import ResponseBounds
+from marjoramfall.gateway.peers.group_digest import (
     DIGEST_MARK,
     GroupDigest,
     UnknownFormError,
 )
-from marjoramfall.gateway.group_relay import (
+from marjoramfall.gateway.peers.group_relay import (
     FULL_STATE_INTERVAL_MS,
     DigestListener,
     GroupRelay,
 )
-from marjoramfall.gateway.http_messages import ResponseBounds
-from marjoramfall.gateway.outside_groups import digest_interval_ms
-from marjoramfall.gateway.peer_state import PeerState, decode_state, encode_state
-from marjoramfall.gateway.peer_table import HEARTBEAT_MS, PeerTable
+from marjoramfall.gateway.peers.outside_groups import digest_interval_ms
+from marjoramfall.gateway.peers.peer_state import PeerState, decode_state, encode_state
+from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, PeerTable
 from marjoramfall.gateway.registry import Registry, Snapshot
+from marjoramfall.gateway.servers.backend_connection import (
+    BackendConnection,
+    BrokenExchangeError,
+    NotReachedError,
+    split_address,
+)
 
 # Changes within this time are sent in one datagram.
 COALESCE_MS = 4
--- a/marjoramfall/gateway/peer_loads.py
+++ b/marjoramfall/gateway/peers/peer_loads.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.group_digest import GroupDigest
-from marjoramfall.gateway.outside_groups import source_of
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.group_digest import GroupDigest
+from marjoramfall.gateway.peers.outside_groups import source_of
+from marjoramfall.gateway.peers.peer_state import (
     PeerState,
     ServerLimitReport,
     ServerSpeed,
     ServerUse,
     WaitingCall,
 )
-from marjoramfall.gateway.server_load import ServerLoad
-from marjoramfall.gateway.server_speeds import Speed
-from marjoramfall.gateway.service_queue import PeerWaiter, ServiceQueue
+from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_speeds import Speed
+from marjoramfall.gateway.servers.service_queue import PeerWaiter, ServiceQueue
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/gateway/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marjoramfall.gateway.crash_report import EvidenceReport
+from marjoramfall.gateway.crashes.crash_report import EvidenceReport
 
 
 class ServerUse(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/gateway/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.outside_groups import OutsideGroups
-from marjoramfall.gateway.peer_groups import PeerGroups
-from marjoramfall.gateway.peer_state import PeerState
+from marjoramfall.gateway.peers.outside_groups import OutsideGroups
+from marjoramfall.gateway.peers.peer_groups import PeerGroups
+from marjoramfall.gateway.peers.peer_state import PeerState
 
 HEARTBEAT_MS = 250.0
 # A peer is silent only after three lost heartbeats in a row, as single ones may
--- a/marjoramfall/gateway/watch_duty.py
+++ b/marjoramfall/gateway/peers/watch_duty.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from marjoramfall.gateway.peer_table import Candidate, PeerTable
+from marjoramfall.gateway.peers.peer_table import Candidate, PeerTable
 
 # Two follow the store for a group that holds all entries, so that a failed one is
 # noticed by no caller; with several groups, each has one and hears of the others.
--- /dev/null
+++ b/marjoramfall/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Choose backend servers, send them requests and judge how they answer."""
--- a/marjoramfall/gateway/connection_pool.py
+++ b/marjoramfall/gateway/servers/connection_pool.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import (
+from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     ConnectionRefusedByServerError,
     NotReachedError,
--- a/marjoramfall/gateway/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.model import BackendServer
-from marjoramfall.gateway.version_moves import ANY_VERSION, VersionChoice
+from marjoramfall.gateway.versions.version_moves import ANY_VERSION, VersionChoice
 
 # Added to the rank of a request past its target: it goes after the requests of
 # its own priority that can still meet their targets, and is ordered by arrival
--- a/marjoramfall/gateway/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -3,25 +3,28 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import (
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.caller_connection import ResponseWriter
+from marjoramfall.gateway.dialect import Dialect
+from marjoramfall.gateway.http_messages import HEAD_METHOD, Response, find_header
+from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     BrokenExchangeError,
     ConnectionLostError,
     NotReachedError,
     ServerTimeoutError,
 )
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.caller_connection import ResponseWriter
-from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.event_splitter import EventSplitter, EventTooLargeError
-from marjoramfall.gateway.http_messages import HEAD_METHOD, Response, find_header
-from marjoramfall.gateway.outcome import Ending, Outcome
-from marjoramfall.gateway.server_limits import ServerLimits
-from marjoramfall.gateway.server_notices import ServerNotices
-from marjoramfall.gateway.server_speeds import US_PER_MS
-from marjoramfall.gateway.service_queue import Assignment
-from marjoramfall.gateway.stream_timing import StreamTiming
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.event_splitter import (
+    EventSplitter,
+    EventTooLargeError,
+)
+from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.server_limits import ServerLimits
+from marjoramfall.gateway.servers.server_notices import ServerNotices
+from marjoramfall.gateway.servers.server_speeds import US_PER_MS
+from marjoramfall.gateway.servers.service_queue import Assignment
+from marjoramfall.gateway.servers.stream_timing import StreamTiming
 
 OK = 200
 FIRST_ERROR_STATUS = 400
--- a/marjoramfall/gateway/running_exchanges.py
+++ b/marjoramfall/gateway/servers/running_exchanges.py
@@ -5,8 +5,8 @@
 
 from loguru import logger
 
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.exchange import Exchange
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.servers.exchange import Exchange
 
 
 class RunningExchanges:
--- a/marjoramfall/gateway/server_limits.py
+++ b/marjoramfall/gateway/servers/server_limits.py
@@ -7,8 +7,8 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.model import BackendServer, ServerLimit
-from marjoramfall.gateway.peer_state import ServerLimitReport
-from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.peers.peer_state import ServerLimitReport
+from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.shared_limit import SharedLimit, SharedLimits
 
 # A server that takes nothing at all could never lift its limit in a response.
--- a/marjoramfall/gateway/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.demand import Demand
 from marjoramfall.gateway.model import BackendServer
-from marjoramfall.gateway.server_speeds import ServerSpeeds
+from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.server_speeds import ServerSpeeds
 from marjoramfall.gateway.shared_limit import SharedLimit
 
 INITIAL_EVENT_MS = 15.0
--- a/marjoramfall/gateway/server_notices.py
+++ b/marjoramfall/gateway/servers/server_notices.py
@@ -6,7 +6,7 @@
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import ServerNotice, ServerRun
-from marjoramfall.gateway.server_load import HeardNotices, ServerLoad
+from marjoramfall.gateway.servers.server_load import HeardNotices, ServerLoad
 
 # More incarnations than a large system replaces while one of them leaves.
 MAX_RUNS = 4096
--- a/marjoramfall/gateway/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.demand import Demand
-from marjoramfall.gateway.server_load import RunningRequest, ServerLoad
-from marjoramfall.gateway.version_moves import ANY_VERSION
+from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
+from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 
 # Weight of a new sample in the moving average of the service time.
 SERVICE_TIME_SMOOTHING = 0.05
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.group_digest import GroupDigest, Scope
 from marjoramfall.gateway.model import LimitRule, ServerLimit, Team
-from marjoramfall.gateway.outside_groups import source_of
-from marjoramfall.gateway.peer_state import LimitUse, PeerState
+from marjoramfall.gateway.peers.group_digest import GroupDigest, Scope
+from marjoramfall.gateway.peers.outside_groups import source_of
+from marjoramfall.gateway.peers.peer_state import LimitUse, PeerState
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/marjoramfall/gateway/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Judge versions of services and move traffic between them."""
--- a/marjoramfall/gateway/exchange_results.py
+++ b/marjoramfall/gateway/versions/exchange_results.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.call import Call
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.model import ServerRun
-from marjoramfall.gateway.outcome import Ending, Outcome
-from marjoramfall.gateway.service_queue import Assignment
-from marjoramfall.gateway.version_results import VersionResult
+from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.service_queue import Assignment
+from marjoramfall.gateway.versions.version_results import VersionResult
 
 # A server that answers this entry within this time of a failure was reachable.
 ANSWER_WINDOW_MS = 1000.0
--- a/marjoramfall/gateway/version_moves.py
+++ b/marjoramfall/gateway/versions/version_moves.py
@@ -11,9 +11,9 @@
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import VersionMove
-from marjoramfall.gateway.peer_state import MoveReport
+from marjoramfall.gateway.peers.peer_state import MoveReport
 from marjoramfall.gateway.revision import era_of, number_of
-from marjoramfall.gateway.version_results import VersionResult
+from marjoramfall.gateway.versions.version_results import VersionResult
 
 # The canary gets half of the exposure that operators allow a bad version, so
 # that some is left if it starts to fail later.
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -3,8 +3,7 @@
 import math
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.backend_connection import ExpectedHeader
-from marjoramfall.gateway.call import Call, CallFields
+from marjoramfall.gateway.callers.call import Call, CallFields
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.http_messages import (
     BadMessageError,
@@ -16,6 +15,7 @@
     find_header,
 )
 from marjoramfall.gateway.model import BackendServer, ServerNotice
+from marjoramfall.gateway.servers.backend_connection import ExpectedHeader
 
 ATTEMPT_ID = b'marjoramfall-attempt-id'
 DEADLINE = b'marjoramfall-deadline-ms'
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import Member, PeerTable
 from marjoramfall.gateway.revision import era_of
 from marjoramfall.platform.json_records import (
     InvalidRecordError,
--- a/marjoramfall/platform/quarantine_record.py
+++ b/marjoramfall/platform/quarantine_record.py
@@ -6,8 +6,8 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
-from marjoramfall.gateway.crash_report import CrashReport, EvidenceReport
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.crashes.crash_report import CrashReport, EvidenceReport
 from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -9,13 +9,13 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.backend_connection import (
+from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
+from marjoramfall.gateway.revision import era_of, make_revision, number_of
+from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     BrokenExchangeError,
     NotReachedError,
 )
-from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
-from marjoramfall.gateway.revision import era_of, make_revision, number_of
 from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 
 CONNECT_TIMEOUT_MS = 500
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -8,9 +8,9 @@
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.model import VersionMove
+from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.revision import era_of, number_of
-from marjoramfall.gateway.watch_duty import WatchDuty
 from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.records import (
     InvalidRecordError,
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -6,18 +6,18 @@
 from gevent.server import StreamServer
 
 from marjoramfall.clock import MS_PER_SECOND, RuntimeClock
-from marjoramfall.gateway.caller_connection import CallerConnection
-from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.callers.caller_connection import CallerConnection
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.gateway import Gateway
 from marjoramfall.gateway.metrics import GatewayMetrics
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry, ServerChange
-from marjoramfall.gateway.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import VersionMoves
+from marjoramfall.gateway.versions.version_moves import VersionMoves
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_fakes import PLAIN, make_config, make_server
 from tests.scripted_backend import ScriptedBackend
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,7 +1,6 @@
 """Build the parts of a gateway for tests."""
 
-from marjoramfall.gateway.call import CallFields
-from marjoramfall.gateway.demand import Demand
+from marjoramfall.gateway.callers.call import CallFields
 from marjoramfall.gateway.model import (
     BackendServer,
     CallerLimits,
@@ -13,9 +12,10 @@
     WeightedService,
     group_routes,
 )
-from marjoramfall.gateway.peer_state import PeerState
+from marjoramfall.gateway.peers.peer_state import PeerState
 from marjoramfall.gateway.registry import Registry
-from marjoramfall.gateway.server_load import ServerLoad
+from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.server_load import ServerLoad
 
 PLAIN = 'bookings'
 MODEL = 'tutor'
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -3,26 +3,26 @@
 from collections import Counter, defaultdict
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.digest_builder import DigestBuilder
-from marjoramfall.gateway.group_digest import DIGEST_MARK
-from marjoramfall.gateway.group_relay import DigestListener, GroupRelay
 from marjoramfall.gateway.model import Team
-from marjoramfall.gateway.outside_groups import (
+from marjoramfall.gateway.peers.digest_builder import DigestBuilder
+from marjoramfall.gateway.peers.group_digest import DIGEST_MARK
+from marjoramfall.gateway.peers.group_relay import DigestListener, GroupRelay
+from marjoramfall.gateway.peers.outside_groups import (
     digest_interval_ms,
     source_of,
 )
-from marjoramfall.gateway.peer_loads import (
+from marjoramfall.gateway.peers.peer_loads import (
     PeerLoads,
     report_of_digest,
     report_of_state,
 )
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.peer_state import (
     decode_state,
     encode_state,
 )
-from marjoramfall.gateway.peer_table import HEARTBEAT_MS, Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, Member, PeerTable
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import VersionMoves
+from marjoramfall.gateway.versions.version_moves import VersionMoves
 from tests.gateway_fakes import make_load, make_state
 
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c', 'dc-d', 'dc-e')
--- a/tests/quarantine_case.py
+++ b/tests/quarantine_case.py
@@ -3,11 +3,11 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.outcome import GatewayFailureError
+from marjoramfall.gateway.servers.outcome import GatewayFailureError
 from tests.gateway_fakes import MODEL, make_fields, make_route, make_server
 
 ROUTE = make_route('review', RepeatRule.RESUMABLE, is_stream=True)
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -13,7 +13,7 @@
 from gevent.server import StreamServer
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.backend_connection import (
+from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     ServerTimeoutError,
     configure_socket,
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -4,7 +4,10 @@
 from itertools import repeat
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.connection_pool import ConnectionPool, max_idle_connections
+from marjoramfall.gateway.servers.connection_pool import (
+    ConnectionPool,
+    max_idle_connections,
+)
 
 
 class FakeConnection:
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from marjoramfall.gateway.crash_causes import MIN_CRASHES_OF_ONE_REQUEST
-from marjoramfall.gateway.crash_evidence import MAX_REPORTED_CRASHES
-from marjoramfall.gateway.crash_report import CrashReport, EvidenceReport
-from marjoramfall.gateway.outcome import GatewayFailureError
-from marjoramfall.gateway.peer_exchange import MAX_DATAGRAM_BYTES
-from marjoramfall.gateway.peer_state import encode_state
+from marjoramfall.gateway.crashes.crash_causes import MIN_CRASHES_OF_ONE_REQUEST
+from marjoramfall.gateway.crashes.crash_evidence import MAX_REPORTED_CRASHES
+from marjoramfall.gateway.crashes.crash_report import CrashReport, EvidenceReport
+from marjoramfall.gateway.peers.peer_exchange import MAX_DATAGRAM_BYTES
+from marjoramfall.gateway.peers.peer_state import encode_state
+from marjoramfall.gateway.servers.outcome import GatewayFailureError
 from tests.gateway_fakes import make_state
 from tests.quarantine_case import QuarantineCase, make_call
 
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -6,14 +6,14 @@
 import msgspec
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.backend_connection import NotReachedError
-from marjoramfall.gateway.connection_pool import ConnectionPool
-from marjoramfall.gateway.crash_evidence import CRASH_MEMORY_MS
-from marjoramfall.gateway.crash_quarantine import (
+from marjoramfall.gateway.crashes.crash_evidence import CRASH_MEMORY_MS
+from marjoramfall.gateway.crashes.crash_quarantine import (
     MAX_TRIAL_DELAY_FACTOR,
     TRIAL_INTERVAL_MS,
 )
-from marjoramfall.gateway.peer_state import decode_state, encode_state
+from marjoramfall.gateway.peers.peer_state import decode_state, encode_state
+from marjoramfall.gateway.servers.backend_connection import NotReachedError
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from tests.gateway_fakes import MODEL, make_server, make_state
 from tests.quarantine_case import QuarantineCase, make_call
 from tests.scripted_backend import ScriptedBackend
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -11,13 +11,13 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from marjoramfall.gateway.caller_connection import CallerConnection
+from marjoramfall.gateway.callers.caller_connection import CallerConnection
 from marjoramfall.gateway.delegation import service_paths
 from marjoramfall.gateway.delegation.delegates import MAX_DELEGATIONS
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
-from marjoramfall.gateway.digest_builder import DigestBuilder
-from marjoramfall.gateway.group_digest import Scope, decode_digest, encode_digest
 from marjoramfall.gateway.model import RepeatRule
+from marjoramfall.gateway.peers.digest_builder import DigestBuilder
+from marjoramfall.gateway.peers.group_digest import Scope, decode_digest, encode_digest
 from marjoramfall.gateway.registry import ServerChange
 from tests.gateway_case import GatewayCase, answer, start_events
 from tests.gateway_fakes import (
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.demand import build_demand
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.version_moves import ANY_VERSION
+from marjoramfall.gateway.servers.demand import build_demand
+from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 from tests.gateway_fakes import TEAM, make_fields, make_route
 
 
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -5,13 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramfall.gateway.event_splitter import EventSplitter
 from marjoramfall.gateway.http_messages import (
     BadMessageError,
     RequestParser,
     ResponseBounds,
     ResponseParser,
 )
+from marjoramfall.gateway.servers.event_splitter import EventSplitter
 
 GET = b'GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n'
 
--- a/tests/test_limit_across_entries.py
+++ b/tests/test_limit_across_entries.py
@@ -10,7 +10,7 @@
 from itertools import permutations
 
 from marjoramfall.gateway.model import Team
-from marjoramfall.gateway.peer_table import HEARTBEAT_MS
+from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS
 from marjoramfall.gateway.shared_limit import SharedLimits
 
 ENTRIES = 65
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -10,8 +10,8 @@
 from gevent import sleep, spawn
 
 from marjoramfall.clock import RuntimeClock
-from marjoramfall.gateway.peer_exchange import PeerExchange, PeerListener
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_exchange import PeerExchange, PeerListener
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from tests.gateway_fakes import make_config, make_state, new_registry
 from tests.scripted_backend import ScriptedBackend
 from tests.test_planned_stop import free_address
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -8,16 +8,16 @@
 import unittest
 from collections import Counter
 
-from marjoramfall.gateway.group_digest import Scope, encode_digest
-from marjoramfall.gateway.outside_groups import (
+from marjoramfall.gateway.peers.group_digest import Scope, encode_digest
+from marjoramfall.gateway.peers.outside_groups import (
     DIGEST_INTERVAL_MS,
     SILENCE_TIMEOUT_MS,
 )
-from marjoramfall.gateway.peer_groups import MAX_SINGLE_GROUP, PeerGroups
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.peer_groups import MAX_SINGLE_GROUP, PeerGroups
+from marjoramfall.gateway.peers.peer_state import (
     ServerUse,
 )
-from marjoramfall.gateway.peer_table import HEARTBEAT_MS
+from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS
 from tests.gateway_fakes import make_server
 from tests.group_simulation import (
     BURST,
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -3,15 +3,15 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.peer_loads import PeerLoads, report_of_state
-from marjoramfall.gateway.peer_state import (
+from marjoramfall.gateway.peers.peer_loads import PeerLoads, report_of_state
+from marjoramfall.gateway.peers.peer_state import (
     ServerSpeed,
     ServerUse,
     WaitingCall,
     decode_state,
     encode_state,
 )
-from marjoramfall.gateway.service_queue import ServiceQueue
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
 from tests.gateway_fakes import MODEL, make_load, make_state
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,10 +10,10 @@
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.watch_duty import REFUSAL_MEMORY_MS
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS
 from marjoramfall.gateway.revision import make_revision
-from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS
 from marjoramfall.platform import watch as watch_module
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
--- a/tests/test_quarantine_record.py
+++ b/tests/test_quarantine_record.py
@@ -2,8 +2,8 @@
 
 from gevent import sleep, spawn
 
-from marjoramfall.gateway.crash_quarantine import CrashQuarantine
-from marjoramfall.gateway.outcome import GatewayFailureError
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.servers.outcome import GatewayFailureError
 from marjoramfall.platform.quarantine_record import (
     QUARANTINE_TABLE,
     QuarantineRecorder,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -4,7 +4,7 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import VersionMove
-from marjoramfall.gateway.peer_table import PEER_EXPIRY_MS, Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import PEER_EXPIRY_MS, Member, PeerTable
 from marjoramfall.gateway.registry import (
     LAPSE_GRACE_MS,
     RESTORE_GRACE_MS,
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -8,7 +8,7 @@
 
 from gevent import sleep, spawn
 
-from marjoramfall.gateway import exchange as exchange_module
+from marjoramfall.gateway.servers import exchange as exchange_module
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
 from tests.gateway_fakes import MODEL, make_config, make_route
 
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -4,8 +4,8 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.server_speeds import Speed
-from marjoramfall.gateway.service_queue import (
+from marjoramfall.gateway.servers.server_speeds import Speed
+from marjoramfall.gateway.servers.service_queue import (
     OverloadError,
     PeerWaiter,
     ServiceQueue,
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -8,10 +8,10 @@
 
 from gevent import socket
 
-from marjoramfall.gateway.peer_loads import PeerLoads, report_of_state
+from marjoramfall.gateway.peers.peer_loads import PeerLoads, report_of_state
 from marjoramfall.gateway.registry import ServerChange
-from marjoramfall.gateway.retry_budget import RetryBounds
-from marjoramfall.gateway.server_load import UNREACHABLE_REPORT_MS, ServerLoad
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+from marjoramfall.gateway.servers.server_load import UNREACHABLE_REPORT_MS, ServerLoad
 from tests.gateway_case import GatewayCase, answer
 from tests.gateway_fakes import make_demand, make_load, make_server, make_state
 
--- a/tests/test_version_moves.py
+++ b/tests/test_version_moves.py
@@ -8,10 +8,10 @@
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import VersionMove
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.revision import make_revision
-from marjoramfall.gateway.version_moves import Phase, VersionMoves
-from marjoramfall.gateway.version_results import VersionResult
+from marjoramfall.gateway.versions.version_moves import Phase, VersionMoves
+from marjoramfall.gateway.versions.version_results import VersionResult
 from marjoramfall.platform.move_status import MoveRecorder
 from marjoramfall.platform.store import StoreError
 from tests.gateway_fakes import make_state
--- a/tests/test_version_results.py
+++ b/tests/test_version_results.py
@@ -5,19 +5,19 @@
 from dataclasses import replace
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.call import Call
-from marjoramfall.gateway.connection_pool import ConnectionPool
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import VersionMove
-from marjoramfall.gateway.outcome import Ending, Outcome
-from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.revision import make_revision
-from marjoramfall.gateway.server_load import RunningRequest
-from marjoramfall.gateway.service_queue import Assignment
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.server_load import RunningRequest
+from marjoramfall.gateway.servers.service_queue import Assignment
 from marjoramfall.gateway.shared_limit import SharedLimits
-from marjoramfall.gateway.version_moves import Phase, VersionMoves
+from marjoramfall.gateway.versions.version_moves import Phase, VersionMoves
 from tests.gateway_fakes import (
     PLAIN,
     make_config,
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -7,8 +7,8 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
-from marjoramfall.gateway.peer_table import PeerTable
-from marjoramfall.gateway.watch_duty import REFUSAL_MEMORY_MS, WatchDuty
+from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.peers.watch_duty import REFUSAL_MEMORY_MS, WatchDuty
 from tests.gateway_fakes import make_state
 
 OLD_MS = 60_000
--- a/tests/watch_case.py
+++ b/tests/watch_case.py
@@ -4,9 +4,9 @@
 
 from gevent import sleep
 
-from marjoramfall.gateway.peer_table import PeerTable
+from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry
-from marjoramfall.gateway.watch_duty import WatchDuty
 from marjoramfall.platform import watch as watch_module
 from marjoramfall.platform.watch import OperatorWatch, ServerWatch
 from tests.platform_records import CONFIG, SERVER
