Let the tests of delegation notice a second hop and a posting sent again

Cause: two rows of the proofs went unnoticed. The second entry of test_one_hop knew no server, and so refused before it could delegate; test_peer_crashes left no other peer to which the posting could have been sent again.

Change: the second entry has servers that it can't reach; both peers offer the service and end under the posting.

--- a/tests/delegation_case.py
+++ b/tests/delegation_case.py
@@ -33,7 +33,18 @@
     return False
 
 
-class PeerEntry(GatewayCase):
+class UnreachableCase(GatewayCase):
+    """Register servers that refuse connections."""
+
+    def add_unreachable(self, server_id, service_id):
+        """Register a server that this entry can't reach."""
+        server = make_server(server_id, address=closed_address(), service_id=service_id)
+        revision = self.registry.servers_state.as_of + 1
+        change = ServerChange(server_id, server, revision)
+        self.registry.apply_changes([change], revision)
+
+
+class PeerEntry(UnreachableCase):
     """Run a second entry that serves what the first delegates to it."""
 
     def setUp(self):
@@ -63,7 +74,7 @@
             sock.shutdown(socket.SHUT_RDWR)
 
 
-class DelegationCase(GatewayCase):
+class DelegationCase(UnreachableCase):
     """Provide an entry whose servers refuse connections, and peers."""
 
     def setUp(self):
@@ -73,13 +84,6 @@
             for number in range(SERVER_COUNT):
                 self.add_unreachable(f'{service_id}-{number}', service_id)
 
-    def add_unreachable(self, server_id, service_id):
-        """Register a server that this entry can't reach."""
-        server = make_server(server_id, address=closed_address(), service_id=service_id)
-        revision = self.registry.servers_state.as_of + 1
-        change = ServerChange(server_id, server, revision)
-        self.registry.apply_changes([change], revision)
-
     def add_peer(self, vm='entry-2', **changes):
         """Start an entry that offers to reach both services."""
         peer = PeerEntry()
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -38,6 +38,12 @@
 UNKNOWN = b'HTTP/1.1 502'
 
 
+def crash(peer, _exchange):
+    """End the peer while its server works on a request."""
+    peer.crash()
+    sleep(5)
+
+
 class TestServedByPeer(DelegationCase):
     """A request whose servers are out of reach is served by a peer."""
 
@@ -144,6 +150,8 @@
         second = self.add_peer('entry-2')
         third = self.add_peer('entry-3')
         third.add_backend(answer)
+        for number in range(SERVER_COUNT):
+            second.add_unreachable(f'{PLAIN}-{number}', PLAIN)
         second.peers.update(
             make_state(
                 'entry-3',
@@ -187,13 +195,11 @@
 
     def test_peer_crashes(self):
         """Guards against a posting that is sent again, or called not run."""
-        peer = self.add_peer()
-        other = self.add_peer('entry-3', reached_service_ids=[]).add_backend(answer)
-        backend = peer.add_backend(lambda exchange: peer.crash() or sleep(5))
+        peers = [self.add_peer(vm) for vm in ('entry-2', 'entry-3')]
+        backends = [peer.add_backend(partial(crash, peer)) for peer in peers]
         response = self.post()
         self.assertTrue(response.startswith(UNKNOWN), response)
-        self.assertEqual(len(backend.heads), 1)
-        self.assertEqual(len(other.heads), 0)
+        self.assertEqual(sum(len(backend.heads) for backend in backends), 1)
 
     def test_server_breaks_off(self):
         """Guards against calling a request not run that its server may have run."""
