--- a/review/harness/client.py
+++ b/review/harness/client.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass
 
 from harness.entries import EntryProcess
-from harness.http_wire import IncompleteMessageError, encode_message, read_message
+from harness.http_wire import (
+    IncompleteMessageError,
+    Message,
+    encode_message,
+    read_message,
+)
 from harness.record import Record
 
 HOST = 'a.example'
@@ -36,8 +41,6 @@
     status: int
     sent_s: float
     ended_s: float
-    body: bytes = b''
-    failure: str = ''
 
     @property
     def took_s(self) -> float:
@@ -45,37 +48,68 @@
         return self.ended_s - self.sent_s
 
 
+class Connection:
+    """Carry the requests of a client to one entry, one at a time."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        self.entry = entry
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def exchange(self, message: bytes) -> Message:
+        """Send a request and return its answer; connects first if needed.
+
+        Raises `IncompleteMessageError` or `OSError`.
+        """
+        if self._writer is None:
+            address = (self.entry.ip, self.entry.ports.front)
+            reader, writer = await asyncio.open_connection(*address)
+            self._reader = reader
+            self._writer = writer
+        self._writer.write(message)
+        await self._writer.drain()
+        return await read_message(self._reader)
+
+    def close(self) -> None:
+        """Close the connection; the next request opens a new one."""
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
+
+
 class Client:
-    """Send each request on a new connection and record how it ends."""
+    """Send requests and record how they end."""
 
     def __init__(self, record: Record) -> None:
         self._record = record
         self._numbers = itertools.count(1)
 
     async def send(self, entry: EntryProcess, request: Request) -> Answer:
-        """Send a request to an entry and return how it ended."""
+        """Send a request on a new connection to an entry; return how it ended."""
+        with closing(Connection(entry)) as connection:
+            return await self.send_on(connection, request)
+
+    async def send_on(self, connection: Connection, request: Request) -> Answer:
+        """Send a request on a connection, which is kept if the answer is whole."""
         attempt_id = f'{next(self._numbers):016x}'
         name = f'{attempt_id} {request.method} {request.path}'
-        self._record.write(f'client sends {name} to {entry.name}')
+        self._record.write(f'client sends {name} to {connection.entry.name}')
         sent_s = time.monotonic()
-        status, body, failure = 0, b'', ''
-        try:
-            async with asyncio.timeout(request.deadline_ms / MS_PER_S + MARGIN_S):
-                status, body = await _exchange(entry, attempt_id, request)
-        except TimeoutError:
-            failure = 'no answer by the deadline'
-        except (IncompleteMessageError, OSError) as error:
-            failure = f'connection ended without a complete answer: {error}'
+        answer, failure = await _try_exchange(connection, attempt_id, request)
         ended_s = time.monotonic()
-        outcome = failure or f'status {status}, {len(body)} bytes'
-        self._record.write(f'client ends {name}, {outcome}')
-        return Answer(attempt_id, request.path, status, sent_s, ended_s, body, failure)
-
-
-async def _exchange(
-    entry: EntryProcess, attempt_id: str, request: Request
-) -> tuple[int, bytes]:
-    reader, writer = await asyncio.open_connection(entry.ip, entry.ports.front)
+        if answer is None or answer.header_by_name.get('connection') == 'close':
+            connection.close()
+        if answer is None:
+            self._record.write(f'client ends {name}, {failure}')
+            return Answer(attempt_id, request.path, 0, sent_s, ended_s)
+        self._record.write(f'client ends {name}, status {answer.status}')
+        return Answer(attempt_id, request.path, answer.status, sent_s, ended_s)
+
+
+async def _try_exchange(
+    connection: Connection, attempt_id: str, request: Request
+) -> tuple[Message | None, str]:
+    """Return the answer, or None and why there is none."""
     headers = {
         'Host': HOST,
         'Marjoramfall-Attempt-Id': attempt_id,
@@ -83,7 +117,11 @@
         'Authorization': f'Bearer {API_KEY}',
     }
     start_line = f'{request.method} {request.path} HTTP/1.1'
-    with closing(writer):
-        writer.write(encode_message(start_line, headers, request.body))
-        answer = await read_message(reader)
-    return answer.status, answer.body
+    message = encode_message(start_line, headers, request.body)
+    try:
+        async with asyncio.timeout(request.deadline_ms / MS_PER_S + MARGIN_S):
+            return await connection.exchange(message), ''
+    except TimeoutError:
+        return None, 'no answer by the deadline'
+    except (IncompleteMessageError, OSError) as error:
+        return None, f'the connection ended without a complete answer: {error}'
--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -59,6 +59,7 @@
         self.engine_id = engine_id
         self._record = record
         self._address = ''
+        self.run_ids: set[str] = set()
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
@@ -99,6 +100,7 @@
             return
         name = f'{exchange.attempt_id} at {self.engine_id}'
         self._record.write(f'run of {name} begins')
+        self.run_ids.add(exchange.attempt_id)
         with ExitStack() as stack:
             stack.callback(self._record.write, f'run of {name} ends')
             await self.run(exchange)
--- a/review/harness/entries.py
+++ b/review/harness/entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -150,6 +151,12 @@
         if self._process is not None:
             self._process.wait()
 
+    def memory_kb(self) -> int:
+        """Return the resident memory of the process, in KB."""
+        status = Path(f'/proc/{self._process.pid}/status').read_text(encoding='utf-8')
+        found = re.search(r'VmRSS:\s+(\d+) kB', status)
+        return int(found.group(1)) if found else 0
+
     async def is_ready(self) -> bool:
         """Ask the entry whether it is ready, as the load balancer does."""
         try:
