--- a/review/harness/balancer.py
+++ b/review/harness/balancer.py
@@ -19,18 +19,18 @@
     are used.
     """
 
-    def __init__(self, record: Record) -> None:
+    def __init__(self, entries: list[EntryProcess], record: Record) -> None:
+        """Take the entries, which may be added to the list until `run`."""
         self._record = record
-        self._entries: list[EntryProcess] = []
+        self._entries = entries
         self._misses_by_name: Counter[str] = Counter()
         self._turns = itertools.count()
 
-    async def run(self, entries: list[EntryProcess]) -> None:
+    async def run(self) -> None:
         """Check the entries until the task is cancelled."""
-        self._entries = entries
         while True:
             started_s = time.monotonic()
-            await asyncio.gather(*map(self._check, entries))
+            await asyncio.gather(*map(self._check, self._entries))
             elapsed_s = time.monotonic() - started_s
             await asyncio.sleep(max(0, CHECK_INTERVAL_S - elapsed_s))
 
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import tempfile
+import traceback
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from contextlib import ExitStack
@@ -74,9 +75,10 @@
         self.record = record
         self.has_trouble = os.environ.get('TROUBLE') != '0'
         self.store = MetadataStore()
+        self.config = CONFIG
         self.client = Client(record)
-        self.balancer = Balancer(record)
         self.entries: list[EntryProcess] = []
+        self.balancer = Balancer(self.entries, record)
 
     @abstractmethod
     def engines(self) -> Sequence[Engine]:
@@ -93,11 +95,11 @@
         await asyncio.gather(*(engine.start() for engine in engines))
         for engine in engines:
             self.store.put('servers', engine.engine_id, engine.registration())
-        self.store.put('op', 'config', CONFIG)
+        self.store.put('op', 'config', self.config)
         with tempfile.TemporaryDirectory() as directory, ExitStack() as stack:
             self._create_entries(Path(directory), stack)
             await self._start_entries()
-            balancing = asyncio.create_task(self.balancer.run(self.entries))
+            balancing = asyncio.create_task(self.balancer.run())
             stack.callback(balancing.cancel)
             return await self.play()
 
@@ -119,7 +121,9 @@
     record = Record(directory / 'record.txt')
     try:
         result = _run(case_type(record))
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:
+        # An exit with 1 is for a broken rule only.
+        traceback.print_exception(error)
         record.conclude(f'the case could not run: {error!r}')
         result = CANNOT_RUN
     record.close()
