--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -1,6 +1,8 @@
 """Stand in for backend servers: a plain service and a model engine that streams."""
 
 import asyncio
+import math
+import time
 from abc import ABC, abstractmethod
 from contextlib import ExitStack, closing, suppress
 from dataclasses import dataclass
@@ -49,6 +51,16 @@
         }
 
 
+@dataclass(slots=True)
+class Run:
+    """Hold when an engine began to work on an attempt, and when it ended."""
+
+    attempt_id: str
+    engine_id: str
+    begun_s: float
+    ended_s: float = math.inf
+
+
 class Engine(ABC):
     """Run requests and record each run."""
 
@@ -59,7 +71,12 @@
         self.engine_id = engine_id
         self._record = record
         self._address = ''
-        self.run_ids: set[str] = set()
+        self.runs: list[Run] = []
+
+    @property
+    def run_ids(self) -> set[str]:
+        """Return the attempts that this engine has run."""
+        return {run.attempt_id for run in self.runs}
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
@@ -98,13 +115,17 @@
         if expected_id not in {None, self.engine_id}:
             await exchange.send(encode_message(MISDIRECTED_LINE, {}))
             return
-        name = f'{exchange.attempt_id} at {self.engine_id}'
-        self._record.write(f'run of {name} begins')
-        self.run_ids.add(exchange.attempt_id)
+        run = Run(exchange.attempt_id, self.engine_id, time.monotonic())
+        self.runs.append(run)
+        self._record.write(f'run of {run.attempt_id} at {run.engine_id} begins')
         with ExitStack() as stack:
-            stack.callback(self._record.write, f'run of {name} ends')
+            stack.callback(self._end, run)
             await self.run(exchange)
 
+    def _end(self, run: Run) -> None:
+        run.ended_s = time.monotonic()
+        self._record.write(f'run of {run.attempt_id} at {run.engine_id} ends')
+
 
 class PlainEngine(Engine):
     """Answer each request after a fixed time."""
@@ -155,3 +176,29 @@
         """Send one event of a stream."""
         event = b'id: %d\ndata: %b\n\n' % (event_id, EVENT_TEXT)
         await exchange.send(encode_chunk(event))
+
+
+class PausingEngine(ModelEngine):
+    """Stream soundly, but for a time in which nothing is sent."""
+
+    def __init__(self, engine_id: str, record: Record) -> None:
+        super().__init__(engine_id, record)
+        self._silent_until_s = 0.0
+
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for a time, then go on."""
+        self._silent_until_s = time.monotonic() + duration_s
+        self._record.write(f'{self.engine_id} falls silent for {duration_s} s')
+
+    async def pause(self) -> None:
+        """Wait until the next event is due and the engine is not silent."""
+        await super().pause()
+        await self._wait()
+
+    async def begin_stream(self, exchange: Exchange) -> None:
+        """Send the head of a stream once the engine is not silent."""
+        await self._wait()
+        await super().begin_stream(exchange)
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(max(0, self._silent_until_s - time.monotonic()))
