--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,89 +1,66 @@
-"""A sound engine falls silent for a second in the middle of its streams."""
+"""A configuration raises the largest body while clients keep their connections."""
 
 import asyncio
 from collections.abc import Sequence
-from contextlib import suppress
+from copy import deepcopy
 from pathlib import Path
 
-from harness.client import Answer, Request
-from harness.deployment import Case, run_case
-from harness.engine import Engine, Exchange, PausingEngine, PlainEngine, Run
+from harness.client import Answer, Connection, Request
+from harness.deployment import CONFIG, Case, run_case
+from harness.engine import Engine, PlainEngine
 from harness.record import Record
 
-SILENCE_S = 1.0
-STREAM_DEADLINE_MS = 12_000
-STREAM_COUNT = 6
-STREAM_INTERVAL_S = 0.1
-BEFORE_SILENCE_S = 1.0
-# By the rule, no earlier engine may still work on a request after this time.
-MAX_OVERLAP_S = 0.4
+SMALL_LIMIT_BYTES = 65_536
+LARGE_LIMIT_BYTES = 1_048_576
+BODY_BYTES = 200_000
+BOOKING_DEADLINE_MS = 1000
+CLIENTS = 12
+# `configMs` of the deployment is 2,000, and `idleTimeoutMs` 15,000.
+AFTER_CHANGE_S = 5.0
+NOT_FOR_THE_CLIENT = 413
 
 
-class PersistentEngine(PausingEngine):
-    """Go on with a request though its connection has closed, as few engines do."""
+def config_with(version: int, max_body_bytes: int) -> dict[str, object]:
+    """Return the configuration with another limit of the body."""
+    config = deepcopy(CONFIG)
+    config['version'] = version
+    config['limits']['maxBodyBytes'] = max_body_bytes
+    return config
 
-    async def send_event(self, exchange: Exchange, event_id: int) -> None:
-        """Send one event, if the connection is still open."""
-        if not exchange.writer.is_closing():
-            with suppress(OSError):
-                await super().send_event(exchange, event_id)
 
-
-class OverlapCase(Case):
-    """Send streams to engines of which one falls silent; all have free slots."""
+class RaisedLimitCase(Case):
+    """Send a booking, change the configuration, and send a larger booking."""
 
     def __init__(self, record: Record) -> None:
         super().__init__(record)
-        self._pausing = PersistentEngine('llm-1', record)
-        self._models = (
-            self._pausing,
-            PausingEngine('llm-2', record),
-            PausingEngine('llm-3', record),
-        )
+        first_limit = SMALL_LIMIT_BYTES if self.has_trouble else LARGE_LIMIT_BYTES
+        self.config = config_with(version=3, max_body_bytes=first_limit)
 
     def engines(self) -> Sequence[Engine]:
-        """Return three model engines and a plain one."""
-        return *self._models, PlainEngine('app-1', self.record)
+        """Return two plain engines."""
+        return PlainEngine('app-1', self.record), PlainEngine('app-2', self.record)
 
     async def play(self) -> bool:
-        """Return whether each request went on at one engine at a time."""
-        streaming = await self._send_streams()
-        await asyncio.sleep(BEFORE_SILENCE_S)
-        if self.has_trouble:
-            self._pausing.fall_silent(SILENCE_S)
-        answers = await asyncio.gather(*streaming)
-        overlapping = [
-            answer.attempt_id for answer in answers if self._overlaps(answer.attempt_id)
-        ]
+        """Return whether no booking was refused by the older configuration."""
+        connections = [Connection(self.balancer.choose()) for _ in range(CLIENTS)]
+        await self._send_on_all(connections, b'booking')
+        self.record.write('the store acknowledges version 5')
+        self.store.put('op', 'config', config_with(5, LARGE_LIMIT_BYTES))
+        await asyncio.sleep(AFTER_CHANGE_S)
+        answers = await self._send_on_all(connections, bytes(BODY_BYTES))
+        refused = [answer for answer in answers if answer.status == NOT_FOR_THE_CLIENT]
         self.record.conclude(
-            f'{len(answers)} streams; {len(overlapping)} of them went on at another '
-            f'engine while the one before still worked on them {MAX_OVERLAP_S} s later'
+            f'{len(answers)} bookings within the limit of version 5, sent '
+            f'{AFTER_CHANGE_S} s after it; {len(refused)} refused with 413'
         )
-        return not overlapping
-
-    async def _send_streams(self) -> list[asyncio.Task[Answer]]:
-        tasks = []
-        while len(tasks) < STREAM_COUNT:
-            plan = Request('POST', f'/plan/{len(tasks)}', STREAM_DEADLINE_MS, b'plan')
-            sending = self.client.send(self.balancer.choose(), plan)
-            tasks.append(asyncio.create_task(sending))
-            await asyncio.sleep(STREAM_INTERVAL_S)
-        return tasks
+        return not refused
 
-    def _overlaps(self, attempt_id: str) -> bool:
-        runs: list[Run] = sorted(
-            (
-                run
-                for engine in self._models
-                for run in engine.runs
-                if run.attempt_id == attempt_id
-            ),
-            key=lambda run: run.begun_s,
-        )
-        return any(
-            earlier.ended_s > later.begun_s + MAX_OVERLAP_S
-            for earlier, later in zip(runs, runs[1:], strict=False)
-        )
+    async def _send_on_all(
+        self, connections: list[Connection], body: bytes
+    ) -> list[Answer]:
+        booking = Request('POST', '/booking/1', BOOKING_DEADLINE_MS, body)
+        sending = [self.client.send_on(found, booking) for found in connections]
+        return await asyncio.gather(*sending)
 
 
-run_case(OverlapCase, Path(__file__).parent)
+run_case(RaisedLimitCase, Path(__file__).parent)
