--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,66 +1,77 @@
-"""A configuration raises the largest body while clients keep their connections."""
+"""A sound engine falls silent for a second while an entry is stopped as planned."""
 
 import asyncio
+import signal
+import time
 from collections.abc import Sequence
-from copy import deepcopy
 from pathlib import Path
 
-from harness.client import Answer, Connection, Request
-from harness.deployment import CONFIG, Case, run_case
-from harness.engine import Engine, PlainEngine
+from harness.client import Answer, Request
+from harness.deployment import Case, run_case
+from harness.engine import Engine, PausingEngine, PlainEngine
 from harness.record import Record
 
-SMALL_LIMIT_BYTES = 65_536
-LARGE_LIMIT_BYTES = 1_048_576
-BODY_BYTES = 200_000
-BOOKING_DEADLINE_MS = 1000
-CLIENTS = 12
-# `configMs` of the deployment is 2,000, and `idleTimeoutMs` 15,000.
-AFTER_CHANGE_S = 5.0
-NOT_FOR_THE_CLIENT = 413
+SILENCE_S = 1.0
+STREAM_DEADLINE_MS = 12_000
+# As many as the two engines have slots.
+STREAM_COUNT = 10
+STREAM_INTERVAL_S = 0.05
+BEFORE_STOP_S = 0.5
+BEFORE_SILENCE_S = 0.5
+GRACE_S = 8
+# The rule does not count what is cut in the last sixth of the grace time.
+JUDGED_SHARE = 5 / 6
 
 
-def config_with(version: int, max_body_bytes: int) -> dict[str, object]:
-    """Return the configuration with another limit of the body."""
-    config = deepcopy(CONFIG)
-    config['version'] = version
-    config['limits']['maxBodyBytes'] = max_body_bytes
-    return config
-
-
-class RaisedLimitCase(Case):
-    """Send a booking, change the configuration, and send a larger booking."""
+class SilenceCase(Case):
+    """Stop an entry that serves as many streams as the engines have slots."""
 
     def __init__(self, record: Record) -> None:
         super().__init__(record)
-        first_limit = SMALL_LIMIT_BYTES if self.has_trouble else LARGE_LIMIT_BYTES
-        self.config = config_with(version=3, max_body_bytes=first_limit)
+        self._pausing = PausingEngine('llm-1', record)
 
     def engines(self) -> Sequence[Engine]:
-        """Return two plain engines."""
-        return PlainEngine('app-1', self.record), PlainEngine('app-2', self.record)
+        """Return two model engines, one of which pauses, and a plain one."""
+        return (
+            self._pausing,
+            PausingEngine('llm-2', self.record),
+            PlainEngine('app-1', self.record),
+        )
 
     async def play(self) -> bool:
-        """Return whether no booking was refused by the older configuration."""
-        connections = [Connection(self.balancer.choose()) for _ in range(CLIENTS)]
-        await self._send_on_all(connections, b'booking')
-        self.record.write('the store acknowledges version 5')
-        self.store.put('op', 'config', config_with(5, LARGE_LIMIT_BYTES))
-        await asyncio.sleep(AFTER_CHANGE_S)
-        answers = await self._send_on_all(connections, bytes(BODY_BYTES))
-        refused = [answer for answer in answers if answer.status == NOT_FOR_THE_CLIENT]
+        """Return whether all streams were answered whole."""
+        streaming = await self._send_streams()
+        await asyncio.sleep(BEFORE_STOP_S)
+        stopped_s = time.monotonic()
+        self.record.write(f'SIGTERM to {self.entries[0].name}')
+        self.entries[0].signal(signal.SIGTERM)
+        await asyncio.sleep(BEFORE_SILENCE_S)
+        if self.has_trouble:
+            self._pausing.fall_silent(SILENCE_S)
+        answers = await asyncio.gather(*streaming)
+        return self._judge(answers, stopped_s)
+
+    async def _send_streams(self) -> list[asyncio.Task[Answer]]:
+        tasks = []
+        while len(tasks) < STREAM_COUNT:
+            plan = Request('POST', f'/plan/{len(tasks)}', STREAM_DEADLINE_MS, b'plan')
+            sending = self.client.send(self.entries[0], plan)
+            tasks.append(asyncio.create_task(sending))
+            await asyncio.sleep(STREAM_INTERVAL_S)
+        return tasks
+
+    def _judge(self, answers: list[Answer], stopped_s: float) -> bool:
+        judged_until_s = stopped_s + JUDGED_SHARE * GRACE_S
+        cut = [
+            answer
+            for answer in answers
+            if not answer.status and answer.ended_s < judged_until_s
+        ]
         self.record.conclude(
-            f'{len(answers)} bookings within the limit of version 5, sent '
-            f'{AFTER_CHANGE_S} s after it; {len(refused)} refused with 413'
+            f'{len(answers)} streams in flight at the SIGTERM, {len(cut)} of them were '
+            f'cut before the last sixth of graceS'
         )
-        return not refused
-
-    async def _send_on_all(
-        self, connections: list[Connection], body: bytes
-    ) -> list[Answer]:
-        booking = Request('POST', '/booking/1', BOOKING_DEADLINE_MS, body)
-        sending = [self.client.send_on(found, booking) for found in connections]
-        return await asyncio.gather(*sending)
+        return not cut
 
 
-run_case(RaisedLimitCase, Path(__file__).parent)
+run_case(SilenceCase, Path(__file__).parent)
