--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,14 +29,11 @@
     def __init__(self, record: Record) -> None:
         super().__init__(record)
         self._pausing = PausingEngine('llm-1', record)
+        self._models = (self._pausing, PausingEngine('llm-2', record))
 
     def engines(self) -> Sequence[Engine]:
         """Return two model engines, one of which pauses, and a plain one."""
-        return (
-            self._pausing,
-            PausingEngine('llm-2', self.record),
-            PlainEngine('app-1', self.record),
-        )
+        return *self._models, PlainEngine('app-1', self.record)
 
     async def play(self) -> bool:
         """Return whether all streams were answered whole."""
@@ -65,7 +62,9 @@
         cut = [
             answer
             for answer in answers
-            if not answer.status and answer.ended_s < judged_until_s
+            if not answer.status
+            and answer.ended_s < judged_until_s
+            and any(answer.attempt_id in engine.run_ids for engine in self._models)
         ]
         self.record.conclude(
             f'{len(answers)} streams in flight at the SIGTERM, {len(cut)} of them were '
--- a/review/harness/entries.py
+++ b/review/harness/entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import re
 import signal
 import socket
@@ -21,6 +22,7 @@
 FIRST_PORT = 20_000
 PORT_COUNT = 9_000
 PORTS_OF_ENTRY = 20
+LOG_TAIL_CHARS = 500
 READY_REQUEST = b'GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
 SETTINGS = """nodeName = "{name}"
 role = "entry"
@@ -170,9 +172,13 @@
         until_s = time.monotonic() + START_TIMEOUT_S
         while not await self.is_ready():
             if time.monotonic() > until_s:
-                raise CannotRunError(f'{self.name} is not ready')
+                raise CannotRunError(f'{self.name} is not ready: {self._last_lines()}')
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def _last_lines(self) -> str:
+        log_path = self._directory / f'{self.name}.log'
+        return log_path.read_text(encoding='utf-8')[-LOG_TAIL_CHARS:]
+
     async def _ask_ready(self) -> bool:
         reader, writer = await asyncio.open_connection(self.ip, self.ports.ready)
         with closing(writer):
@@ -182,7 +188,18 @@
 
 
 def _choose_first_port(ip: str) -> int:
-    """Return the first of some ports, derived from a free one but not checked."""
+    """Return the first of `PORTS_OF_ENTRY` ports that were all free just now."""
+    while True:
+        first_port = FIRST_PORT + random.randrange(PORT_COUNT)
+        ports = range(first_port, first_port + PORTS_OF_ENTRY)
+        if all(_is_free(ip, port) for port in ports):
+            return first_port
+
+
+def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return FIRST_PORT + probe.getsockname()[1] % PORT_COUNT
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
