Leave a silent server only once another place is reserved

Cause: an exchange closed its connection after 900 ms without an event if any other server was registered, and looked for a slot and asked the retry budget only then. With all slots taken, or the budget spent, the request was refused and its stream cut, although its first server was still at work.

Change: the exchange goes on while another place is looked for, and ends only when one is reserved and the retry budget has allowed the move. An event of the first server ends the search. New requests avoid a silent server as soon as before. Responses that are not streams and first events follow the same order.

--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -1,10 +1,12 @@
 """Place an admitted request, forward it and retry it if allowed."""
 
+from contextlib import ExitStack
+
 from gevent import Timeout
-from gevent.event import AsyncResult
 from loguru import logger
 
-from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.clock import Clock
+from marjoramfall.gateway.call_failover import CallFailover
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.callers.caller_connection import ResponseWriter
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
@@ -14,6 +16,7 @@
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
+from marjoramfall.gateway.place_search import PlaceSearch
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
@@ -26,7 +29,6 @@
     OverloadError,
     PathLostError,
     ServiceQueue,
-    Waiter,
 )
 
 # A request that servers reject without running it is sent at most this many times
@@ -68,28 +70,44 @@
         """
         is_stream = call.route.is_stream and call.head.method != HEAD_METHOD
         splitter = EventSplitter() if is_stream else None
+        failover = CallFailover(call, self._fleet, self._delegates, self._clock)
+        with ExitStack() as stack:
+            stack.callback(failover.cancel)
+            return self._forward(call, writer, splitter, failover)
+
+    def _forward(
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        splitter: EventSplitter | None,
+        failover: CallFailover,
+    ) -> str:
         while True:
-            offer = self._delegates.choose(call)
+            offer = None if failover.has_place else self._delegates.choose(call)
             if offer is None:
-                self._check_path(call)
-                outcome = self._serve_here(call, writer, splitter)
+                outcome = self._serve_here(call, writer, splitter, failover)
             else:
                 outcome = self._delegate(call, offer, writer, splitter)
             if outcome.ending is Ending.DELIVERED:
                 return outcome.ending
             if splitter is not None:
                 splitter.discard_partial_event()
-            if not self._should_retry(call, outcome):
+            if not failover.take_move() and not self._should_retry(call, outcome):
                 return self._finish_failed(call, writer, outcome)
 
     def _serve_here(
-        self, call: Call, writer: ResponseWriter, splitter: EventSplitter | None
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        splitter: EventSplitter | None,
+        failover: CallFailover,
     ) -> Outcome:
         try:
-            assignment = self._acquire_checked(call)
+            assignment = self._acquire_checked(call, failover)
         except PathLostError as error:
             return Outcome(Ending.NOT_REACHED, str(error))
-        outcome = self._exchange(call, assignment, writer, splitter)
+        failover.begin(assignment)
+        outcome = self._exchange(call, assignment, writer, splitter, failover)
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
@@ -143,6 +161,7 @@
         assignment: Assignment,
         writer: ResponseWriter,
         splitter: EventSplitter | None,
+        failover: CallFailover,
     ) -> Outcome:
         exchange = Exchange(
             call,
@@ -150,14 +169,13 @@
             self._pool,
             self._fleet.server_limits,
             self._fleet.server_notices,
+            failover,
             self._dialect,
             self._clock,
         )
         releasing = self._fleet.releasing(assignment)
         with releasing, self._running.including(call, exchange):
-            outcome = exchange.run(
-                writer, splitter, can_fail_over=self._can_fail_over(call, assignment)
-            )
+            outcome = exchange.run(writer, splitter)
         if outcome.ending is Ending.NOT_REACHED:
             call.unreached_servers += 1
         else:
@@ -185,13 +203,17 @@
         if is_refused and self._fleet.paths.reaches_another(server):
             self._quarantine.on_crash(call, server)
 
-    def _acquire_checked(self, call: Call) -> Assignment:
+    def _acquire_checked(self, call: Call, failover: CallFailover) -> Assignment:
         """Acquire a server for a request whose prompt may be sent.
 
         Checked again after the wait, as servers may have crashed meanwhile.
         """
-        self._quarantine.check(call)
-        assignment = self._acquire(call)
+        if failover.has_place:
+            assignment = failover.take_place()
+        else:
+            self._check_path(call)
+            self._quarantine.check(call)
+            assignment = self._acquire(call)
         try:
             self._quarantine.check(call)
         except GatewayFailureError:
@@ -202,15 +224,10 @@
     def _acquire(self, call: Call) -> Assignment:
         version = self._fleet.choose_version(call.service_id)
         demand = build_demand(call, self._clock.monotonic_ms(), version)
-        assigned: AsyncResult = AsyncResult()
-        waiter = Waiter(demand, assigned.set, assigned.set_exception)
-        queue = self._fleet.queue(call.service_id)
-        assignment: Assignment | None = None
+        search = PlaceSearch(self._fleet, demand, self._clock)
         try:
-            queue.submit(waiter)
-            self._fleet.notify_peers()
-            wait_ms = max(0, demand.give_up_ms - self._clock.monotonic_ms())
-            assignment = assigned.get(timeout=wait_ms / MS_PER_SECOND)
+            search.submit()
+            assignment = search.wait()
         except Timeout as error:
             raise self._rejection(
                 call, 'no place in time', OVERLOAD_RETRY_AFTER_MS
@@ -218,7 +235,7 @@
         except PathLostError:
             raise
         except OverloadError as error:
-            self._log_overload(call, queue, error)
+            self._log_overload(call, self._fleet.queue(call.service_id), error)
             raise self._rejection(
                 call,
                 str(error),
@@ -226,10 +243,7 @@
                 is_elsewhere=isinstance(error, NoServerError),
             ) from error
         finally:
-            queue.withdraw(waiter)
-            if assignment is None and assigned.successful():
-                # The caller disconnected just as its request was assigned.
-                self._fleet.finish(assigned.value)
+            search.end()
         self._log_placement(call, assignment, demand)
         return assignment
 
@@ -251,13 +265,6 @@
             is_elsewhere=is_elsewhere,
         )
 
-    def _can_fail_over(self, call: Call, assignment: Assignment) -> bool:
-        # One attempt is for this exchange.
-        if not call.may_repeat or call.attempts_left <= 1:
-            return False
-        has_other = self._fleet.queue(call.service_id).has_other_server(assignment)
-        return has_other or self._delegates.choose(call) is not None
-
     def _should_retry(self, call: Call, outcome: Outcome) -> bool:
         now_ms = self._clock.monotonic_ms()
         if call.remaining_ms(now_ms) <= 0:
--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -73,12 +73,16 @@
     """Indicate that the server did not send the awaited data in time.
 
     `was_received` is true if the host of the server has acknowledged the whole
-    request, so that the server rather than the path is to blame.
+    request, so that the server rather than the path is to blame. `is_lost` is true
+    if the system has given the connection up.
     """
 
-    def __init__(self, reason: str, *, was_received: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, was_received: bool = False, is_lost: bool = False
+    ) -> None:
         super().__init__(reason)
         self.was_received = was_received
+        self.is_lost = is_lost
 
 
 def configure_socket(connection: socket.socket) -> None:
@@ -239,6 +243,18 @@
         self._read_idle_timeout(response)
         return self.idle_timeout_ms > 0
 
+    def was_received(self) -> bool:
+        """Return whether the host of the server has acknowledged the request."""
+        if self._sender is not None and not self._sender.ready():
+            return False
+        try:
+            return unacknowledged_bytes(self._socket) == 0
+        except OSError as error:
+            logger.bind(address=self.address, details=str(error)).warning(
+                'unacknowledged bytes of a connection are not known'
+            )
+            return False
+
     def close(self) -> None:
         """Close the socket and cancel a pending send; may be called twice."""
         if self._sender is not None:
@@ -295,7 +311,9 @@
         except TimeoutError as error:
             # The system gives a connection up under the same error.
             if error.errno == errno.ETIMEDOUT:
-                raise ServerTimeoutError(f'{self.address} is lost') from error
+                raise ServerTimeoutError(
+                    f'{self.address} is lost', is_lost=True
+                ) from error
             raise self._timeout_error() from error
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
@@ -306,20 +324,9 @@
 
     def _timeout_error(self) -> ServerTimeoutError:
         return ServerTimeoutError(
-            f'{self.address} sent nothing in time', was_received=self._was_received()
+            f'{self.address} sent nothing in time', was_received=self.was_received()
         )
 
-    def _was_received(self) -> bool:
-        if self._sender is not None and not self._sender.ready():
-            return False
-        try:
-            return unacknowledged_bytes(self._socket) == 0
-        except OSError as error:
-            logger.bind(address=self.address, details=str(error)).warning(
-                'unacknowledged bytes of a connection are not known'
-            )
-            return False
-
     def _parse(self, received: bytes) -> None:
         had_complete_response = (
             bool(self._parser.responses) and self._parser.responses[0].is_complete
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -1,6 +1,6 @@
 """Send a request to one backend server and deliver its response."""
 
-from loguru import logger
+from functools import partial
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
@@ -19,7 +19,9 @@
     EventSplitter,
     EventTooLargeError,
 )
+from marjoramfall.gateway.servers.failover import Failover
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.response_watch import ResponseWatch
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.server_speeds import US_PER_MS
@@ -30,18 +32,6 @@
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 CONTENT_TYPE = b'content-type'
-# A backend server sends its own error at the deadline; this leaves time for it.
-DEADLINE_GRACE_MS = 120.0
-# A call that may repeat fails over after this multiple of the expected time.
-RESPONSE_TIMEOUT_FACTOR = 4.0
-MIN_RESPONSE_TIMEOUT_MS = 70.0
-# A stream that may be resumed fails over if it receives nothing for this long and
-# the server has not responded to any other request in that time either.
-STREAM_IDLE_TIMEOUT_MS = 900.0
-# A sound server under load pauses for longer than the gap that the route allows.
-STREAM_IDLE_GAP_FACTOR = 3.0
-MIN_FIRST_EVENT_TIMEOUT_MS = 600.0
-FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 MIN_GAPS_TO_LEARN = 3
 # A server that dies of a response may have sent its first event.
 RESPONSE_START_MS = 250.0
@@ -57,6 +47,7 @@
         pool: ConnectionPool,
         server_limits: ServerLimits,
         server_notices: ServerNotices,
+        failover: Failover,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
@@ -73,29 +64,25 @@
         self._is_answered = False
         self._is_broken_off = False
         self._timing = StreamTiming(clock.monotonic_ms())
+        self._failover = failover
+        self._watch = ResponseWatch(
+            call, assignment, self._timing, pool, failover, clock
+        )
 
-    def run(
-        self,
-        writer: ResponseWriter,
-        splitter: EventSplitter | None,
-        *,
-        can_fail_over: bool,
-    ) -> Outcome:
+    def run(self, writer: ResponseWriter, splitter: EventSplitter | None) -> Outcome:
         """Return how the exchange ended.
 
-        `can_fail_over` says that the call may be sent to another server, so that a
-        slow or failing one is given up early.
+        A slow or failing server is left early if the call has another place.
         """
         # Counted before it is known to have run, and taken back where it has not.
         self._call.runs += 1
         try:
-            return self._run(writer, splitter, can_fail_over=can_fail_over)
+            return self._run(writer, splitter)
         except NotReachedError as error:
             self._call.runs -= 1
             self._load.on_unreachable(self._clock.monotonic_ms())
             return Outcome(Ending.NOT_REACHED, str(error))
         except ServerTimeoutError as error:
-            self._record_timeout()
             return Outcome(
                 Ending.UNKNOWN,
                 str(error),
@@ -126,21 +113,16 @@
         self._connection.close()
         return True
 
-    def _run(
-        self,
-        writer: ResponseWriter,
-        splitter: EventSplitter | None,
-        *,
-        can_fail_over: bool,
-    ) -> Outcome:
+    def _run(self, writer: ResponseWriter, splitter: EventSplitter | None) -> Outcome:
         if self._call.remaining_ms(self._clock.monotonic_ms()) <= 0:
             # The process may have been paused since the request was assigned.
             self._call.runs -= 1
             return Outcome(Ending.NOT_RUN, 'the deadline passed before it was sent')
         self._send()
-        response = self._connection.read_response(
-            self._response_timeout_ms(can_fail_over=can_fail_over),
-            self._dialect.expected_header(self._call),
+        expected = self._dialect.expected_header(self._call)
+        response = self._watch.read_head(
+            self._connection,
+            partial(self._connection.read_response, expected=expected),
         )
         self._load.last_response_ms = self._clock.monotonic_ms()
         self._read_notices(response)
@@ -153,10 +135,8 @@
                 Ending.FAILED, f'answered {response.status} instead of the rest'
             )
         if response.status != OK or splitter is None:
-            return self._deliver_buffered(response, writer, can_fail_over=can_fail_over)
-        return self._deliver_stream(
-            response, writer, splitter, can_fail_over=can_fail_over
-        )
+            return self._deliver_buffered(response, writer)
+        return self._deliver_stream(response, writer, splitter)
 
     def _read_notices(self, response: Response) -> None:
         attempt_id = self._call.fields.attempt_id
@@ -204,7 +184,7 @@
         return self._pool.acquire(self._server.server_id, self._server.address)
 
     def _read_rejection(self, response: Response) -> Outcome:
-        body = self._connection.read_all(response, self._deadline_timeout_ms())
+        body = self._connection.read_all(response, self._watch.deadline_timeout_ms())
         self._release(response)
         if self._dialect.is_other_server(response):
             self._load.on_unreachable(self._clock.monotonic_ms())
@@ -212,16 +192,14 @@
             Ending.NOT_RUN, f'rejected with {response.status}', response, body
         )
 
-    def _deliver_buffered(
-        self, response: Response, writer: ResponseWriter, *, can_fail_over: bool
-    ) -> Outcome:
+    def _deliver_buffered(self, response: Response, writer: ResponseWriter) -> Outcome:
         self._is_answered = True
-        body = self._connection.read_all(response, self._deadline_timeout_ms())
+        body = self._connection.read_all(response, self._watch.deadline_timeout_ms())
         now_ms = self._clock.monotonic_ms()
         self._release(response)
         if response.status >= FIRST_SERVER_ERROR_STATUS:
             self._load.on_error()
-            if can_fail_over:
+            if self._failover.is_possible():
                 return Outcome(
                     Ending.FAILED, f'answered {response.status}', response, body
                 )
@@ -235,18 +213,11 @@
         return Outcome(Ending.DELIVERED)
 
     def _deliver_stream(
-        self,
-        response: Response,
-        writer: ResponseWriter,
-        splitter: EventSplitter,
-        *,
-        can_fail_over: bool,
+        self, response: Response, writer: ResponseWriter, splitter: EventSplitter
     ) -> Outcome:
+        read = partial(self._connection.read_more, response)
         while True:
-            is_first_event = self._timing.first_event_ms is None
-            part = self._read_part(
-                response, is_first_event=is_first_event, can_fail_over=can_fail_over
-            )
+            part = self._watch.read_part(self._connection, read)
             if not part:
                 break
             self._forward_part(response, writer, splitter, part)
@@ -299,58 +270,6 @@
         self._record_first_event()
         writer.begin(response.status, response.headers, response.reason, events)
 
-    def _read_part(
-        self, response: Response, *, is_first_event: bool, can_fail_over: bool
-    ) -> bytes:
-        """Return the next part of the body.
-
-        Only complete events count as progress: a part of one does not extend the
-        timeout, while events of other requests of the server do.
-        """
-        while True:
-            timeout_ms = self._stream_timeout_ms(is_first_event=is_first_event)
-            now_ms = self._clock.monotonic_ms()
-            progress_ms = max(self._timing.progress_ms, self._load.last_response_ms)
-            wait_ms = self._deadline_timeout_ms()
-            if can_fail_over:
-                wait_ms = min(wait_ms, progress_ms + timeout_ms - now_ms)
-            if wait_ms <= 0:
-                raise ServerTimeoutError(f'{self._server.server_id} made no progress')
-            try:
-                return self._connection.read_more(response, wait_ms)
-            except ServerTimeoutError:
-                logger.bind(
-                    request=self._call.fields.attempt_id,
-                    server=self._server.server_id,
-                    waited_ms=round(wait_ms),
-                ).debug('stream made no progress')
-
-    def _stream_timeout_ms(self, *, is_first_event: bool) -> float:
-        if is_first_event:
-            expected_ms = FIRST_EVENT_TIMEOUT_FACTOR * self._load.first_response_ms(
-                self._assignment.request.demand
-            )
-            return max(MIN_FIRST_EVENT_TIMEOUT_MS, expected_ms)
-        longest_gap_ms = STREAM_IDLE_GAP_FACTOR * self._call.route.max_gap_ms
-        return max(STREAM_IDLE_TIMEOUT_MS, longest_gap_ms)
-
-    def _response_timeout_ms(self, *, can_fail_over: bool) -> float:
-        deadline_timeout_ms = self._deadline_timeout_ms()
-        if not can_fail_over:
-            return deadline_timeout_ms
-        if self._load.is_model:
-            return min(
-                deadline_timeout_ms, self._stream_timeout_ms(is_first_event=True)
-            )
-        expected_ms = self._load.first_response_ms(self._assignment.request.demand)
-        return min(
-            deadline_timeout_ms,
-            max(MIN_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FACTOR * expected_ms),
-        )
-
-    def _deadline_timeout_ms(self) -> float:
-        return self._call.remaining_ms(self._clock.monotonic_ms()) + DEADLINE_GRACE_MS
-
     def _release(self, response: Response) -> None:
         connection = self._connection
         if connection.finish(response, self._clock.monotonic_ms()):
@@ -377,12 +296,3 @@
             )
             self._load.speeds.add_event_sample(gap_ms)
         self._load.on_success(self._clock.monotonic_ms())
-
-    def _record_timeout(self) -> None:
-        now_ms = self._clock.monotonic_ms()
-        # A server that answers other requests is slow with this one only.
-        if now_ms - self._load.last_response_ms > STREAM_IDLE_TIMEOUT_MS:
-            self._load.on_unreachable(now_ms)
-            self._pool.close_idle(self._server.server_id)
-        else:
-            self._load.on_error()
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -8,7 +8,7 @@
 
 from gevent import sleep, spawn
 
-from marjoramfall.gateway.servers import exchange as exchange_module
+from marjoramfall.gateway.servers import response_watch
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
 from tests.gateway_fakes import MODEL, make_config, make_route
 
@@ -267,9 +267,9 @@
 
     def setUp(self):
         super().setUp()
-        original_ms = exchange_module.STREAM_IDLE_TIMEOUT_MS
-        exchange_module.STREAM_IDLE_TIMEOUT_MS = SHORT_IDLE_MS
-        self.addCleanup(setattr, exchange_module, 'STREAM_IDLE_TIMEOUT_MS', original_ms)
+        original_ms = response_watch.STREAM_IDLE_TIMEOUT_MS
+        response_watch.STREAM_IDLE_TIMEOUT_MS = SHORT_IDLE_MS
+        self.addCleanup(setattr, response_watch, 'STREAM_IDLE_TIMEOUT_MS', original_ms)
 
     def test_stalled(self):
         """Guards against a stalled stream kept alive by bytes that end no event."""
