Leave a model server that only pauses to its requests

Cause: 900 ms without an event, 600 ms without the first one, were taken for the end of the server. A sound server may pause for a second or so, and some go on with requests whose connections have closed.

Change: a silent model server gets a question of its own, a new connection. Only if its host does not accept it does a request leave as early as before; else the silence has to last 1.5 s. New requests avoid the server from the first moment, as before.

--- a/marjoramfall/gateway/servers/response_watch.py
+++ b/marjoramfall/gateway/servers/response_watch.py
@@ -14,6 +14,7 @@
 )
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.failover import Failover
+from marjoramfall.gateway.servers.host_probe import HostProbe
 from marjoramfall.gateway.servers.service_queue import Assignment
 from marjoramfall.gateway.servers.stream_timing import StreamTiming
 
@@ -28,6 +29,9 @@
 # A sound server under load pauses for longer than the gap that the route allows.
 STREAM_IDLE_GAP_FACTOR = 3.0
 MIN_FIRST_EVENT_TIMEOUT_MS = 600.0
+# A sound model server may pause for about a second and go on, also with requests
+# whose connection has closed: two servers would then work on one of them.
+SOUND_PAUSE_MS = 1500.0
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 # How often a search for another place is looked at while the server is silent.
 SEARCH_INTERVAL_MS = 20.0
@@ -58,6 +62,7 @@
         self._failover = failover
         self._clock = clock
         self._is_silent = False
+        self._probe = HostProbe(pool, self._load.server)
 
     def read_head(
         self, connection: BackendConnection, read: Callable[[float], Response]
@@ -114,12 +119,22 @@
         if not self._is_silent and self._failover.is_possible():
             self._is_silent = True
             self._record_silence()
-        if self._is_silent and self._failover.reserve():
+            if self._load.is_model:
+                self._probe.start()
+        if self._is_silent and self._may_leave(timeout_ms) and self._failover.reserve():
+            is_reached = not self._probe.has_failed()
             raise ServerTimeoutError(
                 f'{self._load.server.server_id} made no progress',
-                was_received=connection.was_received(),
+                was_received=is_reached and connection.was_received(),
             )
 
+    def _may_leave(self, timeout_ms: float) -> bool:
+        """Return whether the silent server does more than pause."""
+        if not self._load.is_model or self._probe.has_failed():
+            return True
+        silent_ms = self._stream_timeout_ms() - timeout_ms
+        return silent_ms >= SOUND_PAUSE_MS
+
     def _record_silence(self) -> None:
         now_ms = self._clock.monotonic_ms()
         response_age_ms = now_ms - self._load.last_response_ms
--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -5,6 +5,7 @@
 """
 
 import tracemalloc
+from unittest.mock import patch
 
 from gevent import sleep, spawn
 
@@ -267,9 +268,10 @@
 
     def setUp(self):
         super().setUp()
-        original_ms = response_watch.STREAM_IDLE_TIMEOUT_MS
-        response_watch.STREAM_IDLE_TIMEOUT_MS = SHORT_IDLE_MS
-        self.addCleanup(setattr, response_watch, 'STREAM_IDLE_TIMEOUT_MS', original_ms)
+        for name in ('STREAM_IDLE_TIMEOUT_MS', 'SOUND_PAUSE_MS'):
+            patched = patch.object(response_watch, name, SHORT_IDLE_MS)
+            patched.start()
+            self.addCleanup(patched.stop)
 
     def test_stalled(self):
         """Guards against a stalled stream kept alive by bytes that end no event."""
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,7 +1,8 @@
 """Test streams whose server is silent for a while and then goes on.
 
-The pattern is a sound server that pauses, as under load, while no other server has a
-free slot: what it sends afterwards is the only answer that callers can get.
+The pattern is a sound server that pauses, as under load. While no other server has a
+free slot, what it sends afterwards is the only answer that callers can get; while
+one has, two servers would work on one request.
 """
 
 from functools import partial
@@ -17,6 +18,8 @@
 
 IDLE_MS = 150.0
 SILENCE_S = 0.6
+LONG_SILENCE_S = 10
+LONG_PAUSE_MS = 60_000.0
 END_OF_CHUNKS = b'0\r\n\r\n'
 
 
@@ -35,19 +38,26 @@
     pause_within_stream(exchange, silence_s=0)
 
 
-class TestSilentServer(GatewayCase):
-    """A stream leaves a silent server only once it has another place."""
+class SilenceCase(GatewayCase):
+    """Run two servers of one service with short idle times."""
+
+    sound_pause_ms = IDLE_MS
 
     def setUp(self):
         super().setUp()
-        for name in ('STREAM_IDLE_TIMEOUT_MS', 'MIN_FIRST_EVENT_TIMEOUT_MS'):
-            patched = patch.object(response_watch, name, IDLE_MS)
-            patched.start()
-            self.addCleanup(patched.stop)
+        self.set_time('STREAM_IDLE_TIMEOUT_MS', IDLE_MS)
+        self.set_time('MIN_FIRST_EVENT_TIMEOUT_MS', IDLE_MS)
+        self.set_time('SOUND_PAUSE_MS', self.sound_pause_ms)
         self.registry.put_config(
             make_config(2, routes=(stream_route(max_gap_ms=10),)), 2
         )
 
+    def set_time(self, name, time_ms):
+        """Replace a time of the product during the test."""
+        patched = patch.object(response_watch, name, time_ms)
+        patched.start()
+        self.addCleanup(patched.stop)
+
     def add_servers(self, script, *, other_has_place):
         """Add a server that is asked first, and one that may have a free slot."""
         self.first = self.add_backend(script, service_id=MODEL)
@@ -68,6 +78,14 @@
         self.assertEqual(received.count(b'data: '), 2, received)
         self.assertTrue(received.endswith(END_OF_CHUNKS), received)
 
+    def send_stream(self):
+        """Send a request for a stream on a connection of its own."""
+        return self.send('/review/1', 'Connection: close')
+
+
+class TestSilentServer(SilenceCase):
+    """A stream leaves a silent server only once it has another place."""
+
     def test_no_other_place(self):
         """Guards against a stream cut as its server pauses and the others are full."""
         for script in (pause_within_stream, pause_before_stream):
@@ -107,6 +125,33 @@
         own = [load.own_requests for load in queue.load_by_id.values()]
         self.assertEqual(own, [[], []])
 
-    def send_stream(self):
-        """Send a request for a stream on a connection of its own."""
-        return self.send('/review/1', 'Connection: close')
+
+class TestPausingServer(SilenceCase):
+    """A stream stays at a server that pauses, and leaves one that is out of reach."""
+
+    sound_pause_ms = LONG_PAUSE_MS
+
+    def stop_and_pause(self, exchange):
+        """Accept no connection any more, and send nothing on the one in use."""
+        self.first.stop()
+        pause_within_stream(exchange, silence_s=LONG_SILENCE_S)
+
+    def test_pause(self):
+        """Guards against two servers at work on one request after a pause."""
+        for script in (pause_within_stream, pause_before_stream):
+            with self.subTest(script.__name__):
+                self.add_servers(script, other_has_place=True)
+                connection = self.send_stream()
+                self.wait_until_asked()
+                self.check_whole(self.receive_all(connection))
+                self.assertEqual(len(self.other.heads), 0)
+                self.doCleanups()
+                self.setUp()
+
+    def test_out_of_reach(self):
+        """Guards against a stream that waits for a server that is gone."""
+        self.add_servers(self.stop_and_pause, other_has_place=True)
+        connection = self.send_stream()
+        self.wait_until_asked()
+        self.check_whole(self.receive_all(connection))
+        self.assertEqual(len(self.other.heads), 1)
