Let no stream without end keep an entry from other callers

Cause: the splitter of events copied and searched all that it held once for each empty line, nothing bounded bytes that add no event, and gevent reads a socket with bytes at hand without a switch to other greenlets.

Change: the splitter searches each byte once; a stream is broken off after 64 KiB in a row that add no event (a server that resumes may repeat what the caller has); a greenlet that has worked 5 ms without a read that waited lets others run for nine times as long. An event in front of too many other bytes is forwarded first: its id counted as forwarded, which left a hole in the resumed stream.

--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -23,7 +23,7 @@
 )
 from marjoramfall.gateway.servers.event_splitter import (
     EventSplitter,
-    EventTooLargeError,
+    StreamOverheadError,
 )
 from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
 
@@ -169,7 +169,7 @@
     ) -> None:
         try:
             events = splitter.feed(part)
-        except EventTooLargeError as error:
+        except StreamOverheadError as error:
             raise BrokenExchangeError(str(error)) from error
         if not events:
             return
--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -29,8 +29,10 @@
     ResponseParser,
     find_header,
 )
+from marjoramfall.gateway.turn import Turn
 
-RECEIVE_BYTES = 65536
+# Also what a greenlet parses before it may give way: some milliseconds at most.
+RECEIVE_BYTES = 16_384
 INT_BYTES = struct.calcsize('i')
 # If more than this is left after the first send, another greenlet sends it while
 # the response is read: a server may answer before it has read the whole body.
@@ -155,6 +157,7 @@
         self._must_close = False
         self._is_reused = False
         self._discarded_count = 0
+        self._turn = Turn()
         self._sender: Greenlet | None = None
         try:
             self._socket = socket.create_connection(
@@ -226,6 +229,7 @@
     def finish(self, response: Response, now_ms: float) -> bool:
         """Mark the connection idle and return whether it can be reused."""
         self.idle_since_ms = now_ms
+        self._turn.reset()
         if self._sender is not None and not self._sender.ready():
             return False
         self._sender = None
@@ -307,7 +311,8 @@
             raise self._timeout_error()
         self._socket.settimeout(timeout_s)
         try:
-            received = self._socket.recv(RECEIVE_BYTES)
+            with self._turn.reading():
+                received = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
             # The system gives a connection up under the same error.
             if error.errno == errno.ETIMEDOUT:
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -17,7 +17,7 @@
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.event_splitter import (
     EventSplitter,
-    EventTooLargeError,
+    StreamOverheadError,
 )
 from marjoramfall.gateway.servers.failover import Failover
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
@@ -253,7 +253,7 @@
         previous_count = splitter.event_count
         try:
             events = splitter.feed(part)
-        except EventTooLargeError as error:
+        except StreamOverheadError as error:
             raise BrokenExchangeError(str(error)) from error
         if not events:
             return
