--- a/marjoramfall/gateway/internal_http_server.py
+++ b/marjoramfall/gateway/internal_http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from gevent import sleep
 from gevent.pywsgi import WSGIServer
 
 from marjoramfall.gateway.servers.backend_connection import split_address
@@ -38,6 +39,8 @@
         self._server.start()
 
     def _handle(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        # Requests that are at hand already are read without a switch to others.
+        sleep(0)
         handler = self._handler_by_path.get(environ['PATH_INFO'])
         response = handler() if handler else InternalResponse(404, 'text/plain', b'')
         start_response(
