--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -10,6 +10,7 @@
 
 from gevent import sleep
 
+from marjoramfall.gateway.delegation.service_paths import MIN_FAILED_SERVERS
 from marjoramfall.gateway.servers import response_watch
 from marjoramfall.gateway.servers.retry_budget import RetryBounds
 from tests.gateway_case import GatewayCase, start_events
@@ -19,6 +20,8 @@
 IDLE_MS = 150.0
 SILENCE_S = 0.6
 LONG_SILENCE_S = 10
+# Shorter than the idle time.
+RESUME_S = 0.1
 LONG_PAUSE_MS = 60_000.0
 END_OF_CHUNKS = b'0\r\n\r\n'
 
@@ -38,6 +41,12 @@
     pause_within_stream(exchange, silence_s=0)
 
 
+def resume_later(exchange):
+    """Send the rest of a stream once others have left their servers as well."""
+    sleep(RESUME_S)
+    resume(exchange)
+
+
 class SilenceCase(GatewayCase):
     """Run two servers of one service with short idle times."""
 
@@ -155,3 +164,26 @@
         self.wait_until_asked()
         self.check_whole(self.receive_all(connection))
         self.assertEqual(len(self.other.heads), 1)
+
+
+class TestSilentService(SilenceCase):
+    """Servers that pause together are no lost path."""
+
+    def test_path_kept(self):
+        """Guards against requests sent to peers as several servers pause at once."""
+        script = partial(pause_within_stream, silence_s=LONG_SILENCE_S)
+        paused = [
+            self.add_backend(script, service_id=MODEL)
+            for _ in range(MIN_FAILED_SERVERS)
+        ]
+        for load in self.fleet.queue(MODEL).load_by_id.values():
+            # One stream each.
+            load.add_peer_load(load.server.slots - 1, 0)
+        with patch.object(self.fleet.paths, '_lose') as lose:
+            connections = [self.send_stream() for _ in paused]
+            self.wait_for(lambda: all(server.heads for server in paused))
+            for _ in paused:
+                self.add_backend(resume_later, service_id=MODEL)
+            for connection in connections:
+                self.check_whole(self.receive_all(connection))
+        lose.assert_not_called()
