Let a begun stream wait for a slot or a peer until its deadline

Cause: a peer refuses a request for which it expects no slot in time, and the first entry passed the refusal on, which cuts a stream that has begun. The same estimate cut begun streams at their own entry.

Its caller ends the wait by leaving.

No message between entries has changed.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -104,6 +104,14 @@
         """Return whether a peer has accepted the request from its caller."""
         return self.delegation is not None
 
+    @property
+    def is_begun_stream(self) -> bool:
+        """Return whether the caller has the beginning of the stream already."""
+        if self.first_byte_ms is not None:
+            return True
+        is_resumed = self.fields.last_event_id is not None
+        return self.delegation is not None and self.delegation.runs > 0 and is_resumed
+
     @property
     def attempts_left(self) -> int:
         """Return how often the route lets the request run yet."""
--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -89,7 +89,7 @@
         )
         failure = messages.read_failure(response)
         if failure is not None:
-            return self._read_failure(response, failure)
+            return self._read_failure(response, failure, has_begun=writer.has_begun)
         if writer.has_begun and not self._is_rest_of_stream(response):
             return Outcome(
                 Ending.FAILED, f'answered {response.status} instead of the rest'
@@ -121,8 +121,12 @@
             expects_body=call.head.method != HEAD_METHOD,
         )
 
-    def _read_failure(self, response: Response, failure: str) -> Outcome:
-        if messages.may_go_elsewhere(response):
+    def _read_failure(
+        self, response: Response, failure: str, *, has_begun: bool
+    ) -> Outcome:
+        # A stream that has begun can't be refused any more, only cut.
+        is_refused = response.status == UNAVAILABLE
+        if messages.may_go_elsewhere(response) or (has_begun and is_refused):
             self._call.runs -= 1
             return Outcome(Ending.NOT_REACHED, failure)
         if response.status != UNAVAILABLE:
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -34,6 +34,8 @@
 # A request that servers reject without running it is sent at most this many times
 # more than the route's `max_attempts`.
 MAX_REJECTED_SENDS = 3
+# After all peers that were asked have refused to go on with a stream.
+DELEGATION_PAUSE_MS = 200.0
 # Retry-After if all servers are full; slots become free as requests end.
 OVERLOAD_RETRY_AFTER_MS = 150.0
 # Bounds the log line of a request with many prompt parts.
@@ -83,7 +85,7 @@
         failover: CallFailover,
     ) -> str:
         while True:
-            offer = None if failover.has_place else self._delegates.choose(call)
+            offer = None if failover.has_place else self._choose_peer(call, writer)
             if offer is None:
                 outcome = self._serve_here(call, writer, splitter, failover)
             else:
@@ -143,6 +145,28 @@
             )
         return outcome
 
+    def _choose_peer(self, call: Call, writer: ResponseWriter) -> DelegateOffer | None:
+        """Return the peer to send a request to, None to serve it here.
+
+        A stream that only a peer can go on with is not cut as all that were asked
+        have no slot: its caller leaves once it has waited too long for an event.
+        """
+        offer = self._delegates.choose(call)
+        while offer is None and self._needs_peer(call, writer):
+            call.tried_delegates.clear()
+            self._clock.sleep_ms(DELEGATION_PAUSE_MS)
+            offer = self._delegates.choose(call)
+        return offer
+
+    def _needs_peer(self, call: Call, writer: ResponseWriter) -> bool:
+        has_time = call.remaining_ms(self._clock.monotonic_ms()) > 0
+        return (
+            writer.has_begun
+            and has_time
+            and not call.is_delegated
+            and self._fleet.paths.is_lost(call.service_id)
+        )
+
     def _check_path(self, call: Call) -> None:
         """Raise `GatewayFailureError` if the request should go to another entry."""
         is_lost = self._fleet.paths.is_lost(call.service_id)
@@ -224,6 +248,9 @@
     def _acquire(self, call: Call) -> Assignment:
         version = self._fleet.choose_version(call.service_id)
         demand = build_demand(call, self._clock.monotonic_ms(), version)
+        if call.is_begun_stream:
+            # To cut it helps nobody; its caller leaves once it has waited too long.
+            demand.give_up_ms = call.deadline_ms
         search = PlaceSearch(self._fleet, demand, self._clock)
         try:
             search.submit()
