Let entries that start first learn of all others

Cause: the table of entries was read at the start and then every 60 s. The first entries of a fleet find few rows, take the system for a single group and send no digests, while the others choose one of them for the relay of its group. Its members and all other groups don't count each other.

Change: the table is read again after 2 s, and after twice as long each time that brings nothing new, up to 60 s as before; a digest of an entry or group that is not known leads to a read within 2 s, once for each sender. No message and no row has changed.

--- a/marjoramfall/gateway/peers/group_relay.py
+++ b/marjoramfall/gateway/peers/group_relay.py
@@ -82,6 +82,7 @@
     def receive(self, datagram: bytes) -> None:
         """Process a digest; raises `msgspec.DecodeError` or `UnknownFormError`."""
         digest = decode_digest(datagram)
+        self._peers.check_sender(digest.vm, digest.group)
         is_of_group = digest.scope == Scope.GROUP
         is_own_group = digest.group == self._peers.groups.own_group
         if is_of_group == is_own_group:
--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from loguru import logger
+
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.peers.outside_groups import OutsideGroups
 from marjoramfall.gateway.peers.peer_groups import PeerGroups
@@ -46,6 +48,14 @@
     is_store_reachable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownSender:
+    """Name a sender of digests, and its group, of which one is not known here."""
+
+    vm: str
+    group: str
+
+
 class PeerTable:
     """Keep the members of the system and the newest state of those in the own group.
 
@@ -61,6 +71,9 @@
         self.member_by_vm: dict[str, Member] = {}
         self._groups = PeerGroups(own_vm, data_centre)
         self._has_new_members = False
+        # Set once entries or groups are heard of that are not known here.
+        self.is_incomplete = False
+        self._unknown_senders: set[UnknownSender] = set()
         self.outside = OutsideGroups(clock)
 
     def add_member(self, vm: str, member: Member) -> None:
@@ -72,6 +85,25 @@
         if known is None or known.data_centre != member.data_centre:
             self._has_new_members = True
 
+    def check_sender(self, vm: str, group: str) -> None:
+        """Note that members are missing here if a sender or its group is unknown.
+
+        Each sender is noted once, as it may be unknown to the store as well.
+        """
+        if vm in self.member_by_vm and group in self.groups.names:
+            return
+        sender = UnknownSender(vm, group)
+        if vm == self._own_vm or sender in self._unknown_senders:
+            return
+        self._unknown_senders.add(sender)
+        self.is_incomplete = True
+        logger.bind(
+            peer=vm,
+            group=group,
+            own_group=self.groups.own_group,
+            members=len(self.member_by_vm),
+        ).info('digest of an unknown entry or group')
+
     @property
     def groups(self) -> PeerGroups:
         """Return the division of all known entries into groups."""
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -17,9 +17,10 @@
 
 ENTRY_TABLE = 'entries'
 RETRY_DELAY_MS = 500
-# Entries also learn of each other by datagrams; this read finds an entry whose
-# datagrams were all lost.
-READ_INTERVAL_MS = 60_000
+# Entries also learn of each other by datagrams, but not of all in other data
+# centres. Read soon again while entries are still being added.
+MIN_READ_INTERVAL_MS = 2000
+MAX_READ_INTERVAL_MS = 60_000
 # How often an entry checks whether the store was restored.
 CHECK_INTERVAL_MS = 500
 
@@ -51,6 +52,7 @@
         self._clock = clock
         self._vm = vm
         self._is_registered = False
+        self._read_interval_ms = MIN_READ_INTERVAL_MS
         self._own_record = msgspec.json.encode(_EntryRecord(address, data_centre))
 
     def run(self) -> None:
@@ -73,9 +75,13 @@
         """
         if not self._is_registered:
             self._write_own_row()
+        known_count = len(self._peers.member_by_vm)
+        # Before the read, which may miss a row that is written meanwhile.
+        self._peers.is_incomplete = False
         rows = self._client.read_table(ENTRY_TABLE)
         for row in rows.rows:
             self._add_peer(row)
+        self._choose_interval(len(self._peers.member_by_vm) - known_count)
         known_vms = {member.key for member in rows.rows}
         if self._vm not in known_vms:
             logger.bind(era=era_of(rows.revision)).warning(
@@ -84,13 +90,27 @@
             self._write_own_row()
         self._read_era = era_of(rows.revision)
 
+    def _choose_interval(self, added_count: int) -> None:
+        if added_count:
+            logger.bind(added=added_count, members=len(self._peers.member_by_vm)).info(
+                'entries found in the store'
+            )
+            self._read_interval_ms = MIN_READ_INTERVAL_MS
+        else:
+            self._read_interval_ms = min(
+                2 * self._read_interval_ms, MAX_READ_INTERVAL_MS
+            )
+
     def _rest(self) -> None:
         """Wait until the rows have to be read again."""
-        rest_until_ms = self._clock.monotonic_ms() + READ_INTERVAL_MS
-        while self._clock.monotonic_ms() < rest_until_ms:
+        read_ms = self._clock.monotonic_ms()
+        rest_ms = self._read_interval_ms
+        while self._clock.monotonic_ms() - read_ms < rest_ms:
             self._clock.sleep_ms(CHECK_INTERVAL_MS)
             if self._store_era() > self._read_era:
                 return
+            if self._peers.is_incomplete:
+                rest_ms = MIN_READ_INTERVAL_MS
 
     def _write_own_row(self) -> None:
         self._client.write_row(ENTRY_TABLE, self._vm, self._own_record)
