End the search for a place with its exchange

A request whose silent server broke off waited in the queue twice, once for the search that had begun during the silence and once for its next attempt: it could hold a second slot until its end. No caller has reported it; found in reading.

Cause: the search was ended by an event of the server or by a move, but not by another end of the exchange.

Change: an exchange that ends otherwise ends its search as well.

Evidence: test_break_while_searching failed before and passes now.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -42,9 +42,14 @@
         self._is_moving = False
 
     def take_move(self) -> bool:
-        """Return whether the last exchange ended for a move that is allowed."""
+        """Return whether the last exchange ended for a move that is allowed.
+
+        If it ended otherwise, its search for another place ends as well.
+        """
         is_moving = self._is_moving
         self._is_moving = False
+        if not is_moving:
+            self.cancel()
         return is_moving
 
     @property
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -41,6 +41,14 @@
     pause_within_stream(exchange, silence_s=0)
 
 
+def break_after_silence(exchange):
+    """Send an event, nothing for a while, and break off."""
+    start_events(exchange)
+    exchange.event('1', 'a')
+    sleep(SILENCE_S)
+    return False
+
+
 def resume_later(exchange):
     """Send the rest of a stream once others have left their servers as well."""
     sleep(RESUME_S)
@@ -125,6 +133,18 @@
         self.check_whole(self.receive_all(connection))
         self.assertEqual(len(self.other.heads), 1)
 
+    def test_break_while_searching(self):
+        """Guards against a request that waits twice as its silent server breaks off."""
+        self.add_servers(break_after_silence, other_has_place=False)
+        connection = self.send_stream()
+        queue = self.fleet.queue(MODEL)
+        self.wait_for(lambda: len(queue.waiters) == 1)
+        searching = queue.waiters[0]
+        self.wait_for(lambda: queue.waiters and queue.waiters[0] is not searching)
+        self.assertEqual(len(queue.waiters), 1)
+        self.free_other(queue.load_by_id['other'])
+        self.check_whole(self.receive_all(connection))
+
     def test_search_ends(self):
         """Guards against a place that stays taken as the first server goes on."""
         self.add_servers(pause_within_stream, other_has_place=False)
