Name the time that is left before a server counts as silent

In the watch of responses, timeout_ms was at one place a length and at another the time that is left of it, negative once the server is silent. The latter is named left_ms now and described once; comments say what a timeout leads to since the search for another place.

--- a/marjoramfall/gateway/servers/response_watch.py
+++ b/marjoramfall/gateway/servers/response_watch.py
@@ -20,11 +20,12 @@
 
 # A backend server sends its own error at the deadline; this leaves time for it.
 DEADLINE_GRACE_MS = 120.0
-# A call that may repeat fails over after this multiple of the expected time.
+# A call that may repeat looks for another place after this multiple of the expected
+# time.
 RESPONSE_TIMEOUT_FACTOR = 4.0
 MIN_RESPONSE_TIMEOUT_MS = 70.0
-# A stream that may be resumed fails over if it receives nothing for this long and
-# the server has not responded to any other request in that time either.
+# A stream that may be resumed looks for another place if it receives nothing for this
+# long and the server has not responded to any other request in that time either.
 STREAM_IDLE_TIMEOUT_MS = 900.0
 # A sound server under load pauses for longer than the gap that the route allows.
 STREAM_IDLE_GAP_FACTOR = 3.0
@@ -72,7 +73,7 @@
         Raises `BrokenExchangeError`, of which `ServerTimeoutError` if another place
         is reserved or the deadline has passed.
         """
-        return self._read(connection, read, self._head_timeout_ms)
+        return self._read(connection, read, self._head_time_left_ms)
 
     def read_part(
         self, connection: BackendConnection, read: Callable[[float], bytes]
@@ -83,7 +84,7 @@
         timeout, while events of other requests of the server do. Raises like
         `read_head`.
         """
-        return self._read(connection, read, self._part_timeout_ms)
+        return self._read(connection, read, self._part_time_left_ms)
 
     def deadline_timeout_ms(self) -> float:
         """Return how long the server's own error at the deadline is waited for."""
@@ -93,25 +94,28 @@
         self,
         connection: BackendConnection,
         read: Callable[[float], Received],
-        silence_timeout_ms: Callable[[], float],
+        time_left_ms: Callable[[], float],
     ) -> Received:
         while True:
             wait_ms = self.deadline_timeout_ms()
             is_last = True
             if self._failover.is_allowed:
-                timeout_ms = silence_timeout_ms()
-                self._check_silence(connection, timeout_ms)
-                is_last = wait_ms <= max(timeout_ms, SEARCH_INTERVAL_MS)
-                wait_ms = min(wait_ms, max(timeout_ms, SEARCH_INTERVAL_MS))
+                left_ms = time_left_ms()
+                self._check_silence(connection, left_ms)
+                is_last = wait_ms <= max(left_ms, SEARCH_INTERVAL_MS)
+                wait_ms = min(wait_ms, max(left_ms, SEARCH_INTERVAL_MS))
             try:
                 return read(wait_ms)
             except ServerTimeoutError as error:
                 if is_last or error.is_lost:
                     raise
 
-    def _check_silence(self, connection: BackendConnection, timeout_ms: float) -> None:
-        """Raise `ServerTimeoutError` if the silent server can be left."""
-        if timeout_ms > 0:
+    def _check_silence(self, connection: BackendConnection, left_ms: float) -> None:
+        """Raise `ServerTimeoutError` if the silent server can be left.
+
+        `left_ms` is the time until the server counts as silent, negative after it.
+        """
+        if left_ms > 0:
             if self._is_silent:
                 self._is_silent = False
                 self._failover.cancel()
@@ -121,18 +125,18 @@
             self._record_silence()
             if self._load.is_model:
                 self._probe.start()
-        if self._is_silent and self._may_leave(timeout_ms) and self._failover.reserve():
+        if self._is_silent and self._may_leave(left_ms) and self._failover.reserve():
             is_reached = not self._probe.has_failed()
             raise ServerTimeoutError(
                 f'{self._load.server.server_id} made no progress',
                 was_received=is_reached and connection.was_received(),
             )
 
-    def _may_leave(self, timeout_ms: float) -> bool:
+    def _may_leave(self, left_ms: float) -> bool:
         """Return whether the silent server does more than pause."""
         if not self._load.is_model or self._probe.has_failed():
             return True
-        silent_ms = self._stream_timeout_ms() - timeout_ms
+        silent_ms = self._stream_timeout_ms() - left_ms
         return silent_ms >= SOUND_PAUSE_MS
 
     def _record_silence(self) -> None:
@@ -152,7 +156,7 @@
         else:
             self._load.on_error()
 
-    def _head_timeout_ms(self) -> float:
+    def _head_time_left_ms(self) -> float:
         elapsed_ms = self._clock.monotonic_ms() - self._timing.sent_ms
         if self._load.is_model:
             return self._stream_timeout_ms() - elapsed_ms
@@ -160,7 +164,7 @@
         timeout_ms = max(MIN_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_FACTOR * expected_ms)
         return timeout_ms - elapsed_ms
 
-    def _part_timeout_ms(self) -> float:
+    def _part_time_left_ms(self) -> float:
         progress_ms = max(self._timing.progress_ms, self._load.last_response_ms)
         return progress_ms + self._stream_timeout_ms() - self._clock.monotonic_ms()
 
