Compare event ids of any length without converting them

A server that sent an event id of over 4,300 digits made the entry fail itself: the stream was cut with "unhandled exception while serving a request" in the log, in place of going on at another server. No caller has reported it.

Change: numbers are compared by their significant digits.

Evidence: TestOverhead.test_long_ids failed with that ValueError before and passes now.

--- a/marjoramfall/gateway/servers/event_splitter.py
+++ b/marjoramfall/gateway/servers/event_splitter.py
@@ -117,5 +117,11 @@
 
 def _is_repeated(event_id: bytes, last_id: bytes) -> bool:
     if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) <= int(last_id)
+        return _magnitude(event_id) <= _magnitude(last_id)
     return event_id == last_id
+
+
+def _magnitude(digits: bytes) -> tuple[int, bytes]:
+    """Return what orders numbers of any length, which `int` does not convert."""
+    significant = digits.lstrip(b'0')
+    return len(significant), significant
--- a/tests/test_endless_streams.py
+++ b/tests/test_endless_streams.py
@@ -152,6 +152,18 @@
         event = b'id: 1\ndata: a\n\n'
         self.assertTrue(splitter.feed(event + 2 * BLOCK_BYTES * b'x').startswith(event))
 
+    def test_long_ids(self):
+        """Guards against an error of the entry itself at an id of thousands of digits.
+
+        Python converts no number of more than 4,300 digits.
+        """
+        splitter = EventSplitter()
+        digits = b'9' * 5000
+        events = [b'id: 1%b\ndata: a\n\n' % digits, b'id: 2%b\ndata: b\n\n' % digits]
+        for event in events:
+            self.assertEqual(splitter.feed(event), event)
+        self.assertEqual(splitter.feed(b'id: 0007\ndata: c\n\n'), b'')
+
     def test_repeated_stream(self):
         """Guards against breaking off a server that repeats all that came before."""
         splitter = EventSplitter()
