Log what a refused retry and a missing place were decided on

Callers saw cut streams whose lines could not tell an honestly spent retry budget from one that an entry has too little of, nor two needed sends from one, nor a wait that an estimate had ended early. The lines now hold the requests and retries of the window, the time and attempts left, the excluded servers, and whether the request has begun or was delegated.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -173,12 +173,18 @@
     def try_retry(self, call: Call) -> bool:
         """Count and allow a retry, or return False if the budget is spent."""
         budget = self._retry_budgets.find(call.service_id)
-        allowed = budget.try_retry(
-            self._clock.monotonic_ms(), self._peers.entry_count()
-        )
+        entry_count = self._peers.entry_count()
+        allowed = budget.try_retry(self._clock.monotonic_ms(), entry_count)
         if not allowed:
+            use = budget.use
             logger.bind(
-                request=call.fields.attempt_id, service=call.service_id
+                request=call.fields.attempt_id,
+                service=call.service_id,
+                requests=use.requests,
+                retries=use.retries,
+                entry_count=entry_count,
+                attempts_left=call.attempts_left,
+                is_begun=call.is_begun_stream,
             ).warning('retry refused: shared retry budget spent')
         return allowed
 
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -352,6 +352,11 @@
             waiting=len(queue.waiters),
             occupancy=round(queue.occupancy(), 2),
             retry_after_ms=round(error.retry_after_ms),
+            left_ms=round(call.remaining_ms(self._clock.monotonic_ms())),
+            attempts_left=call.attempts_left,
+            excluded_servers=len(call.excluded_server_ids),
+            is_begun=call.is_begun_stream,
+            is_delegated=call.is_delegated,
             peers_heard=self._fleet.live_peer_count(),
         ).warning('request not assigned')
 
@@ -365,6 +370,8 @@
             reason=outcome.reason,
             runs=call.runs,
             sends=call.sends,
+            attempts_left=call.attempts_left,
+            left_ms=round(call.remaining_ms(self._clock.monotonic_ms())),
             has_events=call.first_byte_ms is not None,
             shared_parts=call.fields.shared_part_ids[:MAX_LOGGED_PARTS],
             own_part=call.fields.own_part_id,
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -20,6 +20,14 @@
     window_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUse:
+    """Count the requests and retries in a window."""
+
+    requests: int
+    retries: int
+
+
 class RetryBudget:
     """Allow retries up to a share of the requests in a sliding window."""
 
@@ -36,6 +44,11 @@
         """Count a request once, at its arrival."""
         self._requests.append(now_ms)
 
+    @property
+    def use(self) -> RetryUse:
+        """Return what the window held when a retry was last asked for."""
+        return RetryUse(len(self._requests), len(self._retries))
+
     def try_retry(self, now_ms: float, entry_count: int) -> bool:
         """Count and allow a retry, or return False if the budget is spent."""
         self._drop_expired(now_ms)
