Release parsers and bodies of requests with their request

The parser of httptools and the one of an entry refer to each other, so that each body waited for the cyclic garbage collector, which counts objects, not bytes. The parser is now released with its request, the body is handed over instead of copied and kept, and what is left to send is no further copy.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -217,6 +217,7 @@
     def _clean_up(self) -> None:
         if self._worker is not None:
             self._worker.kill(CallerGoneError, block=False)
+        self._parser.close()
         self.close()
         self._on_end(self)
 
@@ -263,11 +264,16 @@
             parser.head,
             keep_alive=keep_alive and not self._handler.is_stopping(),
         )
-        self._worker = spawn(self._handle_request, parser, writer)
+        parser.close()
+        self._worker = spawn(
+            self._handle_request, parser.head, parser.take_body(), writer
+        )
 
-    def _handle_request(self, parser: RequestParser, writer: ResponseWriter) -> None:
+    def _handle_request(
+        self, head: RequestHead, body: bytes, writer: ResponseWriter
+    ) -> None:
         try:
-            self._handler.handle(parser.head, bytes(parser.body), writer)
+            self._handler.handle(head, body, writer)
         except CallerGoneError:
             self.close()
             return
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -127,6 +127,19 @@
             self.has_surplus = True
         self._check_sizes()
 
+    def take_body(self) -> bytes:
+        """Return the body of the complete request, and keep no copy of it."""
+        taken = bytes(self.body)
+        self.body.clear()
+        return taken
+
+    def close(self) -> None:
+        """Release the parser of httptools, which refers back to this one.
+
+        Bodies arrive faster than the cyclic garbage collector would find them.
+        """
+        self._parser = None
+
     # Callbacks of httptools.
 
     def on_url(self, url: bytes) -> None:
--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -185,7 +185,7 @@
             sent = self._socket.send(message)
         except OSError as error:
             raise NotReachedError(f'{self.address}: {error}') from error
-        unsent = message[sent:]
+        unsent = memoryview(message)[sent:]
         if len(unsent) > CONCURRENT_SEND_BYTES:
             self._sender = spawn(self._send_beside_reader, unsent)
         elif unsent:
@@ -291,13 +291,13 @@
         if self._discarded_count > MAX_DISCARDED_RESPONSES:
             raise BrokenExchangeError('too many responses to earlier requests')
 
-    def _send_remaining(self, unsent: bytes) -> None:
+    def _send_remaining(self, unsent: memoryview) -> None:
         try:
             self._socket.sendall(unsent)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
-    def _send_beside_reader(self, unsent: bytes) -> None:
+    def _send_beside_reader(self, unsent: memoryview) -> None:
         try:
             self._send_remaining(unsent)
         except ConnectionLostError as error:
