Bound the bytes of large bodies that an entry holds at once

Nothing bounded the sum of the bodies.

Bodies over 64 KiB now take room in a budget of 32 MiB per process, in the order in which they are announced, before more of them is read; after 2 s without room the request is refused with 503, as it has not run. Smaller bodies are not counted and don't wait. The room is given back with the end of the request or of its connection.

Evidence: tests.test_large_bodies.TestBodyBudget.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -7,6 +7,12 @@
 from gevent import Greenlet, GreenletExit, socket, spawn
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.callers.body_budget import (
+    SMALL_BODY_BYTES,
+    BodyBudget,
+    BodyBudgetError,
+    BodyReservation,
+)
 from marjoramfall.gateway.http_messages import (
     HEAD_METHOD,
     BadMessageError,
@@ -40,6 +46,7 @@
 # Below this, a request may be on its way on a connection that was just accepted.
 MIN_IDLE_MS = 100.0
 LAST_CHUNK = b'0\r\n\r\n'
+UNAVAILABLE = 503
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -167,11 +174,14 @@
         handler: RequestHandler,
         clock: Clock,
         *,
+        bodies: BodyBudget,
         on_end: Callable[['CallerConnection'], None],
     ) -> None:
         self._socket = connection
         self._handler = handler
         self._clock = clock
+        self._bodies = bodies
+        self._room: BodyReservation | None = None
         self._on_end = on_end
         self._worker: Greenlet | None = None
         self._pipelined = bytearray()
@@ -218,6 +228,7 @@
         if self._worker is not None:
             self._worker.kill(CallerGoneError, block=False)
         self._parser.close()
+        self._release_room()
         self.close()
         self._on_end(self)
 
@@ -247,7 +258,10 @@
             return False
         if self._parser.is_complete:
             self._start_worker()
-        elif (
+            return True
+        if not self._has_room():
+            return False
+        if (
             self._parser.has_head
             and not had_head
             and self._parser.head.expects_continue
@@ -255,6 +269,25 @@
             self._socket.sendall(CONTINUE_RESPONSE)
         return True
 
+    def _has_room(self) -> bool:
+        """Wait for room for a large body; return False if the request was refused."""
+        size = self._parser.expected_body_bytes(SMALL_BODY_BYTES)
+        if size <= SMALL_BODY_BYTES or self._room is not None:
+            return True
+        self._room = self._bodies.reserve(size)
+        try:
+            self._bodies.wait(self._room)
+        except BodyBudgetError as error:
+            self._send_error(UNAVAILABLE, str(error))
+            return False
+        self._last_activity_ms = self._clock.monotonic_ms()
+        return True
+
+    def _release_room(self) -> None:
+        if self._room is not None:
+            self._bodies.release(self._room)
+            self._room = None
+
     def _start_worker(self) -> None:
         parser = self._parser
         # The parser has not kept the bytes of a following request.
@@ -279,6 +312,7 @@
             return
         finally:
             self._worker = None
+            self._release_room()
         if writer.hides_truncation:
             self._reset()
             return
--- a/marjoramfall/gateway/callers/caller_listener.py
+++ b/marjoramfall/gateway/callers/caller_listener.py
@@ -4,6 +4,7 @@
 from gevent.server import StreamServer
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.callers.body_budget import BodyBudget
 from marjoramfall.gateway.callers.caller_connection import (
     CallerConnection,
     RequestHandler,
@@ -16,9 +17,17 @@
 class CallerListener:
     """Serve each connection of a caller in a greenlet of its own."""
 
-    def __init__(self, address: str, handler: RequestHandler, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: RequestHandler,
+        clock: Clock,
+        *,
+        bodies: BodyBudget,
+    ) -> None:
         self._handler = handler
         self._clock = clock
+        self._bodies = bodies
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(
             split_address(address), self._serve, backlog=CALLER_BACKLOG
@@ -68,7 +77,11 @@
 
     def _serve(self, accepted: socket.socket, _address: tuple[str, int]) -> None:
         connection = CallerConnection(
-            accepted, self._handler, self._clock, on_end=self._connections.discard
+            accepted,
+            self._handler,
+            self._clock,
+            bodies=self._bodies,
+            on_end=self._connections.discard,
         )
         self._connections.add(connection)
         connection.run()
--- a/marjoramfall/gateway/callers/entry_listeners.py
+++ b/marjoramfall/gateway/callers/entry_listeners.py
@@ -1,6 +1,7 @@
 """Listen for callers, and for peers that delegate their requests."""
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.callers.body_budget import BodyBudget
 from marjoramfall.gateway.callers.caller_listener import CallerListener
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.entry_settings import GatewaySettings
@@ -13,9 +14,15 @@
     def __init__(
         self, settings: GatewaySettings, gateway: Gateway, clock: Clock
     ) -> None:
-        self.callers = CallerListener(settings.front_address, gateway, clock)
+        bodies = BodyBudget()
+        self.callers = CallerListener(
+            settings.front_address, gateway, clock, bodies=bodies
+        )
         self._peers = CallerListener(
-            settings.delegation_address, DelegatedRequests(gateway), clock
+            settings.delegation_address,
+            DelegatedRequests(gateway),
+            clock,
+            bodies=bodies,
         )
 
     @property
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -87,6 +87,7 @@
         self._state = _ParseState.IDLE
         self._header_bytes = 0
         self._failure: BadMessageError | None = None
+        self._stated_body_bytes = 0
         self.head = RequestHead()
         self.body = bytearray()
         self.has_surplus = False
@@ -106,6 +107,16 @@
         """Return whether the head was parsed completely."""
         return self._state in {_ParseState.BODY, _ParseState.COMPLETE}
 
+    def expected_body_bytes(self, known_bytes: int) -> int:
+        """Return the length of the body.
+
+        One that states no length, and of which more than `known_bytes` have arrived,
+        may become as long as bodies may be.
+        """
+        if len(self.body) > known_bytes and not self._stated_body_bytes:
+            return self._max_body_bytes
+        return max(self._stated_body_bytes, len(self.body))
+
     def feed(self, received: bytes) -> None:
         """Parse bytes; raises `BadMessageError`."""
         # Empty lines before a request are not a part of it.
@@ -197,6 +208,7 @@
         if lengths and int(lengths[0]) > self._max_body_bytes:
             self._failure = BadMessageError('body too large', status=413)
             raise self._failure
+        self._stated_body_bytes = int(lengths[0]) if lengths else 0
         expected = find_header(self.head.headers, b'expect') or b''
         self.head.expects_continue = expected.lower() == b'100-continue'
 
--- a/tests/delegation_case.py
+++ b/tests/delegation_case.py
@@ -3,6 +3,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from marjoramfall.gateway.callers.body_budget import BodyBudget
 from marjoramfall.gateway.callers.caller_connection import CallerConnection
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.registry import ServerChange
@@ -64,7 +65,13 @@
     def serve_delegated(self, sock, handler):
         """Serve a connection of a peer."""
         self.sockets.append(sock)
-        CallerConnection(sock, handler, self.clock, on_end=lambda ended: None).run()
+        CallerConnection(
+            sock,
+            handler,
+            self.clock,
+            bodies=BodyBudget(),
+            on_end=lambda ended: None,
+        ).run()
 
     def crash(self):
         """End all connections of peers and listen no more."""
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -6,6 +6,7 @@
 from gevent.server import StreamServer
 
 from marjoramfall.clock import MS_PER_SECOND, RuntimeClock
+from marjoramfall.gateway.callers.body_budget import BodyBudget
 from marjoramfall.gateway.callers.caller_connection import CallerConnection
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.fleet import Fleet
@@ -53,6 +54,7 @@
 
     def setUp(self):
         self.clock = RuntimeClock()
+        self.bodies = BodyBudget()
         self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
         self.pool = ConnectionPool(self.clock, connect_timeout_ms=300)
         self.retry_budgets = RetryBudgets(
@@ -106,7 +108,11 @@
     def serve(self, connection, _address):
         """Serve one connection of a caller."""
         CallerConnection(
-            connection, self.gateway, self.clock, on_end=lambda ended: None
+            connection,
+            self.gateway,
+            self.clock,
+            bodies=self.bodies,
+            on_end=lambda ended: None,
         ).run()
 
     def add_backend(self, *scripts, service_id=PLAIN, server_id=None):
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -2,12 +2,18 @@
 
 import gc
 
+from gevent import sleep
+from gevent.event import Event
+
+from marjoramfall.gateway.callers.body_budget import SMALL_BODY_BYTES, BodyBudget
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.http_messages import RequestParser
+from marjoramfall.gateway.servers.backend_connection import has_input
 from tests.gateway_case import GatewayCase, answer
 
 BODY = bytes(300_000)
 REQUESTS = 5
+PAUSE_S = 0.1
 
 
 def count_instances(*types):
@@ -46,3 +52,59 @@
             connection.sendall(head + b'\r\npart')
             connection.close()
         self.wait_for(lambda: count_instances(RequestParser) <= 1)
+
+
+class TestBodyBudget(GatewayCase):
+    """Callers that send large bodies together don't exhaust the memory."""
+
+    def setUp(self):
+        super().setUp()
+        self.bodies = BodyBudget(max_bytes=len(BODY))
+        self.may_answer = Event()
+
+    def hold(self, exchange):
+        """Answer once the test says so."""
+        self.may_answer.wait()
+        answer(exchange)
+
+    def begin(self, *headers):
+        """Send a request whose body is to follow."""
+        connection = self.connect()
+        lines = ('POST /read/1 HTTP/1.1', 'Host: a.example', *headers, '', '')
+        connection.sendall('\r\n'.join(lines).encode())
+        return connection
+
+    def test_waits(self):
+        """Guards against bodies of all callers held in memory at once."""
+        backend = self.add_backend(self.hold)
+        first = self.send('/read/1', method='POST', body=BODY)
+        self.wait_for(lambda: backend.heads)
+        second = self.begin(f'Content-Length: {len(BODY)}', 'Expect: 100-continue')
+        sleep(PAUSE_S)
+        self.assertFalse(has_input(second))
+        small = self.send('/read/1', method='POST', body=b'small')
+        self.wait_for(lambda: len(backend.heads) == 2)
+        self.may_answer.set()
+        for connection in (first, small):
+            self.assertIn(b' 200 ', self.receive(connection))
+        self.assertIn(b' 100 ', self.receive(second, b'\r\n\r\n'))
+
+    def test_no_room(self):
+        """Guards against callers that wait without an answer, or lose their room."""
+        room = self.bodies.reserve(len(BODY))
+        stated = self.begin(f'Content-Length: {len(BODY)}')
+        chunked = self.begin('Transfer-Encoding: chunked')
+        chunk = b'%x\r\n' % len(BODY) + BODY
+        chunked.sendall(chunk[: 2 * SMALL_BODY_BYTES])
+        for connection in (stated, chunked):
+            self.assertIn(b' 503 ', self.receive(connection))
+        self.bodies.release(room)
+        self.add_backend(answer)
+        self.assertIn(b' 200 ', self.ask('/read/1', method='POST', body=BODY))
+
+    def test_caller_leaves(self):
+        """Guards against room that is kept for callers that have left."""
+        for _ in range(REQUESTS):
+            self.begin(f'Content-Length: {len(BODY)}').close()
+        self.add_backend(answer)
+        self.assertIn(b' 200 ', self.ask('/read/1', method='POST', body=BODY))
