--- a/marjoramfall/gateway/internal_endpoints.py
+++ b/marjoramfall/gateway/internal_endpoints.py
@@ -10,7 +10,7 @@
     InternalResponse,
 )
 from marjoramfall.gateway.metrics import GatewayMetrics
-from marjoramfall.gateway.peers.peer_exchange import SNAPSHOT_PATH
+from marjoramfall.gateway.peers.snapshot_client import SNAPSHOT_PATH
 from marjoramfall.gateway.registry import Registry
 
 METRICS_PATH = '/metrics'
--- a/marjoramfall/gateway/internal_http_server.py
+++ b/marjoramfall/gateway/internal_http_server.py
@@ -1,5 +1,6 @@
 """Serve readiness, metrics and snapshots over HTTP."""
 
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -8,6 +9,10 @@
 
 from marjoramfall.gateway.servers.backend_connection import split_address
 
+# Below this, the bytes saved are not worth the time.
+MIN_COMPRESSED_BYTES = 4096
+FASTEST_LEVEL = 1
+DEFLATE = 'deflate'
 STATUS_LINES = {200: '200 OK', 404: '404 Not Found', 503: '503 Service Unavailable'}
 
 
@@ -21,7 +26,11 @@
 
 
 class InternalHttpServer:
-    """Answer requests by path; the method is ignored."""
+    """Answer requests by path; the method is ignored.
+
+    Long bodies are compressed for clients that accept it: a configuration with many
+    routes takes most of a second on a slow link otherwise.
+    """
 
     def __init__(
         self, address: str, handler_by_path: dict[str, Callable[[], InternalResponse]]
@@ -43,11 +52,12 @@
         sleep(0)
         handler = self._handler_by_path.get(environ['PATH_INFO'])
         response = handler() if handler else InternalResponse(404, 'text/plain', b'')
-        start_response(
-            STATUS_LINES[response.status],
-            [
-                ('Content-Type', response.content_type),
-                ('Content-Length', str(len(response.body))),
-            ],
-        )
-        return [response.body]
+        headers = [('Content-Type', response.content_type)]
+        body = response.body
+        accepts_deflate = DEFLATE in environ.get('HTTP_ACCEPT_ENCODING', '')
+        if accepts_deflate and len(body) >= MIN_COMPRESSED_BYTES:
+            body = zlib.compress(body, FASTEST_LEVEL)
+            headers.append(('Content-Encoding', DEFLATE))
+        headers.append(('Content-Length', str(len(body))))
+        start_response(STATUS_LINES[response.status], headers)
+        return [body]
--- a/marjoramfall/gateway/peers/peer_exchange.py
+++ b/marjoramfall/gateway/peers/peer_exchange.py
@@ -3,7 +3,6 @@
 import random
 from abc import abstractmethod
 from collections.abc import Iterable, Iterator
-from contextlib import closing
 
 import msgspec
 from gevent import socket, spawn
@@ -11,7 +10,6 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.http_messages import ResponseBounds
 from marjoramfall.gateway.peers.group_digest import (
     DIGEST_MARK,
     GroupDigest,
@@ -25,9 +23,9 @@
 from marjoramfall.gateway.peers.outside_groups import digest_interval_ms
 from marjoramfall.gateway.peers.peer_state import PeerState, decode_state, encode_state
 from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, PeerTable
-from marjoramfall.gateway.registry import Registry, Snapshot
+from marjoramfall.gateway.peers.snapshot_client import fetch_snapshot
+from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.servers.backend_connection import (
-    BackendConnection,
     BrokenExchangeError,
     NotReachedError,
     split_address,
@@ -41,9 +39,6 @@
 # normal; after a longer one a snapshot is fetched from a peer.
 CATCH_UP_DELAY_MS = 1000
 CHECK_INTERVAL_MS = 100
-FETCH_TIMEOUT_MS = 700
-SNAPSHOT_PATH = '/snapshot'
-SNAPSHOT_BOUNDS = ResponseBounds(body_bytes=4_194_304)
 # A new entry tells its whole data centre where it listens, as it may change the
 # division into groups.
 INTRODUCTIONS = 3
@@ -258,20 +253,3 @@
         state.config_revision,
         random.random(),
     )
-
-
-def fetch_snapshot(address: str) -> Snapshot:
-    """Fetch the configuration and servers known to the entry at an address.
-
-    Raises `NotReachedError`, `BrokenExchangeError` or `msgspec.DecodeError`.
-    """
-    opened = BackendConnection(
-        address, connect_timeout_ms=FETCH_TIMEOUT_MS, bounds=SNAPSHOT_BOUNDS
-    )
-    with closing(opened) as connection:
-        connection.send(
-            f'GET {SNAPSHOT_PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n'.encode()
-        )
-        response = connection.read_response(FETCH_TIMEOUT_MS)
-        body = connection.read_all(response, FETCH_TIMEOUT_MS)
-    return msgspec.msgpack.decode(body, type=Snapshot)
