Bound the token counts that a request may state

Counts over 1,000,000,000 tokens now count as that many; the header is passed on as it came.

Evidence: tests.test_gateway_admission test_token_count: 502 before, 200 with the change.

--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -42,6 +42,9 @@
 RETRY_AFTER = b'retry-after'
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Sums and products of such counts stay within what a float holds.
+MAX_TOKENS = 1_000_000_000
+MAX_COUNT_DIGITS = 10
 # Longer than any id that the platform gives to a part of a prompt.
 MAX_PART_ID_CHARS = 32
 # Headers that are not copied from a caller's request. The gateway sets some of them
@@ -212,4 +215,10 @@
     output = output.strip()
     if not (prompt.isdigit() and output.isdigit()):
         return 0, 0
-    return int(prompt), int(output)
+    return _bounded_count(prompt), _bounded_count(output)
+
+
+def _bounded_count(digits: bytes) -> int:
+    if len(digits) > MAX_COUNT_DIGITS:
+        return MAX_TOKENS
+    return min(int(digits), MAX_TOKENS)
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -2,7 +2,7 @@
 
 from marjoramfall.gateway.model import Team
 from tests.gateway_case import GatewayCase, answer
-from tests.gateway_fakes import make_config, make_route
+from tests.gateway_fakes import MODEL, make_config, make_route
 
 
 class TestAdmission(GatewayCase):
@@ -54,6 +54,13 @@
             response = self.ask('/read/1', usage, f'Marjoramfall-Length-Hint: {hint}')
             self.assertIn(b'200 OK', response)
 
+    def test_token_count(self):
+        """Guards against a count that ends the greenlets which estimate waits."""
+        self.add_backend(answer, service_id=MODEL)
+        usage = f'Marjoramfall-Token-Usage: {10**400},20'
+        response = self.receive(self.send('/review/1', usage), b'\r\n0\r\n\r\n')
+        self.assertIn(b'200 OK', response)
+
     def test_forwarded_headers(self):
         """Guards against a forged team or the caller's key reaching the server.
 
