Follow a table from the revision of its first page

Evidence: tests.test_platform_adapter test_changed_during_read fails before (no change seen), passes with the change.

--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -103,20 +103,24 @@
         self.call_count = 0
 
     def read_table(self, table: str) -> RowSet:
-        """Return all rows of a table; raises `StoreError`."""
-        rows: list[Row] = []
+        """Return all rows of a table; raises `StoreError`.
+
+        The revision is that of the first page, as its rows may have changed before
+        the last one was read.
+        """
         query = {'table': table, 'part': ''}
-        first_era: int | None = None
-        while True:
+        answer = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
+        first_era = answer.era
+        found = first = _decode_rows(answer)
+        rows = [_to_row(row, first_era) for row in found.rows]
+        while found.has_more:
+            query['from'] = f'{found.rows[-1].key}\0'
             answer = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
-            first_era = answer.era if first_era is None else first_era
             if answer.era != first_era:
                 raise StoreError('the store was restored during a read')
             found = _decode_rows(answer)
-            rows.extend(_to_row(row, answer.era) for row in found.rows)
-            if not found.has_more:
-                return _to_row_set(rows, found, answer.era)
-            query['from'] = f'{found.rows[-1].key}\0'
+            rows.extend(_to_row(row, first_era) for row in found.rows)
+        return _to_row_set(rows, first, first_era)
 
     def follow_table(self, table: str, after: int, *, wait_ms: int) -> RowSet:
         """Return the changes after a revision; wait up to `wait_ms` for the first.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -78,6 +78,22 @@
             with self.assertRaises(StoreError):
                 self.client.read_table('servers')
 
+    def test_changed_during_read(self):
+        """Guards against a row of an earlier page that is missed until it changes."""
+        for number in range(MAX_ROWS + 1):
+            self.store.put('servers', f'{number:04}', {})
+        read = self.client._get
+        with patch.object(self.client, '_get') as get:
+            get.side_effect = lambda *call: (read(*call), self.change_once())[0]
+            after = self.client.read_table('servers').revision
+        changed = self.client.follow_table('servers', after, wait_ms=0).rows
+        self.assertEqual(['0000'], [row.key for row in changed])
+
+    def change_once(self):
+        """Change a row of the first page, after that page was read."""
+        if self.store.get('servers', '0000') == b'{}':
+            self.store.put('servers', '0000', {'x': 1})
+
     def lose_nothing(self):
         """Restore the store with all that it holds."""
         self.store.restore(self.store.copy())
