--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -111,8 +111,9 @@
         query = {'table': table, 'part': ''}
         answer = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
         first_era = answer.era
-        found = first = _decode_rows(answer)
-        rows = [_to_row(row, first_era) for row in found.rows]
+        first = _decode_rows(answer)
+        rows = [_to_row(row, first_era) for row in first.rows]
+        found = first
         while found.has_more:
             query['from'] = f'{found.rows[-1].key}\0'
             answer = self._get('/-/rows-get', query, CALL_TIMEOUT_MS)
