Let no estimate end the wait of a request that has run

Cause: ServiceQueue compared an estimate of the wait with give_up_ms for all requests, also for those that can't be refused as not run any more, at the own entry and at the peer that takes over a request that has run.

Change: a demand says whether its request may have run (has_run: a begun stream, a run of this entry, or one that the delegating entry counted). For these neither the estimate nor a pause that all servers ask for ends the wait, only give_up_ms. New requests keep the early 503. A begun stream ranks half a step before its own priority and gets no penalty for being late. It doesn't go before timely requests of a higher priority: a less urgent kind would then be served before a more urgent one for all of a server's trouble, and two services of different urgency would no longer be told apart. Peers get it as the rank, a float already.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -112,6 +112,12 @@
         is_resumed = self.fields.last_event_id is not None
         return self.delegation is not None and self.delegation.runs > 0 and is_resumed
 
+    @property
+    def has_run(self) -> bool:
+        """Return whether the request may have run, here or at the entry before."""
+        earlier_runs = self.delegation.runs if self.delegation else 0
+        return self.is_begun_stream or self.runs + earlier_runs > 0
+
     @property
     def attempts_left(self) -> int:
         """Return how often the route lets the request run yet."""
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -10,6 +10,10 @@
 # its own priority that can still meet their targets, and is ordered by arrival
 # among those of the next lower priority.
 LATE_RANK_PENALTY = 1.0
+# Taken from the rank of a begun stream, whose caller leaves after its longest gap:
+# it goes before all others of its own priority, and after those of the next higher
+# one that can still meet their targets.
+BEGUN_RANK_LEAD = 0.5
 # A caller abandons a stream after the longest of these: a fixed time, or a
 # multiple of the target or of the maximum gap of the route.
 MIN_STREAM_WAIT_MS = 2000.0
@@ -22,7 +26,10 @@
     """Hold the requirements of a request; times are monotonic milliseconds.
 
     `target_ms` is when the first response is due and `give_up_ms` when the
-    caller stops waiting for it; the whole response is due at `deadline_ms`.
+    caller stops waiting for it; the whole response is due at `deadline_ms`. Only
+    `give_up_ms` ends the wait of a request that may have run (`has_run`), not an
+    estimate: it can't be refused as not run any more. The caller has the beginning
+    of a stream that `is_begun`.
     """
 
     service_id: str
@@ -35,6 +42,8 @@
     output_tokens: int = 0
     excluded_server_ids: set[str] = field(default_factory=set)
     version: VersionChoice = ANY_VERSION
+    has_run: bool = False
+    is_begun: bool = False
 
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
@@ -44,6 +53,8 @@
 
     def rank(self, now_ms: float) -> float:
         """Return the rank in the queue; the lowest rank is served first."""
+        if self.is_begun:
+            return self.priority - BEGUN_RANK_LEAD
         if now_ms > self.target_ms:
             return self.priority + LATE_RANK_PENALTY
         return self.priority
@@ -68,6 +79,8 @@
         output_tokens=call.fields.likely_output_tokens,
         excluded_server_ids=call.excluded_server_ids,
         version=version,
+        has_run=call.has_run,
+        is_begun=call.is_begun_stream,
     )
 
 
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -282,6 +282,8 @@
 
     def _check_pause(self, demand: Demand, now_ms: float) -> None:
         """Raise `OverloadError` if all servers want nothing for too long."""
+        if demand.has_run:
+            return
         pause_ms = min(load.pause_ms(now_ms) for load in self._eligible_loads(demand))
         if pause_ms and now_ms + pause_ms > demand.give_up_ms:
             raise OverloadError('no server takes requests yet', retry_after_ms=pause_ms)
@@ -289,7 +291,7 @@
     def _check_wait(
         self, demand: Demand, wait_ms: float, usable: list[ServerLoad], now_ms: float
     ) -> None:
-        if not wait_ms:
+        if not wait_ms or demand.has_run:
             return
         first_response_ms = min(load.first_response_ms(demand) for load in usable)
         if now_ms + wait_ms + first_response_ms > demand.give_up_ms:
@@ -307,6 +309,8 @@
 
     def _will_expire(self, demand: Demand, now_ms: float) -> bool:
         """Return whether no slot is expected to become free before `give_up_ms`."""
+        if demand.has_run:
+            return False
         usable = self._usable_loads(demand, now_ms)
         if not usable:
             return False
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.call import Call, Delegation
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.servers.demand import build_demand
@@ -53,3 +53,22 @@
         self.call.first_byte_ms = 1200
         demand = build_demand(self.call, 12_000, ANY_VERSION)
         self.assertEqual(demand.give_up_ms, 13_000)
+
+    def test_has_run(self):
+        """Guards against an estimate that ends the wait of a request that has run."""
+        self.assertFalse(build_demand(self.call, 1500, ANY_VERSION).has_run)
+        self.call.delegation = Delegation('tutor', runs=1, config_version=1)
+        self.assertTrue(build_demand(self.call, 1500, ANY_VERSION).has_run)
+        self.call.delegation = None
+        self.call.runs = 1
+        demand = build_demand(self.call, 1500, ANY_VERSION)
+        self.assertTrue(demand.has_run)
+        self.assertFalse(demand.is_begun)
+        self.assertEqual(demand.give_up_ms, 4200)
+
+    def test_begun(self):
+        """Guards against a begun stream that is given up before its deadline."""
+        self.call.first_byte_ms = 1200
+        demand = build_demand(self.call, 6000, ANY_VERSION)
+        self.assertTrue(demand.is_begun)
+        self.assertTrue(demand.has_run)
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -4,6 +4,7 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.servers.server_load import HeardNotices
 from marjoramfall.gateway.servers.server_speeds import Speed
 from marjoramfall.gateway.servers.service_queue import (
     OverloadError,
@@ -274,3 +275,57 @@
             self.queue.load_by_id['s1'].on_error()
         self.submit()
         self.assertEqual(self.chosen_ids()[0], 's2')
+
+
+class TestRequestsThatRan(QueueCase):
+    """No estimate ends the wait of a request that may have run, or has begun."""
+
+    def crowd(self):
+        """Take all slots, and let many urgent requests wait."""
+        self.fill()
+        for _ in range(40):
+            self.submit(priority=0, deadline_ms=60_000, give_up_ms=60_000)
+
+    def test_not_refused_at_once(self):
+        """Guards against an answer 502 with time left, as the wait looks long."""
+        self.crowd()
+        waiter = self.submit(priority=1, has_run=True)
+        self.assertIn(waiter, self.queue.waiters)
+
+    def test_not_expired_early(self):
+        """Guards against a stream cut past its target, seconds before its end."""
+        self.fill()
+        waiter = self.submit(priority=1, has_run=True, give_up_ms=9000)
+        for _ in range(40):
+            self.submit(priority=0, give_up_ms=60_000)
+        self.clock.advance_ms(8900)
+        self.queue.assign()
+        self.assertIn(waiter, self.queue.waiters)
+        self.clock.advance_ms(100)
+        self.queue.assign()
+        self.assertNotIn(waiter, self.queue.waiters)
+
+    def test_paused_servers(self):
+        """Guards against a stream cut as all servers have asked for a pause."""
+        paused = HeardNotices(resumed_ms=self.clock.monotonic_ms() + 5000)
+        for load in self.queue.load_by_id.values():
+            load.use_notices(paused)
+        waiter = self.submit(has_run=True)
+        self.assertIn(waiter, self.queue.waiters)
+
+    def test_begun_first(self):
+        """Guards against a begun stream that waits behind requests of its priority.
+
+        Those of a higher priority still go first, and late ones of it don't.
+        """
+        self.fill()
+        late = self.submit(priority=1, target_ms=0)
+        self.clock.advance_ms(1)
+        fresh = self.submit(priority=2)
+        begun = self.submit(priority=2, is_begun=True, target_ms=0)
+        urgent = self.submit(priority=1)
+        for _ in range(4):
+            self.finish_first()
+        order = [demand for demand, _ in self.assigned]
+        expected = [urgent, begun, late, fresh]
+        self.assertEqual(order, [waiter.demand for waiter in expected])
