Let requests that have run return to servers that failed them

Cause: a server that failed a call was excluded from it for good.

Change: a request that has run may return to excluded servers where no other one takes requests; of these the one that failed it last comes last. A peer without a server still refuses, so that another one may take it over.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -71,6 +71,9 @@
     config_version: int
     deadline_ms: float
     excluded_server_ids: set[str] = field(default_factory=set)
+    last_failed_server_id: str = ''
+    # Set if the last server that failed the request had failed it before.
+    has_failed_again: bool = False
     runs: int = 0
     sends: int = 0
     last_event_id: bytes | None = None
@@ -150,6 +153,12 @@
             return self.team.plain_tokens
         return self.fields.prompt_tokens + self.fields.output_tokens
 
+    def exclude(self, server_id: str) -> None:
+        """Use a server that has failed the request only if no other is left."""
+        self.has_failed_again = server_id in self.excluded_server_ids
+        self.last_failed_server_id = server_id
+        self.excluded_server_ids.add(server_id)
+
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time until the deadline of the request."""
         return self.deadline_ms - now_ms
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -16,9 +16,8 @@
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
-from marjoramfall.gateway.place_search import PlaceSearch
+from marjoramfall.gateway.place_finder import PlaceFinder
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
-from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import FIRST_ERROR_STATUS, Exchange
 from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
@@ -62,6 +61,7 @@
         self._delegates = fleet.delegates
         self._dialect = dialect
         self._clock = clock
+        self._places = PlaceFinder(fleet, clock)
         self._running = RunningExchanges(quarantine.is_refused)
         quarantine.on_new_cause = self._running.break_off_refused
 
@@ -115,7 +115,7 @@
             return outcome
         self._log_failure(call, assignment, outcome)
         self._record_crash(call, assignment, outcome)
-        call.excluded_server_ids.add(assignment.load.server.server_id)
+        call.exclude(assignment.load.server.server_id)
         return outcome
 
     def _delegate(
@@ -246,15 +246,8 @@
         return assignment
 
     def _acquire(self, call: Call) -> Assignment:
-        version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
-        if call.is_begun_stream:
-            # To cut it helps nobody; its caller leaves once it has waited too long.
-            demand.give_up_ms = call.deadline_ms
-        search = PlaceSearch(self._fleet, demand, self._clock)
         try:
-            search.submit()
-            assignment = search.wait()
+            return self._places.find(call)
         except Timeout as error:
             raise self._rejection(
                 call, 'no place in time', OVERLOAD_RETRY_AFTER_MS
@@ -269,10 +262,6 @@
                 error.retry_after_ms,
                 is_elsewhere=isinstance(error, NoServerError),
             ) from error
-        finally:
-            search.end()
-        self._log_placement(call, assignment, demand)
-        return assignment
 
     def _rejection(
         self,
@@ -324,23 +313,6 @@
             raise GatewayFailureError(GATEWAY_TIMEOUT, 'no response in time')
         raise GatewayFailureError(BAD_GATEWAY, outcome.reason)
 
-    def _log_placement(
-        self, call: Call, assignment: Assignment, demand: Demand
-    ) -> None:
-        now_ms = self._clock.monotonic_ms()
-        load = assignment.load
-        logger.bind(
-            request=call.fields.attempt_id,
-            server=load.server.server_id,
-            rank=demand.rank(now_ms),
-            waited_ms=round(now_ms - call.received_ms, 1),
-            expected_first_ms=round(load.first_response_ms(demand), 1),
-            running=load.running,
-            running_at_peers=load.peer_running,
-            slots=load.server.slots,
-            peers_heard=self._fleet.live_peer_count(),
-        ).info('request assigned')
-
     def _log_overload(
         self, call: Call, queue: ServiceQueue, error: OverloadError
     ) -> None:
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -29,7 +29,8 @@
     caller stops waiting for it; the whole response is due at `deadline_ms`. Only
     `give_up_ms` ends the wait of a request that may have run (`has_run`), not an
     estimate: it can't be refused as not run any more. The caller has the beginning
-    of a stream that `is_begun`.
+    of a stream that `is_begun`. A request that `may_return` uses excluded servers
+    where no other takes it, the one that failed it last only after all others.
     """
 
     service_id: str
@@ -44,6 +45,8 @@
     version: VersionChoice = ANY_VERSION
     has_run: bool = False
     is_begun: bool = False
+    may_return: bool = False
+    last_failed_server_id: str = ''
 
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
@@ -51,6 +54,10 @@
             return False
         return self.version.allows(server.version)
 
+    def allows_return(self, server: BackendServer) -> bool:
+        """Return whether a server that has failed the request may get it again."""
+        return self.may_return and self.version.allows(server.version)
+
     def rank(self, now_ms: float) -> float:
         """Return the rank in the queue; the lowest rank is served first."""
         if self.is_begun:
@@ -81,6 +88,7 @@
         version=version,
         has_run=call.has_run,
         is_begun=call.is_begun_stream,
+        last_failed_server_id=call.last_failed_server_id,
     )
 
 
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -8,6 +8,10 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.servers.demand import Demand
 from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
+from marjoramfall.gateway.servers.usable_servers import (
+    healthy_loads,
+    returnable_loads,
+)
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 
 # Weight of a new sample in the moving average of the service time.
@@ -109,9 +113,9 @@
         """
         now_ms = self._clock.monotonic_ms()
         self._refill_limits(now_ms)
-        if not self._eligible_loads(waiter.demand):
-            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
+        if not usable and not self._eligible_loads(waiter.demand):
+            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
         if usable:
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
             waiter.expected_wait_ms = wait_ms
@@ -233,16 +237,13 @@
     def _usable_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the servers that take requests and are not ejected.
 
-        If all are ejected, return those that run no request of this entry, so
-        that a single request probes each.
+        Those that have failed the request are among them if it may return and no
+        other server takes requests.
         """
-        eligible = self._open_loads(demand, now_ms)
-        healthy = [
-            load
-            for load in eligible
-            if not load.ejected_until_ms or not load.is_ejected(now_ms)
-        ]
-        return healthy or [load for load in eligible if not load.own_requests]
+        open_loads = self._open_loads(demand, now_ms)
+        if demand.may_return and not open_loads:
+            return returnable_loads(self.load_by_id.values(), demand, now_ms)
+        return healthy_loads(open_loads, now_ms)
 
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -4,15 +4,47 @@
 attempts end them, not an estimate nor a server that failed them earlier.
 """
 
-from gevent import socket
+from gevent import sleep, socket
 
+from marjoramfall.gateway.model import RepeatRule
+from marjoramfall.gateway.registry import ServerChange
 from tests.delegation_case import DelegationCase, UnreachableCase
-from tests.gateway_case import TIMEOUT_S, answer
-from tests.gateway_fakes import PLAIN
+from tests.gateway_case import TIMEOUT_S, GatewayCase, answer, start_events
+from tests.gateway_fakes import (
+    MODEL,
+    PLAIN,
+    make_config,
+    make_route,
+    make_server,
+)
+from tests.test_server_faults import resume
+from tests.test_unreachable_servers import closed_address
 
+END_OF_CHUNKS = b'0\r\n\r\n'
+SEGMENT_PAUSE_S = 0.03
+PAUSE_S = 0.3
+# Beyond it, an entry asks servers that refuse connections without a pause.
+MAX_OPENED_IN_PAUSE = 12
 LONG_SERVICE_MS = 6000.0
 
 
+def begin_and_break(exchange):
+    """Send the first event of a stream, and break it off."""
+    start_events(exchange)
+    exchange.event('1', 'a')
+    return False
+
+
+def begin_and_garble(exchange):
+    """Send the first event of a stream, and no chunk after it."""
+    start_events(exchange)
+    exchange.event('1', 'a')
+    # What arrives together with an error is dropped.
+    sleep(SEGMENT_PAUSE_S)
+    exchange.write(b'none\r\n')
+    return False
+
+
 def break_off(_exchange):
     """End the connection without a response."""
     return False
@@ -66,3 +98,94 @@
         self.wait_for(lambda: peer.fleet.queue(PLAIN).waiters)
         full.free()
         self.assertIn(b'200 OK', self.receive(connection))
+
+
+class ScriptSequence:
+    """Run a script for each request, whichever server it reaches."""
+
+    def __init__(self, *scripts):
+        self._scripts = list(scripts)
+        self.addresses = []
+
+    def __call__(self, exchange):
+        self.addresses.append(exchange.sock.getsockname())
+        return self._scripts.pop(0)(exchange)
+
+
+class TestReturns(GatewayCase):
+    """All servers have failed a request, and are back."""
+
+    def setUp(self):
+        super().setUp()
+        review = make_config().find_route('a.example', '/review/1')
+        routes = (
+            make_route('read', timeout_ms=5000, max_attempts=9),
+            make_route(
+                'review',
+                RepeatRule.RESUMABLE,
+                services=review.services,
+                is_stream=True,
+                timeout_ms=5000,
+                max_attempts=9,
+            ),
+        )
+        self.registry.put_config(make_config(2, routes=routes), 2)
+
+    def move(self, server_id, address):
+        """Register another address of a server, or remove it."""
+        server = address and make_server(server_id, address=address, service_id=MODEL)
+        revision = self.registry.servers_state.as_of + 1
+        change = ServerChange(server_id, server, revision)
+        self.registry.apply_changes([change], revision)
+
+    def test_begun_stream(self):
+        """Guards against a begun stream cut as each server has failed it once.
+
+        Of two that failed it, the one that failed it last gets it last.
+        """
+        sequence = ScriptSequence(begin_and_break, break_off, resume)
+        for _ in range(2):
+            self.add_backend(sequence, service_id=MODEL)
+        connection = self.send('/review/1')
+        self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
+        self.assertEqual(sequence.addresses[2], sequence.addresses[0])
+
+    def test_request(self):
+        """Guards against a 502 with time left as each server has failed once."""
+        sequence = ScriptSequence(break_off, break_off, break_off, answer)
+        for _ in range(3):
+            self.add_backend(sequence)
+        self.assertIn(b'200 OK', self.ask('/read/1'))
+
+    def test_untried_first(self):
+        """Guards against a return to a server that failed while another is free."""
+        sequence = ScriptSequence(break_off, break_off, answer)
+        for _ in range(3):
+            self.add_backend(sequence)
+        self.assertIn(b'200 OK', self.ask('/read/1'))
+        self.assertEqual(len(set(sequence.addresses)), 3)
+
+    def test_refused_for_a_while(self):
+        """Guards against a stream cut, or servers asked without a pause, meanwhile."""
+        for server_id in ('first', 'second'):
+            self.add_backend(
+                ScriptSequence(begin_and_garble), service_id=MODEL, server_id=server_id
+            )
+        connection = self.send('/review/1')
+        self.receive(connection, b'data: a')
+        for server_id in ('first', 'second'):
+            self.move(server_id, closed_address())
+        sleep(PAUSE_S)
+        self.assertLess(self.pool.opened_count, MAX_OPENED_IN_PAUSE)
+        self.add_backend(resume, service_id=MODEL, server_id='first')
+        self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
+
+    def test_no_server_for_a_while(self):
+        """Guards against a stream cut as no server is registered for the moment."""
+        self.add_backend(begin_and_garble, service_id=MODEL, server_id='first')
+        connection = self.send('/review/1')
+        self.receive(connection, b'data: a')
+        self.move('first', None)
+        sleep(PAUSE_S)
+        self.add_backend(resume, service_id=MODEL, server_id='second')
+        self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
