Count no attempt for a run that ended with its server

Cause: each connection that was reset counted as an attempt.

Change: after a lost connection (no timeout, no garbled answer) of a request that may repeat, the entry opens a new connection to the server. Where that is refused, fails or is ended within 10 ms, the run doesn't count as an attempt; a server that accepts it counts, also one that is back after a few ms. At most 3 runs of a request are taken off so at an entry; the retry budget and the deadline bound the sends as before. It is asked at each loss, as the server may be back once the attempts are out. `runs` still counts all of them: a request that has run is never answered as not run. Requests that run at most once are untouched. A delegated request passes on the counted runs as x-delegated-runs and the others as x-delegated-lost-runs, which Connection names, so that an entry of the build before drops it instead of passing it to servers.

Left as it is: a connection that is reset right after it was opened still counts as a run.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -43,12 +43,19 @@
 class Delegation:
     """Say what the entry knew that delegated a request to this one.
 
-    The request may have run `runs` times before.
+    The request may have run `runs` times before, without the `lost_runs` that ended
+    with their servers.
     """
 
     service_id: str
     runs: int
     config_version: int
+    lost_runs: int = 0
+
+    @property
+    def has_run(self) -> bool:
+        """Return whether the request may have run at the entry before."""
+        return self.runs + self.lost_runs > 0
 
 
 @dataclass
@@ -57,8 +64,9 @@
 
     `sends` counts the attempts that reached a backend server, `runs` those of
     them that it did not reject, among them any that ended without a complete
-    response, because the request may have run. `unreached_servers` counts the
-    attempts that reached none.
+    response, because the request may have run. `lost_runs` of these ended with their
+    servers and take no attempt. `unreached_servers` counts the attempts that reached
+    none.
     """
 
     head: RequestHead
@@ -75,6 +83,7 @@
     # Set if the last server that failed the request had failed it before.
     has_failed_again: bool = False
     runs: int = 0
+    lost_runs: int = 0
     sends: int = 0
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
@@ -113,19 +122,23 @@
         if self.first_byte_ms is not None:
             return True
         is_resumed = self.fields.last_event_id is not None
-        return self.delegation is not None and self.delegation.runs > 0 and is_resumed
+        return is_resumed and self._has_run_before
 
     @property
     def has_run(self) -> bool:
         """Return whether the request may have run, here or at the entry before."""
-        earlier_runs = self.delegation.runs if self.delegation else 0
-        return self.is_begun_stream or self.runs + earlier_runs > 0
+        return self.is_begun_stream or self.runs > 0 or self._has_run_before
+
+    @property
+    def counted_runs(self) -> int:
+        """Return the runs of this entry that take an attempt."""
+        return self.runs - self.lost_runs
 
     @property
     def attempts_left(self) -> int:
         """Return how often the route lets the request run yet."""
         earlier_runs = self.delegation.runs if self.delegation else 0
-        return self.route.max_attempts - earlier_runs - self.runs
+        return self.route.max_attempts - earlier_runs - self.counted_runs
 
     @property
     def may_repeat(self) -> bool:
@@ -162,3 +175,7 @@
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time until the deadline of the request."""
         return self.deadline_ms - now_ms
+
+    @property
+    def _has_run_before(self) -> bool:
+        return self.delegation is not None and self.delegation.has_run
--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.call import Call, Delegation
 from marjoramfall.gateway.callers.caller_connection import ResponseWriter
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.delegation.offers import DelegateOffer
@@ -110,10 +110,14 @@
         )
         headers.extend(
             messages.request_headers(
-                call.service_id, call.runs - 1, call.config_version
+                Delegation(
+                    call.service_id,
+                    runs=call.counted_runs - 1,
+                    config_version=call.config_version,
+                    lost_runs=call.lost_runs,
+                )
             )
         )
-        headers.append((b'connection', b'close'))
         headers.append((b'content-length', str(len(call.body)).encode()))
         first_line = b'%b %b HTTP/1.1' % (call.head.method, call.head.target)
         self._connection.send(
--- a/marjoramfall/gateway/delegation/messages.py
+++ b/marjoramfall/gateway/delegation/messages.py
@@ -1,11 +1,14 @@
 """Define the headers that entries add to the requests they delegate."""
 
+from marjoramfall.gateway.callers.call import Delegation
 from marjoramfall.gateway.http_messages import Header, Response, find_header
 
 # The service that the first entry has chosen for the request.
 SERVICE = b'x-delegated-service'
-# How often the request may have run already.
+# How often the request may have run already, without the runs below.
 RUNS = b'x-delegated-runs'
+# How many runs ended with their servers.
+LOST_RUNS = b'x-delegated-lost-runs'
 # The newest configuration that the first entry knows.
 CONFIG_VERSION = b'x-delegated-config'
 # Set in an error response of the second entry itself: why it failed.
@@ -14,15 +17,19 @@
 ELSEWHERE = b'x-delegated-elsewhere'
 YES = b'1'
 
-REQUEST_HEADERS = frozenset((SERVICE, RUNS, CONFIG_VERSION))
+REQUEST_HEADERS = frozenset((SERVICE, RUNS, LOST_RUNS, CONFIG_VERSION))
+# Entries that don't know a header that is named here drop it.
+CONNECTION = (b'connection', b'close, %b' % LOST_RUNS)
 
 
-def request_headers(service_id: str, runs: int, config_version: int) -> list[Header]:
+def request_headers(delegation: Delegation) -> list[Header]:
     """Return the headers of a delegated request."""
     return [
-        (SERVICE, service_id.encode()),
-        (RUNS, str(runs).encode()),
-        (CONFIG_VERSION, str(config_version).encode()),
+        (SERVICE, delegation.service_id.encode()),
+        (RUNS, str(delegation.runs).encode()),
+        (LOST_RUNS, str(delegation.lost_runs).encode()),
+        (CONFIG_VERSION, str(delegation.config_version).encode()),
+        CONNECTION,
     ]
 
 
--- a/marjoramfall/gateway/delegation/requests.py
+++ b/marjoramfall/gateway/delegation/requests.py
@@ -29,6 +29,7 @@
             service_id=value_by_name.get(messages.SERVICE, b'').decode('latin-1'),
             runs=_read_count(value_by_name.get(messages.RUNS)),
             config_version=_read_count(value_by_name.get(messages.CONFIG_VERSION)),
+            lost_runs=_read_count(value_by_name.get(messages.LOST_RUNS)),
         )
         head.headers = [
             header
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
+from marjoramfall.gateway.lost_runs import LostRuns
 from marjoramfall.gateway.place_finder import PlaceFinder
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
@@ -62,6 +63,7 @@
         self._dialect = dialect
         self._clock = clock
         self._places = PlaceFinder(fleet, clock)
+        self._lost_runs = LostRuns(pool)
         self._running = RunningExchanges(quarantine.is_refused)
         quarantine.on_new_cause = self._running.break_off_refused
 
@@ -113,6 +115,7 @@
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
+        self._lost_runs.on_outcome(call, assignment.load.server, outcome)
         self._log_failure(call, assignment, outcome)
         self._record_crash(call, assignment, outcome)
         call.exclude(assignment.load.server.server_id)
@@ -341,6 +344,7 @@
             ending=outcome.ending.value,
             reason=outcome.reason,
             runs=call.runs,
+            lost_runs=call.lost_runs,
             sends=call.sends,
             attempts_left=call.attempts_left,
             left_ms=round(call.remaining_ms(self._clock.monotonic_ms())),
--- /dev/null
+++ b/marjoramfall/gateway/lost_runs.py
@@ -0,0 +1,43 @@
+"""Tell which runs of a call ended with their server, or with the path to it."""
+
+from loguru import logger
+
+from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.model import BackendServer
+from marjoramfall.gateway.servers.backend_connection import NotReachedError
+from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.outcome import Outcome
+
+# Bounds the runs beyond the route's `max_attempts`: a request may be what ends each
+# server it is sent to.
+MAX_LOST_RUNS = 3
+
+
+class LostRuns:
+    """Take off a call's attempts the runs that its servers did not outlast.
+
+    Of a server that accepts connections just after it has lost one, nobody knows
+    that it has ended.
+    """
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    def on_outcome(self, call: Call, server: BackendServer, outcome: Outcome) -> None:
+        """Find out whether a server whose connection was lost can be reached."""
+        if not outcome.is_connection_lost or not call.may_repeat:
+            return
+        if call.lost_runs >= MAX_LOST_RUNS:
+            return
+        try:
+            self._pool.open_kept(server.server_id, server.address)
+        except NotReachedError as error:
+            call.lost_runs += 1
+            logger.bind(
+                request=call.fields.attempt_id,
+                server=server.server_id,
+                details=str(error),
+                runs=call.runs,
+                lost_runs=call.lost_runs,
+                attempts_left=call.attempts_left,
+            ).info('run ended with its server: not counted as an attempt')
--- a/marjoramfall/gateway/servers/connection_pool.py
+++ b/marjoramfall/gateway/servers/connection_pool.py
@@ -11,6 +11,8 @@
 
 # The rest is left for connections in use and for entries that are not known yet.
 MAX_IDLE_SHARE = 0.8
+# A path that is cut may accept a connection and reset it at once.
+SETTLING_MS = 10.0
 
 
 def max_idle_connections(max_connections: int, *, slots: int, entry_count: int) -> int:
@@ -67,6 +69,19 @@
         connection.idle_since_ms = self._clock.monotonic_ms()
         self.release(server_id, connection)
 
+    def open_kept(self, server_id: str, address: str) -> None:
+        """Open a connection that is not ended at once, and keep it for a request.
+
+        Raises `NotReachedError`.
+        """
+        connection = self._open(address)
+        self._clock.sleep_ms(SETTLING_MS)
+        if not connection.is_reusable():
+            connection.close()
+            raise NotReachedError(f'{address}: ended at once')
+        connection.idle_since_ms = self._clock.monotonic_ms()
+        self.release(server_id, connection)
+
     def set_max_idle(self, server_id: str, limit: int) -> None:
         """Limit how many idle connections to the server are kept."""
         self._max_idle_by_server[server_id] = limit
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -99,6 +99,7 @@
                 str(error),
                 lost_at_start=is_lost and self._is_at_start(),
                 is_server_fault=not is_lost,
+                is_connection_lost=is_lost,
             )
         finally:
             if self._connection is not None:
--- a/marjoramfall/gateway/servers/outcome.py
+++ b/marjoramfall/gateway/servers/outcome.py
@@ -31,7 +31,8 @@
 
     `response` and `body` are the backend server's own error response, which may
     still be delivered. `lost_at_start` is true if the connection ended before more
-    than the beginning of a response had arrived.
+    than the beginning of a response had arrived; `is_connection_lost` if it ended
+    before the whole response had.
     """
 
     ending: Ending
@@ -42,6 +43,7 @@
     is_server_fault: bool = False
     is_timeout: bool = False
     is_broken_off: bool = False
+    is_connection_lost: bool = False
 
     @property
     def is_answered(self) -> bool:
--- a/tests/delegation_case.py
+++ b/tests/delegation_case.py
@@ -66,6 +66,17 @@
         self.sockets.append(sock)
         CallerConnection(sock, handler, self.clock, on_end=lambda ended: None).run()
 
+    def send_delegated(self, path, service_id, *, runs, lost_runs=0):
+        """Send a request as another entry does, and return the connection."""
+        return self.send(
+            path,
+            f'X-Delegated-Service: {service_id}',
+            f'X-Delegated-Runs: {runs}',
+            f'X-Delegated-Lost-Runs: {lost_runs}',
+            'Connection: close, x-delegated-lost-runs',
+            connection=self.connect(self.delegated),
+        )
+
     def crash(self):
         """End all connections of peers and listen no more."""
         self.delegated.stop(timeout=0)
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -120,9 +120,9 @@
         self.registry.apply_changes([change], revision)
         return backend
 
-    def connect(self):
-        """Return a connection of a caller."""
-        address = ('127.0.0.1', self.listener.server_port)
+    def connect(self, listener=None):
+        """Return a connection of a caller, or of a peer to another listener."""
+        address = ('127.0.0.1', (listener or self.listener).server_port)
         connection = socket.create_connection(address, timeout=TIMEOUT_S)
         self.addCleanup(connection.close)
         return connection
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,6 +1,7 @@
 """Build the parts of a gateway for tests."""
 
-from marjoramfall.gateway.callers.call import CallFields
+from marjoramfall.gateway.callers.call import Call, CallFields
+from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import (
     BackendServer,
     CallerLimits,
@@ -80,6 +81,22 @@
     return CallFields(**{**fields, **changes})
 
 
+def make_call(**changes):
+    """Return a request of the plain service that may repeat."""
+    fields = {
+        'head': RequestHead(),
+        'body': b'',
+        'fields': make_fields(),
+        'received_ms': 0,
+        'route': make_route('read'),
+        'team': TEAM,
+        'service_id': PLAIN,
+        'config_version': 1,
+        'deadline_ms': 1000,
+    }
+    return Call(**{**fields, **changes})
+
+
 def make_route(name, rule=RepeatRule.IDEMPOTENT, **changes):
     """Return a route of the host `a.example`."""
     fields = {
