Ask peers again for what has run, and believe their rejections

Callers whose entry had lost its path got "503 no place in time" for a request that had run already, or 502 "no path" with time left, as a peer refused it; and begun streams were cut as a server of the peer rejected the rest without running it, which took an attempt.

Cause: only a begun stream waited for a peer to take it over; a peer's 503 was passed on whatever this entry had run before; and the rejection of a server was not looked for in an answer that a peer passes on.

Change: what has run waits for peers like a begun stream, until its caller stops waiting, once peers have refused it. A peer's 503 for it, and a server's rejection that a peer passes on, take no attempt. New requests get a peer's refusal at once, as before. When a call that has run gives up is now said in one place, give_up_ms in demand.py.

--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -89,7 +89,11 @@
         )
         failure = messages.read_failure(response)
         if failure is not None:
-            return self._read_failure(response, failure, has_begun=writer.has_begun)
+            has_run = self._has_run_before(writer)
+            return self._read_failure(response, failure, has_run=has_run)
+        if self._has_run_before(writer) and self._dialect.was_rejected(response):
+            self._call.runs -= 1
+            return Outcome(Ending.NOT_RUN, f'rejected with {response.status}')
         if writer.has_begun and not self._is_rest_of_stream(response):
             return Outcome(
                 Ending.FAILED, f'answered {response.status} instead of the rest'
@@ -126,11 +130,11 @@
         )
 
     def _read_failure(
-        self, response: Response, failure: str, *, has_begun: bool
+        self, response: Response, failure: str, *, has_run: bool
     ) -> Outcome:
-        # A stream that has begun can't be refused any more, only cut.
+        # What has run can't be refused any more: another peer may have a place.
         is_refused = response.status == UNAVAILABLE
-        if messages.may_go_elsewhere(response) or (has_begun and is_refused):
+        if messages.may_go_elsewhere(response) or (has_run and is_refused):
             self._call.runs -= 1
             return Outcome(Ending.NOT_REACHED, failure)
         if response.status != UNAVAILABLE:
@@ -141,6 +145,9 @@
             UNAVAILABLE, failure, retry_after_ms=retry_after_s * MS_PER_SECOND
         )
 
+    def _has_run_before(self, writer: ResponseWriter) -> bool:
+        return writer.has_begun or self._call.runs > 1
+
     def _is_rest_of_stream(self, response: Response) -> bool:
         media_type = find_header(response.headers, CONTENT_TYPE)
         return response.status == OK and media_type == self._call.stream_type
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -19,6 +19,7 @@
 from marjoramfall.gateway.lost_runs import LostRuns
 from marjoramfall.gateway.place_finder import PlaceFinder
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.demand import give_up_ms
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import FIRST_ERROR_STATUS, Exchange
 from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
@@ -151,8 +152,8 @@
     def _choose_peer(self, call: Call, writer: ResponseWriter) -> DelegateOffer | None:
         """Return the peer to send a request to, None to serve it here.
 
-        A stream that only a peer can go on with is not cut as all that were asked
-        have no slot: its caller leaves once it has waited too long for an event.
+        What only a peer can go on with is not ended as all that were asked have no
+        slot: its caller leaves once it has waited too long.
         """
         offer = self._delegates.choose(call)
         while offer is None and self._needs_peer(call, writer):
@@ -162,9 +163,10 @@
         return offer
 
     def _needs_peer(self, call: Call, writer: ResponseWriter) -> bool:
-        has_time = call.remaining_ms(self._clock.monotonic_ms()) > 0
+        was_refused = call.has_run and bool(call.tried_delegates)
+        has_time = self._clock.monotonic_ms() < give_up_ms(call)
         return (
-            writer.has_begun
+            (writer.has_begun or was_refused)
             and has_time
             and not call.is_delegated
             and self._fleet.paths.is_lost(call.service_id)
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -8,7 +8,7 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.place_search import PlaceSearch
-from marjoramfall.gateway.servers.demand import Demand, build_demand
+from marjoramfall.gateway.servers.demand import Demand, build_demand, give_up_ms
 from marjoramfall.gateway.servers.service_queue import Assignment, NoServerError
 
 # Between two tries of a request that no server takes for the moment.
@@ -44,9 +44,7 @@
         version = self._fleet.choose_version(call.service_id)
         demand = build_demand(call, self._clock.monotonic_ms(), version)
         demand.may_return = demand.has_run
-        if call.is_begun_stream:
-            # To cut it helps nobody; its caller leaves once it has waited too long.
-            demand.give_up_ms = call.deadline_ms
+        demand.give_up_ms = give_up_ms(call)
         return demand
 
     def _may_wait(self, demand: Demand) -> bool:
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -92,6 +92,16 @@
     )
 
 
+def give_up_ms(call: Call) -> float:
+    """Return when a call that has run ends its wait for a place.
+
+    To cut a begun stream helps nobody: its caller leaves once it has waited too long.
+    """
+    if call.is_begun_stream:
+        return call.deadline_ms
+    return min(call.deadline_ms, call.received_ms + _max_wait_ms(call))
+
+
 def _max_wait_ms(call: Call) -> float:
     route = call.route
     if not route.is_stream:
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -8,6 +8,7 @@
 from gevent.server import StreamServer
 
 from marjoramfall.gateway.callers.call import Delegation
+from marjoramfall.gateway.delegation.messages import ELSEWHERE, FAILURE
 from marjoramfall.gateway.lost_runs import MAX_LOST_RUNS, LostRuns
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.registry import ServerChange
@@ -27,6 +28,7 @@
 from tests.test_server_faults import resume
 from tests.test_unreachable_servers import closed_address
 
+UNAVAILABLE = '503 Service Unavailable'
 END_OF_CHUNKS = b'0\r\n\r\n'
 SEGMENT_PAUSE_S = 0.03
 PAUSE_S = 0.3
@@ -294,3 +296,65 @@
         full.free()
         self.assertIn(b'200 OK', self.receive(connection))
         self.assertNotIn(b'x-delegated', backend.heads[0].lower())
+
+
+def refuse_delegated(exchange, extra=''):
+    """Refuse a delegated request, as its entry has no place for it."""
+    headers = f'{FAILURE.decode()}: no place in time\r\n{extra}'
+    answer(exchange, status=UNAVAILABLE, extra=headers)
+
+
+def refuse_elsewhere(exchange):
+    """Refuse a delegated request that another entry may serve."""
+    refuse_delegated(exchange, f'{ELSEWHERE.decode()}: 1\r\n')
+
+
+def reject(exchange):
+    """Reject a request without running it."""
+    answer(exchange, status=UNAVAILABLE, extra='Marjoramfall-Not-Executed: 1\r\n')
+
+
+class TestRefusedSecondPlaces(DelegationCase):
+    """Peers or servers refuse a request that has run."""
+
+    def setUp(self):
+        UnreachableCase.setUp(self)
+        self.sequence = 0
+
+    def add_peer_script(self, *scripts):
+        """Hear of a peer that runs scripts."""
+        peer = ScriptedBackend(*scripts)
+        self.addCleanup(peer.stop)
+        self.hear(peer)
+        return peer
+
+    def check_asked_again(self, refuse):
+        """Check that a peer that refuses a request that has run is asked again."""
+        self.add_backend(break_off)
+        peer = self.add_peer_script(refuse, answer)
+        self.assertIn(b'200 OK', self.ask('/read/1'))
+        self.assertEqual(len(peer.heads), 2)
+
+    def test_by_peer(self):
+        """Guards against an answer "not run" to a request that has run."""
+        self.check_asked_again(refuse_delegated)
+
+    def test_by_peer_without_path(self):
+        """Guards against a 502 with time left as no entry has a path for a moment."""
+        self.check_asked_again(refuse_elsewhere)
+
+    def test_new_request(self):
+        """Guards against a wait for what a peer refuses and has not run."""
+        for number in range(2):
+            self.add_unreachable(f'closed-{number}', PLAIN)
+        peer = self.add_peer_script(refuse_delegated, answer)
+        self.assertIn(b'503 Service', self.ask('/read/1'))
+        self.assertEqual(len(peer.heads), 1)
+
+    def test_by_server_of_peer(self):
+        """Guards against a stream cut as a rejection at a peer takes an attempt."""
+        self.add_backend(begin_and_break, service_id=MODEL)
+        peer = self.add_peer_script(reject, resume)
+        connection = self.send('/review/1')
+        self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
+        self.assertEqual(len(peer.heads), 2)
