Let a begun stream outlast more rejections

Callers saw a stream cut after servers had rejected its rest four times without running it (503 or 421), with attempts and time left.

Cause: a request may be sent at most three times more than maxAttempts, rejections and runs together, so that the rest of a stream that had run once was out of sends after the fourth rejection.

Change: a begun stream may be sent up to 12 times more than maxAttempts.

--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -35,6 +35,8 @@
 # A request that servers reject without running it is sent at most this many times
 # more than the route's `max_attempts`.
 MAX_REJECTED_SENDS = 3
+# The same for a begun stream, which can't be refused any more.
+MAX_REJECTED_SENDS_OF_BEGUN = 12
 # After all peers that were asked have refused to go on with a stream.
 DELEGATION_PAUSE_MS = 200.0
 # Retry-After if all servers are full; slots become free as requests end.
@@ -294,7 +296,7 @@
             # No server received it, so it counts neither as a run nor as a retry.
             return True
         if outcome.ending is Ending.NOT_RUN:
-            allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
+            allowed = call.sends < call.route.max_attempts + _max_rejected_sends(call)
         else:
             allowed = call.may_repeat and call.attempts_left > 0
         return allowed and self._fleet.try_retry(call)
@@ -355,3 +357,7 @@
             own_part=call.fields.own_part_id,
             fingerprint=call.fingerprint,
         ).warning('exchange failed')
+
+
+def _max_rejected_sends(call: Call) -> int:
+    return MAX_REJECTED_SENDS_OF_BEGUN if call.is_begun_stream else MAX_REJECTED_SENDS
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -9,6 +9,7 @@
 
 from marjoramfall.gateway.callers.call import Delegation
 from marjoramfall.gateway.delegation.messages import ELSEWHERE, FAILURE
+from marjoramfall.gateway.forwarder import MAX_REJECTED_SENDS
 from marjoramfall.gateway.lost_runs import MAX_LOST_RUNS, LostRuns
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.registry import ServerChange
@@ -358,3 +359,12 @@
         connection = self.send('/review/1')
         self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
         self.assertEqual(len(peer.heads), 2)
+
+    def test_by_servers(self):
+        """Guards against a stream cut as full servers reject it for a while."""
+        rejections = [reject for _ in range(MAX_REJECTED_SENDS + 2)]
+        sequence = ScriptSequence(begin_and_break, *rejections, resume)
+        for _ in range(3):
+            self.add_backend(sequence, service_id=MODEL)
+        connection = self.send('/review/1')
+        self.assertIn(b'data: b', self.receive(connection, END_OF_CHUNKS))
