Spend no attempts on a path that resets connections

Callers saw streams cut and 502 answers while the path of their entry to the servers was cut: new connections were accepted and reset, which took five sends of a request within 0.2 s, four more after the first.

Cause: a path that accepts a connection and resets it some ms later looks sound to a connection attempt. So a run lost there was counted, a lost path was taken for regained, and a request that had run and found no peer yet went on trying the lost path.

Change: after the last attempt, the new connection that shows whether the server is still there has to last for 100 ms instead of 10 ms; the probe of a lost path has to last for 10 ms; and what has run waits while the path is lost and no peer is there, as begun streams did already.

Evidence, on the code before: nose2 -s tests -t . tests.test_second_places FAIL: test_reset_late: AssertionError: 0 != 1 FAIL: test_lost_path: AssertionError: False is not true 22 run, 2 failed After it: 183 of 183 in it and test_crashing_requests, test_crash_quarantine, test_service_queue, test_demand, test_begun_streams, test_delegation, test_silent_servers, test_server_faults, test_overload, test_unreachable_servers, test_broken_answers, test_gateway_path, test_server_notices and test_connection_pool.

--- a/marjoramfall/gateway/delegation/service_paths.py
+++ b/marjoramfall/gateway/delegation/service_paths.py
@@ -181,7 +181,7 @@
 
     def _probe(self, server: BackendServer) -> bool:
         try:
-            self._pool.open_idle(server.server_id, server.address)
+            self._pool.open_kept(server.server_id, server.address)
         except NotReachedError as error:
             logger.bind(server=server.server_id, details=str(error)).debug(
                 'server not reached by a probe'
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -90,7 +90,7 @@
         failover: CallFailover,
     ) -> str:
         while True:
-            offer = None if failover.has_place else self._choose_peer(call, writer)
+            offer = None if failover.has_place else self._choose_peer(call)
             if offer is None:
                 outcome = self._serve_here(call, writer, splitter, failover)
             else:
@@ -151,24 +151,24 @@
             )
         return outcome
 
-    def _choose_peer(self, call: Call, writer: ResponseWriter) -> DelegateOffer | None:
+    def _choose_peer(self, call: Call) -> DelegateOffer | None:
         """Return the peer to send a request to, None to serve it here.
 
-        What only a peer can go on with is not ended as all that were asked have no
-        slot: its caller leaves once it has waited too long.
+        What has run and only a peer can go on with is not ended as all that were
+        asked have no slot: its caller leaves once it has waited too long. Nor does it
+        spend its attempts on a lost path.
         """
         offer = self._delegates.choose(call)
-        while offer is None and self._needs_peer(call, writer):
+        while offer is None and self._needs_peer(call):
             call.tried_delegates.clear()
             self._clock.sleep_ms(DELEGATION_PAUSE_MS)
             offer = self._delegates.choose(call)
         return offer
 
-    def _needs_peer(self, call: Call, writer: ResponseWriter) -> bool:
-        was_refused = call.has_run and bool(call.tried_delegates)
+    def _needs_peer(self, call: Call) -> bool:
         has_time = self._clock.monotonic_ms() < give_up_ms(call)
         return (
-            (writer.has_begun or was_refused)
+            call.has_run
             and has_time
             and not call.is_delegated
             and self._fleet.paths.is_lost(call.service_id)
--- a/marjoramfall/gateway/lost_runs.py
+++ b/marjoramfall/gateway/lost_runs.py
@@ -5,12 +5,15 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.servers.backend_connection import NotReachedError
-from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.connection_pool import SETTLING_MS, ConnectionPool
 from marjoramfall.gateway.servers.outcome import Outcome
 
 # Bounds the runs beyond the route's `max_attempts`: a request may be what ends each
 # server it is sent to.
 MAX_LOST_RUNS = 3
+# How long a new connection has to last to show, after the last attempt, that the
+# server is still there. Any longer wait holds up the next attempt.
+LAST_SETTLING_MS = 100.0
 
 
 class LostRuns:
@@ -29,8 +32,9 @@
             return
         if call.lost_runs >= MAX_LOST_RUNS:
             return
+        settling_ms = SETTLING_MS if call.attempts_left > 0 else LAST_SETTLING_MS
         try:
-            self._pool.open_kept(server.server_id, server.address)
+            self._pool.open_kept(server.server_id, server.address, settling_ms)
         except NotReachedError as error:
             call.lost_runs += 1
             logger.bind(
--- a/marjoramfall/gateway/servers/connection_pool.py
+++ b/marjoramfall/gateway/servers/connection_pool.py
@@ -11,8 +11,9 @@
 
 # The rest is left for connections in use and for entries that are not known yet.
 MAX_IDLE_SHARE = 0.8
-# A path that is cut may accept a connection and reset it at once.
+# A path that is cut may accept a connection and reset it just after.
 SETTLING_MS = 10.0
+SETTLING_STEP_MS = 5.0
 
 
 def max_idle_connections(max_connections: int, *, slots: int, entry_count: int) -> int:
@@ -69,16 +70,20 @@
         connection.idle_since_ms = self._clock.monotonic_ms()
         self.release(server_id, connection)
 
-    def open_kept(self, server_id: str, address: str) -> None:
-        """Open a connection that is not ended at once, and keep it for a request.
+    def open_kept(
+        self, server_id: str, address: str, settling_ms: float = SETTLING_MS
+    ) -> None:
+        """Open a connection that is not ended just after, and keep it for a request.
 
         Raises `NotReachedError`.
         """
         connection = self._open(address)
-        self._clock.sleep_ms(SETTLING_MS)
+        settled_ms = self._clock.monotonic_ms() + settling_ms
+        while connection.is_reusable() and self._clock.monotonic_ms() < settled_ms:
+            self._clock.sleep_ms(SETTLING_STEP_MS)
         if not connection.is_reusable():
             connection.close()
-            raise NotReachedError(f'{address}: ended at once')
+            raise NotReachedError(f'{address}: ended just after it was opened')
         connection.idle_since_ms = self._clock.monotonic_ms()
         self.release(server_id, connection)
 
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -4,16 +4,22 @@
 attempts end them, not an estimate nor a server that failed them earlier.
 """
 
+from unittest.mock import patch
+
 from gevent import sleep
 from gevent.server import StreamServer
 
 from marjoramfall.gateway.callers.call import Delegation
+from marjoramfall.gateway.delegation import service_paths
 from marjoramfall.gateway.delegation.messages import ELSEWHERE, FAILURE
 from marjoramfall.gateway.forwarder import MAX_REJECTED_SENDS
 from marjoramfall.gateway.lost_runs import MAX_LOST_RUNS, LostRuns
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.registry import ServerChange
-from marjoramfall.gateway.servers.backend_connection import NotReachedError
+from marjoramfall.gateway.servers.backend_connection import (
+    RECEIVE_BYTES,
+    NotReachedError,
+)
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from tests.delegation_case import DelegationCase, UnreachableCase
 from tests.gateway_case import GatewayCase, answer, start_events
@@ -208,6 +214,12 @@
         return is_kept
 
 
+def close_late(sock, _address):
+    """Close a connection a while after it was accepted."""
+    sleep(SEGMENT_PAUSE_S)
+    sock.close()
+
+
 class TestLostRuns(DelegationCase):
     """A run that ended with its server, or its path, takes no attempt."""
 
@@ -259,6 +271,17 @@
                 self.pool.open_kept('cut', unreached)
         self.pool.open_kept('sound', self.add_backend(answer).address)
 
+    def test_reset_late(self):
+        """Guards against the last attempt taken by a path that resets with delay."""
+        cut = StreamServer(('127.0.0.1', 0), close_late)
+        cut.start()
+        self.addCleanup(cut.stop, timeout=0)
+        server = make_server(address=f'127.0.0.1:{cut.server_port}')
+        call = make_call(runs=make_route('read').max_attempts)
+        outcome = Outcome(Ending.UNKNOWN, is_connection_lost=True)
+        LostRuns(self.pool).on_outcome(call, server, outcome)
+        self.assertEqual(call.attempts_left, 1)
+
     def test_bound(self):
         """Guards against a request that ends each server it is sent to."""
         call = make_call()
@@ -315,6 +338,19 @@
     answer(exchange, status=UNAVAILABLE, extra='Marjoramfall-Not-Executed: 1\r\n')
 
 
+class CutPath:
+    """End the first connection at its request, and further ones at once."""
+
+    def __init__(self):
+        self._connections = 0
+
+    def __call__(self, sock, _address):
+        self._connections += 1
+        if self._connections == 1:
+            sock.recv(RECEIVE_BYTES)
+        sock.close()
+
+
 class TestRefusedSecondPlaces(DelegationCase):
     """Peers or servers refuse a request that has run."""
 
@@ -344,6 +380,22 @@
         """Guards against a 502 with time left as no entry has a path for a moment."""
         self.check_asked_again(refuse_elsewhere)
 
+    @patch.object(service_paths, 'PROBE_INTERVAL_MS', 20)
+    def test_lost_path(self):
+        """Guards against attempts spent on a lost path that resets connections."""
+        cut = StreamServer(('127.0.0.1', 0), CutPath())
+        cut.start()
+        self.addCleanup(cut.stop, timeout=0)
+        server = make_server('cut', address=f'127.0.0.1:{cut.server_port}')
+        revision = self.registry.servers_state.as_of + 1
+        self.registry.apply_changes([ServerChange('cut', server, revision)], revision)
+        connection = self.send('/read/1')
+        self.wait_for(lambda: self.fleet.paths.is_lost(PLAIN))
+        sleep(PAUSE_S)
+        self.assertTrue(self.fleet.paths.is_lost(PLAIN))
+        self.add_backend(answer, server_id='cut')
+        self.assertIn(b'200 OK', self.receive(connection))
+
     def test_new_request(self):
         """Guards against a wait for what a peer refuses and has not run."""
         for number in range(2):
