Keep a delegated stream at the peer that has begun it

Callers saw a stream cut as the peer that had begun it for their entry lost its path, or reached no server twice, for a moment: it ended the stream as "no path", which the entry before counted as a run although the peer's runs had ended with their servers.

Cause: a peer gives a request back where it finds no server. That is right before it has begun to answer, as another peer may serve it; after that it can only break the answer off.

Change: a peer that has begun a delegated stream waits for its path and returns to servers, as an entry does for its own callers' streams.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -116,6 +116,14 @@
         """Return whether a peer has accepted the request from its caller."""
         return self.delegation is not None
 
+    @property
+    def may_be_given_back(self) -> bool:
+        """Return whether the peer that sent the request may choose another entry.
+
+        It counts a run for a stream that this entry has begun and ends early.
+        """
+        return self.is_delegated and self.first_byte_ms is None
+
     @property
     def is_begun_stream(self) -> bool:
         """Return whether the caller has the beginning of the stream already."""
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -170,14 +170,14 @@
         return (
             call.has_run
             and has_time
-            and not call.is_delegated
+            and not call.may_be_given_back
             and self._fleet.paths.is_lost(call.service_id)
         )
 
     def _check_path(self, call: Call) -> None:
         """Raise `GatewayFailureError` if the request should go to another entry."""
         is_lost = self._fleet.paths.is_lost(call.service_id)
-        if call.is_delegated:
+        if call.may_be_given_back:
             is_unreached = call.unreached_servers >= MAX_UNREACHED_SERVERS
             if is_lost or is_unreached:
                 raise self._rejection(
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -35,7 +35,7 @@
             try:
                 return self._search(call, demand)
             except NoServerError as error:
-                if call.is_delegated or not self._may_wait(demand):
+                if call.may_be_given_back or not self._may_wait(demand):
                     raise
                 self._log_wait(call, error)
             self._clock.sleep_ms(RETURN_PAUSE_MS)
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -5,11 +5,14 @@
 """
 
 from functools import partial
+from unittest.mock import patch
 
 from gevent import sleep
 from gevent.event import Event
 
+from marjoramfall.gateway.delegation import service_paths
 from marjoramfall.gateway.delegation.messages import FAILURE
+from marjoramfall.gateway.servers.server_load import HeardNotices
 from tests.delegation_case import SERVER_COUNT, DelegationCase, UnreachableCase
 from tests.gateway_case import answer, start_events
 from tests.gateway_fakes import MODEL, make_config, make_server
@@ -30,6 +33,20 @@
     exchange.write(END_OF_CHUNKS)
 
 
+def begin_and_break(exchange):
+    """Send the first event of a stream, and break it off."""
+    start_events(exchange)
+    exchange.event('1', 'a')
+    return False
+
+
+def begin_and_break_beside_unreachable(entry, exchange):
+    """Begin a stream, and break it off as all other servers refuse connections."""
+    for number in range(SERVER_COUNT):
+        entry.add_unreachable(f'{MODEL}-{number}', MODEL)
+    return begin_and_break(exchange)
+
+
 def use_long_route(registry):
     """Let streams last for some seconds."""
     registry.put_config(make_config(2, routes=(stream_route(max_gap_ms=10),)), 2)
@@ -110,3 +127,34 @@
         connection = self.begin_stream()
         connection.close()
         self.wait_for(lambda: not self.gateway.in_flight)
+
+
+class TestStreamOfPeer(DelegationCase):
+    """A peer goes on with a stream that it has begun for another entry."""
+
+    def test_lost_path(self):
+        """Guards against a stream given back, and an attempt lost, for a moment."""
+        peer = self.add_peer()
+        peer.add_backend(begin_and_break, end_stream, service_id=MODEL)
+        self.check_once(peer)
+
+    @patch.object(service_paths, 'MIN_FAILED_SERVERS', SERVER_COUNT + 2)
+    def test_unreached_servers(self):
+        """Guards against a stream given back as two servers refuse connections."""
+        peer = self.add_peer()
+        begin = partial(begin_and_break_beside_unreachable, peer)
+        peer.add_backend(begin, end_stream, service_id=MODEL)
+        spare = peer.add_backend(answer, service_id=MODEL, server_id='leaving')
+        notices = HeardNotices(is_leaving=True)
+        peer.fleet.queue(MODEL).load_by_id['leaving'].use_notices(notices)
+        self.check_once(peer)
+        self.assertFalse(peer.fleet.paths.is_lost(MODEL))
+        self.assertFalse(spare.heads)
+
+    def check_once(self, peer):
+        """Check that a stream is whole, and was passed to the peer once."""
+        for entry in (self, peer):
+            use_long_route(entry.registry)
+        response = self.receive(self.send('/review/1'), END_OF_CHUNKS)
+        self.assertIn(b'data: b', response)
+        self.assertEqual(len(peer.sockets), 1)
