--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -16,9 +16,10 @@
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
-from marjoramfall.gateway.place_search import PlaceSearch
+from marjoramfall.gateway.lost_runs import LostRuns
+from marjoramfall.gateway.place_finder import PlaceFinder
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
-from marjoramfall.gateway.servers.demand import Demand, build_demand
+from marjoramfall.gateway.servers.demand import give_up_ms
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import FIRST_ERROR_STATUS, Exchange
 from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
@@ -34,6 +35,8 @@
 # A request that servers reject without running it is sent at most this many times
 # more than the route's `max_attempts`.
 MAX_REJECTED_SENDS = 3
+# The same for a begun stream, which can't be refused any more.
+MAX_REJECTED_SENDS_OF_BEGUN = 12
 # After all peers that were asked have refused to go on with a stream.
 DELEGATION_PAUSE_MS = 200.0
 # Retry-After if all servers are full; slots become free as requests end.
@@ -62,6 +65,8 @@
         self._delegates = fleet.delegates
         self._dialect = dialect
         self._clock = clock
+        self._places = PlaceFinder(fleet, clock)
+        self._lost_runs = LostRuns(pool)
         self._running = RunningExchanges(quarantine.is_refused)
         quarantine.on_new_cause = self._running.break_off_refused
 
@@ -85,7 +90,7 @@
         failover: CallFailover,
     ) -> str:
         while True:
-            offer = None if failover.has_place else self._choose_peer(call, writer)
+            offer = None if failover.has_place else self._choose_peer(call)
             if offer is None:
                 outcome = self._serve_here(call, writer, splitter, failover)
             else:
@@ -113,9 +118,10 @@
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
+        self._lost_runs.on_outcome(call, assignment.load.server, outcome)
         self._log_failure(call, assignment, outcome)
         self._record_crash(call, assignment, outcome)
-        call.excluded_server_ids.add(assignment.load.server.server_id)
+        call.exclude(assignment.load.server.server_id)
         return outcome
 
     def _delegate(
@@ -145,32 +151,33 @@
             )
         return outcome
 
-    def _choose_peer(self, call: Call, writer: ResponseWriter) -> DelegateOffer | None:
+    def _choose_peer(self, call: Call) -> DelegateOffer | None:
         """Return the peer to send a request to, None to serve it here.
 
-        A stream that only a peer can go on with is not cut as all that were asked
-        have no slot: its caller leaves once it has waited too long for an event.
+        What has run and only a peer can go on with is not ended as all that were
+        asked have no slot: its caller leaves once it has waited too long. Nor does it
+        spend its attempts on a lost path.
         """
         offer = self._delegates.choose(call)
-        while offer is None and self._needs_peer(call, writer):
+        while offer is None and self._needs_peer(call):
             call.tried_delegates.clear()
             self._clock.sleep_ms(DELEGATION_PAUSE_MS)
             offer = self._delegates.choose(call)
         return offer
 
-    def _needs_peer(self, call: Call, writer: ResponseWriter) -> bool:
-        has_time = call.remaining_ms(self._clock.monotonic_ms()) > 0
+    def _needs_peer(self, call: Call) -> bool:
+        has_time = self._clock.monotonic_ms() < give_up_ms(call)
         return (
-            writer.has_begun
+            call.has_run
             and has_time
-            and not call.is_delegated
+            and not call.may_be_given_back
             and self._fleet.paths.is_lost(call.service_id)
         )
 
     def _check_path(self, call: Call) -> None:
         """Raise `GatewayFailureError` if the request should go to another entry."""
         is_lost = self._fleet.paths.is_lost(call.service_id)
-        if call.is_delegated:
+        if call.may_be_given_back:
             is_unreached = call.unreached_servers >= MAX_UNREACHED_SERVERS
             if is_lost or is_unreached:
                 raise self._rejection(
@@ -246,15 +253,8 @@
         return assignment
 
     def _acquire(self, call: Call) -> Assignment:
-        version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
-        if call.is_begun_stream:
-            # To cut it helps nobody; its caller leaves once it has waited too long.
-            demand.give_up_ms = call.deadline_ms
-        search = PlaceSearch(self._fleet, demand, self._clock)
         try:
-            search.submit()
-            assignment = search.wait()
+            return self._places.find(call)
         except Timeout as error:
             raise self._rejection(
                 call, 'no place in time', OVERLOAD_RETRY_AFTER_MS
@@ -269,10 +269,6 @@
                 error.retry_after_ms,
                 is_elsewhere=isinstance(error, NoServerError),
             ) from error
-        finally:
-            search.end()
-        self._log_placement(call, assignment, demand)
-        return assignment
 
     def _rejection(
         self,
@@ -300,7 +296,7 @@
             # No server received it, so it counts neither as a run nor as a retry.
             return True
         if outcome.ending is Ending.NOT_RUN:
-            allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
+            allowed = call.sends < call.route.max_attempts + _max_rejected_sends(call)
         else:
             allowed = call.may_repeat and call.attempts_left > 0
         return allowed and self._fleet.try_retry(call)
@@ -324,23 +320,6 @@
             raise GatewayFailureError(GATEWAY_TIMEOUT, 'no response in time')
         raise GatewayFailureError(BAD_GATEWAY, outcome.reason)
 
-    def _log_placement(
-        self, call: Call, assignment: Assignment, demand: Demand
-    ) -> None:
-        now_ms = self._clock.monotonic_ms()
-        load = assignment.load
-        logger.bind(
-            request=call.fields.attempt_id,
-            server=load.server.server_id,
-            rank=demand.rank(now_ms),
-            waited_ms=round(now_ms - call.received_ms, 1),
-            expected_first_ms=round(load.first_response_ms(demand), 1),
-            running=load.running,
-            running_at_peers=load.peer_running,
-            slots=load.server.slots,
-            peers_heard=self._fleet.live_peer_count(),
-        ).info('request assigned')
-
     def _log_overload(
         self, call: Call, queue: ServiceQueue, error: OverloadError
     ) -> None:
@@ -369,6 +348,7 @@
             ending=outcome.ending.value,
             reason=outcome.reason,
             runs=call.runs,
+            lost_runs=call.lost_runs,
             sends=call.sends,
             attempts_left=call.attempts_left,
             left_ms=round(call.remaining_ms(self._clock.monotonic_ms())),
@@ -377,3 +357,7 @@
             own_part=call.fields.own_part_id,
             fingerprint=call.fingerprint,
         ).warning('exchange failed')
+
+
+def _max_rejected_sends(call: Call) -> int:
+    return MAX_REJECTED_SENDS_OF_BEGUN if call.is_begun_stream else MAX_REJECTED_SENDS
