Say ready only once an entry can be reached

What callers saw: an entry answered 200 on its readiness path and refused their connections, for 5 s and more where name lookups are slow. With a name server that never answers, entries and the project's own programs never came up.

Cause: the HTTP server of gevent looks up the full name of each address before it listens, so that other tasks ran between two listeners; the listener of readiness was the first of all. Readiness also didn't wait for the table of entries, and tasks wrote the entry's row to the store before its addresses were bound.

Change: one server class, used by all programs, sets the name of the server to the number of its address. An entry binds callers, peers and operators first, readiness last, and only then starts its tasks. It says ready once all are listened to, configuration and servers are known, and the entries were read from the store; if that read failed, once a peer was heard, so that a restart in an outage of the store waits for no end of it. An address that can't be bound is one line with the address, and status 1. The project's own entries say 'starting' until they listen.

tests.test_planned_stop calls `listen` before `run`, as the daemon does; its checks are unchanged.

--- a/benchmarks/pass_through.py
+++ b/benchmarks/pass_through.py
@@ -6,9 +6,10 @@
 from uuid import uuid4
 
 import click
-from gevent.pywsgi import WSGIServer
 from geventhttpclient import HTTPClient
 
+from marjoramfall.listening import HttpServer
+
 CONCURRENCY = 64
 EVENT_END = b'\n\n'
 
@@ -44,7 +45,7 @@
         return iter((bytes(answer),))
 
 
-class PassThroughServer(WSGIServer):
+class PassThroughServer(HttpServer):
     """Serve callers as the entry does, with small segments sent at once."""
 
     def handle(self, client_socket: Any, address: Any) -> None:
--- a/marjoramfall/borders/caller_server.py
+++ b/marjoramfall/borders/caller_server.py
@@ -6,12 +6,13 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler
 from loguru import logger
 
 from marjoramfall.borders.caller_errors import CallerWriteTimeoutError
 from marjoramfall.borders.caller_parsing import RAW_PATH
 from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.listening import HttpServer
 from marjoramfall.request.dispatch_attempt import CallerGoneError
 
 CALLER_SOCKET = 'marjoramfall.caller_socket'
@@ -86,7 +87,7 @@
             return super()._sendall(data)
 
 
-class CallerServer(WSGIServer):
+class CallerServer(HttpServer):
     """Accept callers up to a limit of connections."""
 
     def __init__(
--- a/marjoramfall/borders/operator_http.py
+++ b/marjoramfall/borders/operator_http.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from marjoramfall.borders.caller_server import ErrorLog
+from marjoramfall.listening import HttpServer
 from marjoramfall.process.metrics import Metrics
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -51,7 +51,7 @@
         return _answer(start_response, HTTPStatus.SERVICE_UNAVAILABLE, b'not ready\n')
 
 
-class OperatorServer(WSGIServer):
+class OperatorServer(HttpServer):
     """Accept operators, probes and scrapes."""
 
     def __init__(self, listener: Any, application: WsgiApplication) -> None:
--- a/marjoramfall/gateway/callers/caller_listener.py
+++ b/marjoramfall/gateway/callers/caller_listener.py
@@ -9,6 +9,7 @@
     RequestHandler,
 )
 from marjoramfall.gateway.servers.backend_connection import split_address
+from marjoramfall.listening import binding
 
 CALLER_BACKLOG = 512
 
@@ -17,6 +18,7 @@
     """Serve each connection of a caller in a greenlet of its own."""
 
     def __init__(self, address: str, handler: RequestHandler, clock: Clock) -> None:
+        self._address = address
         self._handler = handler
         self._clock = clock
         self._connections: set[CallerConnection] = set()
@@ -30,8 +32,9 @@
         return tuple(self._connections)
 
     def start(self) -> None:
-        """Start listening; raises `OSError` if the address cannot be bound."""
-        self._server.start()
+        """Start listening; raises `CannotListenError`."""
+        with binding(self._address):
+            self._server.start()
 
     def stop_accepting(self) -> None:
         """Leave new connections in the backlog."""
--- a/marjoramfall/gateway/callers/entry_listeners.py
+++ b/marjoramfall/gateway/callers/entry_listeners.py
@@ -24,7 +24,7 @@
         return bool(self.callers.connections or self._peers.connections)
 
     def start(self) -> None:
-        """Start listening; raises `OSError` if an address cannot be bound."""
+        """Start listening; raises `CannotListenError`."""
         self.callers.start()
         self._peers.start()
 
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -50,7 +50,7 @@
     """Connect the components of an entry, serve callers and exchange peer state.
 
     The creator has to feed configuration and servers into `registry` and the
-    addresses of the other entries into `peers`.
+    addresses of the other entries into `peers`. Raises `CannotListenError`.
     """
 
     def __init__(
@@ -69,6 +69,7 @@
         self._incarnation = time.time_ns()
         self._started_ms = clock.monotonic_ms()
         self._sequence = 0
+        self._is_listening = False
         self._is_leaving = False
         self._stopped = Event()
         peer_address = f'{settings.ip}:{settings.peer_port}'
@@ -129,12 +130,16 @@
         )
         self._listeners = EntryListeners(settings, self._gateway, clock)
 
+    def listen(self) -> None:
+        """Listen for callers, peers and operators; raises `CannotListenError`."""
+        self._listeners.start()
+        self._endpoints.start()
+        self._is_listening = True
+
     def run(self) -> None:
-        """Serve until a stop has completed; raises `OSError`."""
+        """Serve, after `listen`, until a stop has completed."""
         self._exchange.start()
         spawn(self._maintain)
-        self._endpoints.start()
-        self._listeners.start()
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
@@ -261,7 +266,9 @@
         )
 
     def _is_ready(self) -> bool:
-        return not self._is_leaving and self.registry.is_informed
+        if self._is_leaving or not self._is_listening:
+            return False
+        return self.registry.is_informed and self.peers.is_known
 
     def _needs_state(self) -> bool:
         return not self._settings.is_first_start and not self.registry.is_informed
--- a/marjoramfall/gateway/internal_endpoints.py
+++ b/marjoramfall/gateway/internal_endpoints.py
@@ -33,17 +33,17 @@
         self._is_ready = is_ready
         peer_address = f'{settings.ip}:{settings.peer_port}'
         self._servers = (
-            InternalHttpServer(
-                settings.ready_address, {ready_path: self._respond_readiness}
-            ),
             InternalHttpServer(peer_address, {SNAPSHOT_PATH: self._respond_snapshot}),
             InternalHttpServer(
                 settings.metrics_address, {METRICS_PATH: self._respond_metrics}
             ),
+            InternalHttpServer(
+                settings.ready_address, {ready_path: self._respond_readiness}
+            ),
         )
 
     def start(self) -> None:
-        """Start listening; raises `OSError` if an address cannot be bound."""
+        """Start listening; raises `CannotListenError`."""
         for server in self._servers:
             server.start()
 
--- a/marjoramfall/gateway/internal_http_server.py
+++ b/marjoramfall/gateway/internal_http_server.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from gevent import sleep
-from gevent.pywsgi import WSGIServer
 
 from marjoramfall.gateway.servers.backend_connection import split_address
+from marjoramfall.listening import HttpServer, binding
 
 STATUS_LINES = {200: '200 OK', 404: '404 Not Found', 503: '503 Service Unavailable'}
 
@@ -26,17 +26,16 @@
     def __init__(
         self, address: str, handler_by_path: dict[str, Callable[[], InternalResponse]]
     ) -> None:
+        self._address = address
         self._handler_by_path = handler_by_path
-        self._server = WSGIServer(
+        self._server = HttpServer(
             split_address(address), self._handle, log=None, error_log=None
         )
 
     def start(self) -> None:
-        """Start listening.
-
-        Raises `OSError` if the address cannot be bound.
-        """
-        self._server.start()
+        """Start listening; raises `CannotListenError`."""
+        with binding(self._address):
+            self._server.start()
 
     def _handle(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         # Requests that are at hand already are read without a switch to others.
--- a/marjoramfall/gateway/peers/peer_exchange.py
+++ b/marjoramfall/gateway/peers/peer_exchange.py
@@ -32,6 +32,7 @@
     NotReachedError,
     split_address,
 )
+from marjoramfall.listening import binding
 
 # Changes within this time are sent in one datagram.
 COALESCE_MS = 4
@@ -89,6 +90,7 @@
         *,
         own_vm: str,
     ) -> None:
+        """Listen at the address; raises `CannotListenError`."""
         self._peers = peers
         self._registry = registry
         self._listener = listener
@@ -100,7 +102,8 @@
         self._introductions_left = INTRODUCTIONS
         self._relay = GroupRelay(peers, listener, clock, own_vm=own_vm, send=self._send)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind(split_address(address))
+        with binding(address):
+            self._socket.bind(split_address(address))
 
     def start(self) -> None:
         """Start the greenlets that send, receive and catch up."""
--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from loguru import logger
 
@@ -28,6 +29,14 @@
     received_ms: float
 
 
+class MemberReading(Enum):
+    """State how far the members have been read from the store."""
+
+    NOT_TRIED = auto()
+    FAILED = auto()
+    DONE = auto()
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Hold where a known entry of the system listens for datagrams."""
@@ -73,9 +82,20 @@
         self._has_new_members = False
         # Set once entries or groups are heard of that are not known here.
         self.is_incomplete = False
+        self.reading = MemberReading.NOT_TRIED
         self._unknown_senders: set[UnknownSender] = set()
         self.outside = OutsideGroups(clock)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the members were read from the store, or some were heard.
+
+        The latter is enough only if reading has failed.
+        """
+        if self.reading is MemberReading.FAILED:
+            return bool(self.member_by_vm)
+        return self.reading is MemberReading.DONE
+
     def add_member(self, vm: str, member: Member) -> None:
         """Add an entry, or change where it listens."""
         if vm == self._own_vm or self.member_by_vm.get(vm) == member:
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -9,6 +9,7 @@
 from marjoramfall.clock import Clock, RuntimeClock
 from marjoramfall.gateway.entry import Entry
 from marjoramfall.gateway.log_output import LogOutput, install_log_output
+from marjoramfall.listening import CannotListenError
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.move_status import MoveRecorder
@@ -77,10 +78,11 @@
         )
 
     def run(self) -> None:
-        """Serve until a signal; raises `OSError` if the entry cannot listen."""
+        """Serve until a signal; raises `CannotListenError`."""
         gevent.signal_handler(signal.SIGTERM, self._entry.begin_stop)
         gevent.signal_handler(signal.SIGINT, self._entry.begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._settings_watch.reload)
+        self._entry.listen()
         for watch in self._watches:
             watch.start()
         gevent.spawn(self._directory.run)
@@ -120,7 +122,7 @@
 ) -> int:
     try:
         PlatformDaemon(settings, path, clock).run()
-    except OSError as error:
+    except CannotListenError as error:
         logger.bind(details=str(error)).error('entry cannot listen')
         output.flush()
         return EXIT_CANNOT_LISTEN
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.peers.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import Member, MemberReading, PeerTable
 from marjoramfall.gateway.revision import era_of
 from marjoramfall.platform.json_records import (
     InvalidRecordError,
@@ -64,6 +64,8 @@
                 logger.bind(details=str(error)).warning(
                     'cannot register or read entries in the store'
                 )
+                if self._peers.reading is MemberReading.NOT_TRIED:
+                    self._peers.reading = MemberReading.FAILED
                 self._clock.sleep_ms(RETRY_DELAY_MS)
             else:
                 self._rest()
@@ -81,6 +83,7 @@
         rows = self._client.read_table(ENTRY_TABLE)
         for row in rows.rows:
             self._add_peer(row)
+        self._peers.reading = MemberReading.DONE
         self._choose_interval(len(self._peers.member_by_vm) - known_count)
         known_vms = {member.key for member in rows.rows}
         if self._vm not in known_vms:
--- a/marjoramfall/process/entry.py
+++ b/marjoramfall/process/entry.py
@@ -80,6 +80,7 @@
         gevent.signal_handler(signal.SIGINT, self._stop_requested.set)
         self._transport.start()
         self._listeners.start()
+        self.readiness.listening = True
         tasks = self._start_tasks()
         logger.bind(incarnation=self.core.incarnation).info('entry started')
         self._stop_requested.wait()
--- a/marjoramfall/process/readiness.py
+++ b/marjoramfall/process/readiness.py
@@ -32,12 +32,15 @@
         self._core = core
         self._clock = clock
         self._max_waiting = max_waiting
+        self.listening = False
         self.stopping = False
         self.closed = False
 
     def unready_reasons(self) -> tuple[str, ...]:
         """Return why the balancer must not send callers here, if so."""
         reasons = []
+        if not self.listening:
+            reasons.append('starting')
         if self.stopping:
             reasons.append('stopping')
         if not self._core.is_fresh(self._clock.monotonic_ms()):
--- a/marjoramfall_standins/http.py
+++ b/marjoramfall_standins/http.py
@@ -11,9 +11,11 @@
 from urllib.parse import parse_qsl, unquote
 
 import msgspec
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler
 from loguru import logger
 
+from marjoramfall.listening import HttpServer
+
 Decoded = TypeVar('Decoded')
 
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -150,7 +152,7 @@
         return environ
 
 
-class NoDelayServer(WSGIServer):
+class NoDelayServer(HttpServer):
     """Set TCP_NODELAY on accepted connections.
 
     Head and body leave in separate writes; without the option the body waits
--- a/marjoramfall_standins/store.py
+++ b/marjoramfall_standins/store.py
@@ -39,13 +39,14 @@
 
     `status` answers every call, `lose_writes` performs writes and answers
     nothing, `delay_s` slows every call down, `swallow` never answers calls
-    that arrive meanwhile.
+    that arrive meanwhile, `refused_table` can't be read.
     """
 
     status: int = 0
     lose_writes: bool = False
     delay_s: float = 0
     swallow: bool = False
+    refused_table: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,11 @@
         parsed = parse_qs(environ['QUERY_STRING'])
         query = {name: values[0] for name, values in parsed.items()}
         path = environ['PATH_INFO']
+        if (
+            self.faults.refused_table
+            and query.get('table') == self.faults.refused_table
+        ):
+            return self._respond(start_response, 503, {})
         if path == '/-/rows-get':
             return self._respond(start_response, 200, self._read(query))
         if path == '/-/rows-feed':
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -64,6 +64,11 @@
                 stderr=output,
             )
 
+    @property
+    def exit_status(self) -> int | None:
+        """Return the exit status, None while the process runs or before its start."""
+        return None if self._process is None else self._process.poll()
+
     def signal(self, signal_number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self._process is not None and self._process.poll() is None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -54,6 +54,7 @@
         self.entry.registry.put_config(make_config(), 1)
         change = ServerChange('s1', make_server('s1', address=backend.address), 1)
         self.entry.registry.apply_changes([change], 1)
+        self.entry.listen()
         self.runner = spawn(self.entry.run)
         self.addCleanup(self.runner.kill)
         self.wait_for_listener()
