--- a/marjoramfall/gateway/callers/caller_listener.py
+++ b/marjoramfall/gateway/callers/caller_listener.py
@@ -10,6 +10,7 @@
     RequestHandler,
 )
 from marjoramfall.gateway.servers.backend_connection import split_address
+from marjoramfall.listening import binding
 
 CALLER_BACKLOG = 512
 
@@ -25,6 +26,7 @@
         *,
         bodies: BodyBudget,
     ) -> None:
+        self._address = address
         self._handler = handler
         self._clock = clock
         self._bodies = bodies
@@ -39,8 +41,9 @@
         return tuple(self._connections)
 
     def start(self) -> None:
-        """Start listening; raises `OSError` if the address cannot be bound."""
-        self._server.start()
+        """Start listening; raises `CannotListenError`."""
+        with binding(self._address):
+            self._server.start()
 
     def stop_accepting(self) -> None:
         """Leave new connections in the backlog."""
