Send no other request to a server that has ended under one

Callers of an entry whose path was cut saw each request tried at servers that had just been found out of reach, which spent the retry budget.

Cause: a server that a request was lost at, and that then refused or reset a new connection, was ejected only once the next request had tried it.

Change: it is ejected at once, as after any connection that failed.

--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -66,7 +66,7 @@
         self._dialect = dialect
         self._clock = clock
         self._places = PlaceFinder(fleet, clock)
-        self._lost_runs = LostRuns(pool)
+        self._lost_runs = LostRuns(pool, clock)
         self._running = RunningExchanges(quarantine.is_refused)
         quarantine.on_new_cause = self._running.break_off_refused
 
@@ -118,7 +118,7 @@
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
-        self._lost_runs.on_outcome(call, assignment.load.server, outcome)
+        self._lost_runs.on_outcome(call, assignment.load, outcome)
         self._log_failure(call, assignment, outcome)
         self._record_crash(call, assignment, outcome)
         call.exclude(assignment.load.server.server_id)
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -28,6 +28,7 @@
     PLAIN,
     make_call,
     make_config,
+    make_load,
     make_route,
     make_server,
 )
@@ -276,20 +277,28 @@
         cut = StreamServer(('127.0.0.1', 0), close_late)
         cut.start()
         self.addCleanup(cut.stop, timeout=0)
-        server = make_server(address=f'127.0.0.1:{cut.server_port}')
+        load = make_load(address=f'127.0.0.1:{cut.server_port}')
         call = make_call(runs=make_route('read').max_attempts)
         outcome = Outcome(Ending.UNKNOWN, is_connection_lost=True)
-        LostRuns(self.pool).on_outcome(call, server, outcome)
+        LostRuns(self.pool, self.clock).on_outcome(call, load, outcome)
         self.assertEqual(call.attempts_left, 1)
 
+    def test_ejected(self):
+        """Guards against sends of others to a server that is known to be gone."""
+        self.add_restarting(break_off, answer)
+        self.ask('/read/1')
+        loads = self.fleet.queue(PLAIN).load_by_id.values()
+        now_ms = self.clock.monotonic_ms()
+        self.assertEqual(sum(load.is_ejected(now_ms) for load in loads), 1)
+
     def test_bound(self):
         """Guards against a request that ends each server it is sent to."""
         call = make_call()
-        lost_runs = LostRuns(self.pool)
-        server = make_server(address=closed_address())
+        lost_runs = LostRuns(self.pool, self.clock)
+        load = make_load(address=closed_address())
         outcome = Outcome(Ending.UNKNOWN, is_connection_lost=True)
         for _ in range(2 * MAX_LOST_RUNS):
-            lost_runs.on_outcome(call, server, outcome)
+            lost_runs.on_outcome(call, load, outcome)
         self.assertEqual(call.lost_runs, MAX_LOST_RUNS)
 
     def test_passed_on(self):
