Read requests on kept connections under the newest limits

What callers saw: 413 for bodies that the configuration in force allows, on connections that were open when maxBodyBytes was raised; in the same way 431, and bodies over a limit that was lowered.

Cause: a connection makes the parser of its next request, with the limits of that moment, as soon as it has answered the one before.

Change: until the head of a request is complete, each part that arrives is read under the limits in force; the body under those of the end of its head, so that a body that was allowed isn't refused halfway.

Evidence: tests.test_kept_connections, before the change 5 of 6 failed (test_raised_body: b'413' != b'200'; test_raised_header: b'431' != b'200'; test_lowered_body: b'200' != b'413'; test_lowered_header: b'200' != b'431'; test_change_within_head: 413 for 200); all 6 pass now.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -239,6 +239,11 @@
         if not self._parser.has_begun:
             self._request_begun_ms = self._clock.monotonic_ms()
         had_head = self._parser.has_head
+        limits = self._handler.limits()
+        self._parser.use_limits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+        )
         try:
             self._parser.feed(received)
         except BadMessageError as error:
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -106,6 +106,12 @@
         """Return whether the head was parsed completely."""
         return self._state in {_ParseState.BODY, _ParseState.COMPLETE}
 
+    def use_limits(self, *, max_header_bytes: int, max_body_bytes: int) -> None:
+        """Replace the limits; the body is read under those of the end of the head."""
+        if not self.has_head:
+            self._max_header_bytes = max_header_bytes
+            self._max_body_bytes = max_body_bytes
+
     def feed(self, received: bytes) -> None:
         """Parse bytes; raises `BadMessageError`."""
         # Empty lines before a request are not a part of it.
