--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -117,6 +117,12 @@
             return self._max_body_bytes
         return max(self._stated_body_bytes, len(self.body))
 
+    def use_limits(self, *, max_header_bytes: int, max_body_bytes: int) -> None:
+        """Replace the limits; the body is read under those of the end of the head."""
+        if not self.has_head:
+            self._max_header_bytes = max_header_bytes
+            self._max_body_bytes = max_body_bytes
+
     def feed(self, received: bytes) -> None:
         """Parse bytes; raises `BadMessageError`."""
         # Empty lines before a request are not a part of it.
