Let an entry that starts again take over the levels of limits

Cause, shown by a simulation: an entry that starts again creates each limit at level 0 with its whole tolerance unspent, while the levels of all others stand at about minus the tolerance. It admits until it stands there as well; the others, which subtract that, are pushed down and no longer admit. Each start adds up to a tolerance: in the simulation the level of the oldest entry falls from -9 to -27 requests in 20 s.

Change: an entry that starts again takes the tolerance as used (shared with undiscovered peers, so that a lone one still admits its share of the rate), and takes over the level of the first peer that reports one in the new last field of its state, `limit_levels`. Use that other peers report for the first time counts from then on only. For 1.5 s, lower levels of other peers correct it, as the first may have been paused; levels are never corrected up, nor at an entry that has run longer. Peers answer the first state of a new incarnation with their full state at once. Entries that know no level report none. A partial first state of a peer that started later is counted from zero. SharedLimits moves to its own module.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -24,13 +24,13 @@
 from marjoramfall.gateway.peers.outside_groups import source_of
 from marjoramfall.gateway.peers.peer_exchange import PeerExchange, PeerListener
 from marjoramfall.gateway.peers.peer_loads import report_of_digest, report_of_state
-from marjoramfall.gateway.peers.peer_state import PeerState
+from marjoramfall.gateway.peers.peer_state import LimitLevel, PeerState
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
@@ -192,6 +192,7 @@
             server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
             delegation_address=self._settings.delegation_address,
             reached_service_ids=self._fleet.paths.reached_service_ids(),
+            limit_levels=self._limit_levels() if with_all_limits else None,
         )
 
     def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
@@ -238,6 +239,12 @@
         """Reconnect to the store, as its current connections may be dead."""
         self._on_stale_watch()
 
+    def _limit_levels(self) -> list[LimitLevel]:
+        # After a pause of this process, the levels lack what others admitted meanwhile.
+        if not self.peers.is_in_touch():
+            return []
+        return self._limits.levels(self._clock.monotonic_ms())
+
     def _notify_peers(self) -> None:
         self._exchange.schedule_datagram()
 
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -26,7 +26,7 @@
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
     ANY_VERSION,
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -21,7 +21,8 @@
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.servers.outcome import GatewayFailureError
-from marjoramfall.gateway.shared_limit import SharedLimit, SharedLimits
+from marjoramfall.gateway.shared_limit import SharedLimit
+from marjoramfall.gateway.shared_limits import SharedLimits
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
--- a/marjoramfall/gateway/peers/digest_builder.py
+++ b/marjoramfall/gateway/peers/digest_builder.py
@@ -17,7 +17,7 @@
 from marjoramfall.gateway.peers.outside_groups import source_of
 from marjoramfall.gateway.peers.peer_state import PeerState, WaitingCall
 from marjoramfall.gateway.peers.peer_table import PeerTable
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 
--- a/marjoramfall/gateway/peers/peer_exchange.py
+++ b/marjoramfall/gateway/peers/peer_exchange.py
@@ -191,8 +191,15 @@
         if not is_known:
             logger.bind(peer=state.vm, address=state.address).info('peer discovered')
             self.schedule_datagram()
-        if previous is not state:
-            self._listener.on_peer_state(state)
+        if previous is state:
+            return
+        if previous is None or previous.incarnation != state.incarnation:
+            self._answer_start(state)
+        self._listener.on_peer_state(state)
+
+    def _answer_start(self, state: PeerState) -> None:
+        """Tell a peer that has started what it knows nothing of, levels of limits."""
+        self._send_state((state.address,), with_speeds=True, with_all_limits=True)
 
     def _catch_up_loop(self) -> None:
         while True:
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -49,6 +49,13 @@
     used: float
 
 
+class LimitLevel(msgspec.Struct, array_like=True, frozen=True):
+    """Report the level of a team's limit, which contains the use of all entries."""
+
+    name: str
+    level: float
+
+
 class ServerLimitReport(msgspec.Struct, array_like=True, frozen=True):
     """Report the rate that a server named `age_ms` ago, None if it named none."""
 
@@ -112,6 +119,8 @@
     # whose servers it reaches.
     delegation_address: str = ''
     reached_service_ids: list[str] = []
+    # Only in states with all limits; absent in those of versions without levels.
+    limit_levels: list[LimitLevel] | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/servers/server_limits.py
+++ b/marjoramfall/gateway/servers/server_limits.py
@@ -9,7 +9,8 @@
 from marjoramfall.gateway.model import BackendServer, ServerLimit
 from marjoramfall.gateway.peers.peer_state import ServerLimitReport
 from marjoramfall.gateway.servers.server_load import ServerLoad
-from marjoramfall.gateway.shared_limit import SharedLimit, SharedLimits
+from marjoramfall.gateway.shared_limit import SharedLimit
+from marjoramfall.gateway.shared_limits import SharedLimits
 
 # A server that takes nothing at all could never lift its limit in a response.
 MIN_RATE_PER_S = 0.1
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -1,13 +1,12 @@
-"""Enforce the rate limits of teams and servers across all entries."""
+"""Keep a rate limit that all entries share, as a replica at each of them."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.model import LimitRule, ServerLimit, Team
-from marjoramfall.gateway.peers.group_digest import GroupDigest, Scope
-from marjoramfall.gateway.peers.outside_groups import source_of
-from marjoramfall.gateway.peers.peer_state import LimitUse, PeerState
+from marjoramfall.gateway.level_learning import LevelLearning
+from marjoramfall.gateway.model import LimitRule
+from marjoramfall.gateway.peers.group_digest import Scope
+from marjoramfall.gateway.peers.peer_state import LimitUse
 
 
 @dataclass(slots=True)
@@ -24,7 +23,8 @@
     `withheld` the amount kept back for them so far. `used` is what this entry
     admitted, `used_by_group` and `used_outside` what it heard of the other entries
     of its group and of all other groups since its start; what was last reported of
-    each to other entries begins with `reported`.
+    each to other entries begins with `reported`. `learning` is None if the level has
+    been known since the limit was created.
     """
 
     rule: LimitRule
@@ -39,6 +39,7 @@
     reported_outside: float = 0.0
     reserved_share: float = 0.0
     withheld: float = 0.0
+    learning: LevelLearning | None = None
 
     @property
     def available(self) -> float:
@@ -108,6 +109,35 @@
         self._subtract(amount, now_ms)
         self.used_outside += amount
 
+    def knows_level(self, now_ms: float) -> bool:
+        """Return whether other entries may take over the level."""
+        return self.learning is None or self.learning.knows_level(now_ms)
+
+    def learn_level(self, level: float, now_ms: float) -> bool:
+        """Take over the level of a peer; return False if the own one stays.
+
+        It contains the use of all entries, but perhaps not yet what this one admitted
+        before it heard of it.
+        """
+        learning = self.learning
+        if learning is None or learning.is_over(now_ms):
+            return False
+        self.refill(now_ms, self.reserved_share)
+        if learning.adopted_ms is None:
+            level -= self.used
+        elif level >= self.level - self.tolerance:
+            return False
+        self.withheld = max(0, level) * self.reserved_share
+        self.level = level - self.withheld
+        learning.adopted_ms = now_ms
+        return True
+
+    def recent_share(self, now_ms: float, peer_uptime_ms: float) -> float:
+        """Return the share of a new peer's use that the level may not contain."""
+        if self.learning is None:
+            return 1
+        return self.learning.recent_share(now_ms, peer_uptime_ms)
+
     def wait_ms(self) -> float:
         """Return the milliseconds until the limit admits the next request."""
         missing = 1 - self.available
@@ -133,7 +163,10 @@
         self.reserved_share = reserved_share
         if reserved_share > previous_share:
             newly_silent = (reserved_share - previous_share) / (1 - previous_share)
-            moved = max(0, self.level) * newly_silent
+            # An assumed debt is shared like what is left; one that is known is not.
+            is_known = self.knows_level(self.updated_ms)
+            shared_level = max(0, self.level) if is_known else self.level
+            moved = shared_level * newly_silent
         elif reserved_share < previous_share:
             # Peers that are connected again have reported their use meanwhile, so
             # that their part of the withheld amount is released.
@@ -142,186 +175,3 @@
             return
         self.level -= moved
         self.withheld += moved
-
-
-@dataclass(frozen=True, slots=True)
-class DigestSource:
-    """Name a run of the entry that sums up the use of other groups."""
-
-    source: str
-    vm: str
-    incarnation: int
-
-
-class SharedLimits:
-    """Keep the limits of all teams and servers, and what peers used of them."""
-
-    def __init__(
-        self, *, tolerance_share: float, tolerance: float, starts_full: bool
-    ) -> None:
-        self._tolerance_share = tolerance_share
-        self._tolerance = tolerance
-        self._starts_full = starts_full
-        self._limit_by_name: dict[str, SharedLimit] = {}
-        self._reported_use_by_incarnation: dict[tuple[str, int], dict[str, float]] = {}
-        self._reported_use_by_digest: dict[DigestSource, dict[str, float]] = {}
-
-    def set_teams(self, teams: dict[str, Team], now_ms: float) -> None:
-        """Replace the teams by those of a new configuration, keeping known levels."""
-        previous = self._limit_by_name
-        self._limit_by_name = {
-            name: limit
-            for name, limit in previous.items()
-            if isinstance(limit.rule, ServerLimit)
-        }
-        for team in teams.values():
-            if team.rate_per_s <= 0:
-                continue
-            limit = previous.get(team.name) or self._create_limit(team, now_ms)
-            limit.rule = team
-            limit.level = min(limit.level, team.burst)
-            limit.tolerance = self._tolerance_of(team)
-            self._limit_by_name[team.name] = limit
-        # A team added later is new at all entries and starts with its full burst.
-        self._starts_full = True
-
-    def replace_tolerance(self, *, tolerance_share: float, tolerance: float) -> None:
-        """Change the tolerance of all teams."""
-        self._tolerance_share = tolerance_share
-        self._tolerance = tolerance
-        for limit in self._limit_by_name.values():
-            if isinstance(limit.rule, Team):
-                limit.tolerance = self._tolerance_of(limit.rule)
-
-    def set_server_limit(self, rule: ServerLimit, now_ms: float) -> SharedLimit:
-        """Begin to count the requests to a server, or change its limit."""
-        limit = self._limit_by_name.get(rule.name)
-        if limit is None:
-            # All entries begin at once, before they know what the others send.
-            limit = SharedLimit(rule, 0, now_ms)
-            self._limit_by_name[rule.name] = limit
-        limit.rule = rule
-        return limit
-
-    def remove_server_limit(self, name: str) -> None:
-        """Forget the limit of a server that has gone."""
-        self._limit_by_name.pop(name, None)
-
-    def find(self, team: Team | None) -> SharedLimit | None:
-        """Return the limit of a team, or None if it has none."""
-        return None if team is None else self._limit_by_name.get(team.name)
-
-    def add_state(self, state: PeerState, now_ms: float, *, uptime_ms: int) -> None:
-        """Subtract the use that a peer reports; `uptime_ms` is that of this entry."""
-        vm = state.vm
-        uses = state.limit_uses
-        if state.has_all_limits:
-            # The part of the peer's uptime in which this entry has run as well.
-            recent_share = min(1, uptime_ms / max(1, state.uptime_ms))
-            self.add_peer(
-                vm, state.incarnation, uses, now_ms, recent_share=recent_share
-            )
-        else:
-            self.subtract_peer_use(vm, state.incarnation, uses, now_ms)
-
-    def add_peer(
-        self,
-        vm: str,
-        incarnation: int,
-        uses: list[LimitUse],
-        now_ms: float,
-        *,
-        recent_share: float,
-    ) -> None:
-        """Subtract the use of a peer, known or new; `uses` holds all of its limits.
-
-        Of the use before the peer was discovered, only `recent_share` falls
-        into the uptime of this entry and is subtracted.
-        """
-        key = (vm, incarnation)
-        if key not in self._reported_use_by_incarnation:
-            self._reported_use_by_incarnation[key] = {
-                use.name: use.used * (1 - recent_share) for use in uses
-            }
-        self.subtract_peer_use(vm, incarnation, uses, now_ms)
-
-    def subtract_peer_use(
-        self, vm: str, incarnation: int, uses: list[LimitUse], now_ms: float
-    ) -> None:
-        """Subtract the use of a known peer since its last report."""
-        reported_by_name = self._reported_use_by_incarnation.get((vm, incarnation))
-        if reported_by_name is None:
-            return
-        for use in uses:
-            limit = self._limit_by_name.get(use.name)
-            if limit is not None:
-                amount = use.used - reported_by_name.get(use.name, 0)
-                limit.subtract_peer_use(amount, now_ms)
-            reported_by_name[use.name] = use.used
-
-    def add_digest(
-        self, digest: GroupDigest, now_ms: float, *, recent_share: float
-    ) -> None:
-        """Subtract the use of other groups since the last digest of its sender.
-
-        Of the use before the first digest, only `recent_share` falls into the uptime
-        of this entry. A new sender for known entries counts from its first digest.
-        """
-        source = DigestSource(source_of(digest), digest.vm, digest.incarnation)
-        reported_by_name = self._reported_use_by_digest.get(source)
-        if reported_by_name is None:
-            if not digest.has_all_limits:
-                return
-            if self._reported_use_by_digest:
-                recent_share = 0
-            reported_by_name = {
-                use.name: use.used * (1 - recent_share) for use in digest.limit_uses
-            }
-            self._reported_use_by_digest[source] = reported_by_name
-        for use in digest.limit_uses:
-            limit = self._limit_by_name.get(use.name)
-            if limit is not None:
-                amount = use.used - reported_by_name.get(use.name, 0)
-                limit.subtract_outside_use(amount, now_ms)
-            reported_by_name[use.name] = use.used
-
-    def keep_digests(self, digests: Iterable[GroupDigest]) -> None:
-        """Forget what senders reported that are no longer heard."""
-        kept = {
-            DigestSource(source_of(digest), digest.vm, digest.incarnation)
-            for digest in digests
-        }
-        for source in self._reported_use_by_digest.keys() - kept:
-            self._reported_use_by_digest.pop(source)
-
-    def digest_uses(self, scope: Scope, *, with_all_limits: bool) -> list[LimitUse]:
-        """Return the use since the start of this entry, of all or of changed limits."""
-        return [
-            limit.report(scope)
-            for limit in self._limit_by_name.values()
-            if with_all_limits or limit.unreported(scope)
-        ]
-
-    def uses(self) -> list[LimitUse]:
-        """Return the use of each limit at this entry since its start."""
-        return [
-            LimitUse(name, limit.used)
-            for name, limit in self._limit_by_name.items()
-            if limit.used
-        ]
-
-    def changed_uses(self) -> list[LimitUse]:
-        """Return the use at this entry of limits used since the last call."""
-        return [
-            limit.report_own()
-            for limit in self._limit_by_name.values()
-            if limit.used != limit.reported
-        ]
-
-    def _create_limit(self, team: Team, now_ms: float) -> SharedLimit:
-        # A restarted entry does not know how much of the burst was used before.
-        level = team.burst if self._starts_full else 0
-        return SharedLimit(team, level, now_ms)
-
-    def _tolerance_of(self, team: Team) -> float:
-        return self._tolerance + self._tolerance_share * team.burst
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -16,7 +16,7 @@
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_fakes import PLAIN, make_config, make_server
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -21,7 +21,7 @@
     encode_state,
 )
 from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, Member, PeerTable
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from tests.gateway_fakes import make_load, make_state
 
@@ -31,8 +31,6 @@
 BURST = RATE_PER_S
 # About the time in which an entry collects changes before it reports them.
 STEP_MS = 25
-STEPS_PER_HEARTBEAT = int(HEARTBEAT_MS / STEP_MS)
-STEPS_PER_FULL_STATE = 2 * STEPS_PER_HEARTBEAT
 REQUEST_TOKENS = 3840
 # Bounds set by the users: the allowed excess over a limit in a window of 8 s.
 OVER_SHARE = 0.1
@@ -63,14 +61,16 @@
             tolerance=0.3 * SLACK,
             starts_full=network.is_first_start,
         )
-        self.limits.set_teams({TEAM.name: TEAM}, self.clock.monotonic_ms())
+        self.team = network.team
+        self.limits.set_teams({self.team.name: self.team}, self.started_ms)
         self.moves = VersionMoves(self.clock, expose_share=0.1)
         self.loads = {
             f's{number}': make_load(f's{number}') for number in range(SERVERS)
         }
         self.peer_loads = PeerLoads(self.loads, lambda service_id: None)
         self.uses = []
-        self.has_changed = False
+        # The configuration, which an entry that starts again reads at once.
+        self.has_changed = not network.is_first_start
         self.exchanged_ms = self.started_ms
         self.digests = DigestBuilder(self.clock, self.peers, self.limits, self.moves)
         self.relay = GroupRelay(self.peers, self, self.clock, own_vm=vm, send=self.send)
@@ -101,6 +101,9 @@
         """Return the state for the group."""
         self.sequence += 1
         limits = self.limits
+        levels = None
+        if with_all_limits and self.vm not in self.network.old_vms:
+            levels = limits.levels(self.clock.monotonic_ms())
         return make_state(
             self.vm,
             self.sequence,
@@ -111,10 +114,12 @@
             uses=self.uses,
             limit_uses=limits.uses() if with_all_limits else limits.changed_uses(),
             has_all_limits=with_all_limits,
+            limit_levels=levels,
         )
 
     def heartbeat(self, *, is_full):
-        """Send the state to the group."""
+        """Send the state to the group, in a small system with all limits."""
+        is_full = is_full or (self.has_changed and not self.peers.is_large)
         self.has_changed = False
         datagram = encode_state(self.state(with_all_limits=is_full))
         self.send(datagram, self.peers.group_addresses())
@@ -130,8 +135,12 @@
             self.relay.receive(datagram)
             return
         state = decode_state(datagram)
-        if self.peers.update(state) is state:
+        previous = self.peers.update(state)
+        if previous is state:
             return
+        if previous is None or previous.incarnation != state.incarnation:
+            datagram = encode_state(self.state(with_all_limits=True))
+            self.send(datagram, [state.address])
         now_ms = self.clock.monotonic_ms()
         self.limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
         self.peer_loads.replace(report_of_state(state), 0)
@@ -145,12 +154,13 @@
         if is_heartbeat:
             self.drop_silent()
 
-    def admit(self):
+    def admit(self, tokens=REQUEST_TOKENS):
         """Return whether the limit of the team admits a request now."""
-        limit = self.limits.find(TEAM)
+        limit = self.limits.find(self.team)
         limit.refill(self.clock.monotonic_ms(), self.peers.unresponsive_share())
-        self.has_changed = True
-        return limit.try_use(REQUEST_TOKENS)
+        is_admitted = limit.try_use(tokens)
+        self.has_changed = self.has_changed or is_admitted
+        return is_admitted
 
     def running(self):
         """Return how many requests this entry sees at each server."""
@@ -165,13 +175,18 @@
 class Network:
     """Connect simulated entries and count their datagrams."""
 
-    def __init__(self, count):
+    def __init__(self, count, *, team=TEAM, step_ms=STEP_MS):
         self.clock = PausedClock()
+        self.team = team
+        self.step_ms = step_ms
+        self.steps_per_heartbeat = int(HEARTBEAT_MS / step_ms)
         self.data_centre_by_vm = members(count)
         self.incarnations = 0
         self.sent_by_vm = Counter()
         self.bytes_by_vm = Counter()
         self.cut_data_centre = ''
+        # Entries of a version that reports no levels.
+        self.old_vms = frozenset()
         self.entry_by_vm = {}
         self.step = 0
         self.is_first_start = True
@@ -202,13 +217,13 @@
 
     def run(self, duration_ms):
         """Let all entries exchange their states."""
-        for _ in range(int(duration_ms / STEP_MS)):
-            self.clock.advance_ms(STEP_MS)
+        for _ in range(int(duration_ms / self.step_ms)):
+            self.clock.advance_ms(self.step_ms)
             self.step += 1
-            is_heartbeat = self.step % STEPS_PER_HEARTBEAT == 0
+            is_heartbeat = self.step % self.steps_per_heartbeat == 0
             for entry in tuple(self.entry_by_vm.values()):
                 if is_heartbeat or entry.has_changed:
-                    is_full = self.step % STEPS_PER_FULL_STATE == 0
+                    is_full = self.step % (2 * self.steps_per_heartbeat) == 0
                     entry.heartbeat(is_full=is_full)
             for entry in tuple(self.entry_by_vm.values()):
                 entry.check(is_heartbeat=is_heartbeat)
--- a/tests/test_limit_across_entries.py
+++ b/tests/test_limit_across_entries.py
@@ -11,7 +11,7 @@
 
 from marjoramfall.gateway.model import Team
 from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 
 ENTRIES = 65
 STEP_MS = 10
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -11,7 +11,7 @@
 from marjoramfall.gateway.peers.peer_state import decode_state, encode_state
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.service_queue import PeerWaiter, ServiceQueue, Waiter
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from tests.gateway_case import GatewayCase, answer
 from tests.gateway_fakes import make_demand, make_load, make_server, make_state
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -6,7 +6,7 @@
 from marjoramfall.gateway.peers.group_digest import Scope
 from marjoramfall.gateway.peers.peer_state import LimitUse
 from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudget
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 
 TEAM = Team('tide', 1, 1000, 500, counts_tokens=True, plain_tokens=200)
 
--- a/tests/test_version_results.py
+++ b/tests/test_version_results.py
@@ -16,7 +16,7 @@
 from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
 from marjoramfall.gateway.servers.server_load import RunningRequest
 from marjoramfall.gateway.servers.service_queue import Assignment
-from marjoramfall.gateway.shared_limit import SharedLimits
+from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import Phase, VersionMoves
 from tests.gateway_fakes import (
     PLAIN,
