Report what is withheld beside the level of a limit

An entry that starts while its group hears nothing of the others (a relay was killed) is told a level that leaves out what its peers withhold, and keeps it when they are given that back.

Levels now carry what is withheld and for which share. The newcomer takes over all three, and entries compare the sum of level and withheld amount.

--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -50,10 +50,15 @@
 
 
 class LimitLevel(msgspec.Struct, array_like=True, frozen=True):
-    """Report the level of a team's limit, which contains the use of all entries."""
+    """Report the level of a team's limit, which contains the use of all entries.
+
+    `withheld` is kept back beside it for silent peers, who may use `reserved_share`.
+    """
 
     name: str
     level: float
+    withheld: float = 0
+    reserved_share: float = 0
 
 
 class ServerLimitReport(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -6,7 +6,7 @@
 from marjoramfall.gateway.level_learning import LevelLearning
 from marjoramfall.gateway.model import LimitRule
 from marjoramfall.gateway.peers.group_digest import Scope
-from marjoramfall.gateway.peers.peer_state import LimitUse
+from marjoramfall.gateway.peers.peer_state import LimitLevel, LimitUse
 
 
 @dataclass(slots=True)
@@ -46,10 +46,15 @@
         """Return the amount that this entry may admit now."""
         return self.level + self.tolerance * (1 - self.reserved_share)
 
+    @property
+    def used_in_group(self) -> float:
+        """Return what the own group admitted, as known here."""
+        return self.used + self.used_by_group
+
     def unreported(self, scope: Scope) -> float:
         """Return the use in the group, or of all others, since its last digest."""
         if scope is Scope.GROUP:
-            return self.used + self.used_by_group - self.reported_by_group
+            return self.used_in_group - self.reported_by_group
         return self.used_outside - self.reported_outside
 
     def report_own(self) -> LimitUse:
@@ -60,7 +65,7 @@
     def report(self, scope: Scope) -> LimitUse:
         """Return the use to report in a digest."""
         if scope is Scope.GROUP:
-            self.reported_by_group = self.used + self.used_by_group
+            self.reported_by_group = self.used_in_group
             return LimitUse(self.rule.name, self.reported_by_group)
         self.reported_outside = self.used_outside
         return LimitUse(self.rule.name, self.reported_outside)
@@ -113,7 +118,14 @@
         """Return whether other entries may take over the level."""
         return self.learning is None or self.learning.knows_level(now_ms)
 
-    def learn_level(self, level: float, now_ms: float) -> bool:
+    def report_level(self, now_ms: float) -> LimitLevel:
+        """Return the level and what is withheld, for an entry that starts."""
+        self.refill(now_ms, self.reserved_share)
+        return LimitLevel(
+            self.rule.name, self.level, self.withheld, self.reserved_share
+        )
+
+    def learn_level(self, known: LimitLevel, now_ms: float) -> bool:
         """Take over the level of a peer; return False if the own one stays.
 
         It contains the use of all entries, but perhaps not yet what this one admitted
@@ -122,14 +134,17 @@
         learning = self.learning
         if learning is None or learning.is_over(now_ms):
             return False
-        self.refill(now_ms, self.reserved_share)
-        if learning.adopted_ms is None:
-            level -= self.used
-        elif level >= self.level - self.tolerance:
+        own_share = self.reserved_share
+        self.refill(now_ms, own_share)
+        unused = known.level + known.withheld
+        is_first = learning.adopted_ms is None
+        if not is_first and unused >= self.level + self.withheld - self.tolerance:
             return False
-        self.withheld = max(0, level) * self.reserved_share
-        self.level = level - self.withheld
         learning.adopted_ms = now_ms
+        self.level = known.level - self.used if is_first else known.level
+        self.withheld = known.withheld
+        self.reserved_share = known.reserved_share
+        self.refill(now_ms, own_share)
         return True
 
     def recent_share(self, now_ms: float, peer_uptime_ms: float) -> float:
--- a/marjoramfall/gateway/shared_limits.py
+++ b/marjoramfall/gateway/shared_limits.py
@@ -200,19 +200,18 @@
 
     def levels(self, now_ms: float) -> list[LimitLevel]:
         """Return the levels of teams' limits that entries may take over."""
-        reported: list[LimitLevel] = []
-        for name, limit in self._limit_by_name.items():
-            if isinstance(limit.rule, Team) and limit.knows_level(now_ms):
-                limit.refill(now_ms, limit.reserved_share)
-                reported.append(LimitLevel(name, limit.level))
-        return reported
+        return [
+            limit.report_level(now_ms)
+            for limit in self._limit_by_name.values()
+            if isinstance(limit.rule, Team) and limit.knows_level(now_ms)
+        ]
 
     def _learn_levels(self, state: PeerState, now_ms: float) -> None:
         learned = [
             reported
             for reported in state.limit_levels or ()
             if (limit := self._limit_by_name.get(reported.name)) is not None
-            and limit.learn_level(reported.level, now_ms)
+            and limit.learn_level(reported, now_ms)
         ]
         if learned:
             logger.bind(
--- a/tests/test_limit_levels.py
+++ b/tests/test_limit_levels.py
@@ -44,14 +44,16 @@
         limits.set_teams({'tide': TEAM}, 0)
         return limits
 
-    def report(self, level, now_ms, *, vm='entry-2', used=5000):
+    def report(self, level, now_ms, *, vm='entry-2', used=5000, **withheld):
         """Let a peer report the level and its own use."""
         state = make_state(
             vm,
             uptime_ms=PEER_UPTIME_MS,
             limit_uses=[LimitUse('tide', used)],
             has_all_limits=True,
-            limit_levels=None if level is None else [LimitLevel('tide', level)],
+            limit_levels=None
+            if level is None
+            else [LimitLevel('tide', level, **withheld)],
         )
         self.limits.add_state(state, now_ms, uptime_ms=now_ms)
 
@@ -85,6 +87,14 @@
         self.limit.refill(10, 0)
         self.assertEqual(self.limit.available, 400 + TOLERANCE)
 
+    def test_silent_peers(self):
+        """Guards against spending or losing what a peer withholds for silent ones."""
+        self.limit.refill(10, 0.5)
+        self.report(-100, 10, withheld=300, reserved_share=0.5)
+        self.assertEqual(self.limit.available, TOLERANCE / 2 - 100)
+        self.limit.refill(10, 0)
+        self.assertEqual(self.limit.available, 200 + TOLERANCE)
+
     def test_contained_use(self):
         """Guards against counting the use in a level again, or losing later use."""
         self.report(400, 10)
