Count the use of groups on where a killed relay stopped

Cause: a new relay has counters of its own, so that all others count it from its first digest on, and it counts them from theirs. What was used since the last digest of the killed relay, about 1.2 s before, is known to nobody outside the group, and what the others used to none within it. The reverse also: a relay that speaks again after another one spoke was counted from its own last digest, so that all that the other one had reported meanwhile was subtracted again.

A new relay names the use of its group, and of all others, at the last sum that it heard from the one before, which sent its digests at the same moment. The relays of other groups name what the old one had been told when it was last heard. Receivers subtract what lies between a base and the first digest, also if the base comes later. A sender that was silent while another spoke is new, and senders heard in another role are forgotten.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -212,7 +212,12 @@
         """Apply the digest of another group, or of all others."""
         recent_share = min(1, self.uptime_ms() / max(1, digest.uptime_ms))
         now_ms = self._clock.monotonic_ms()
-        self._limits.add_digest(digest, now_ms, recent_share=recent_share)
+        self._limits.add_digest(
+            digest,
+            now_ms,
+            recent_share=recent_share,
+            own_group=self.peers.groups.own_group,
+        )
         self.moves.on_reports(source_of(digest), digest.moves)
         self.quarantine.merge(digest.crash_evidence)
         self._fleet.on_report(report_of_digest(digest))
--- a/marjoramfall/gateway/peers/digest_builder.py
+++ b/marjoramfall/gateway/peers/digest_builder.py
@@ -71,6 +71,9 @@
             offers=draw_offers(
                 _group_offers(states) if is_group else _outside_offers(states)
             ),
+            limit_bases=self._limits.bases(
+                scope, peers.groups.own_group, self._clock.monotonic_ms()
+            ),
         )
 
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
--- a/marjoramfall/gateway/peers/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -38,6 +38,18 @@
     OTHER_GROUPS = 1
 
 
+class LimitBase(msgspec.Struct, array_like=True, frozen=True):
+    """Report from which use on a group counts after a change of a relay.
+
+    Under the name of the sender's group it is the use that the relay before it had
+    reported to all; under that of another group, the use that the relay before its
+    present one had been told.
+    """
+
+    group: str
+    uses: list[LimitUse]
+
+
 class GroupDigest(msgspec.Struct, array_like=True, frozen=True):
     """Sum up the state of a group, or of all groups but that of the receivers.
 
@@ -71,6 +83,8 @@
     server_limits: list[ServerLimitReport] = []
     # Some of the entries that serve requests of others.
     offers: list[DelegateOffer] = []
+    # Absent unless a relay was replaced lately.
+    limit_bases: list[LimitBase] = []
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/shared_limits.py
+++ b/marjoramfall/gateway/shared_limits.py
@@ -1,27 +1,16 @@
 """Enforce the rate limits of teams and servers across all entries."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
-
 from loguru import logger
 
 from marjoramfall.gateway.level_learning import LevelLearning
 from marjoramfall.gateway.model import ServerLimit, Team
-from marjoramfall.gateway.peers.group_digest import GroupDigest, Scope
-from marjoramfall.gateway.peers.outside_groups import source_of
+from marjoramfall.gateway.outside_use import OutsideUse
+from marjoramfall.gateway.peers.group_digest import GroupDigest, LimitBase, Scope
 from marjoramfall.gateway.peers.peer_state import LimitLevel, LimitUse, PeerState
+from marjoramfall.gateway.relay_handover import KnownSums, RelayHandover
 from marjoramfall.gateway.shared_limit import SharedLimit
 
 
-@dataclass(frozen=True, slots=True)
-class DigestSource:
-    """Name a run of the entry that sums up the use of other groups."""
-
-    source: str
-    vm: str
-    incarnation: int
-
-
 class SharedLimits:
     """Keep the limits of all teams and servers, and what peers used of them."""
 
@@ -33,7 +22,8 @@
         self._starts_full = starts_full
         self._limit_by_name: dict[str, SharedLimit] = {}
         self._reported_use_by_incarnation: dict[tuple[str, int], dict[str, float]] = {}
-        self._reported_use_by_digest: dict[DigestSource, dict[str, float]] = {}
+        self._outside_use = OutsideUse()
+        self._handover = RelayHandover()
 
     def set_teams(self, teams: dict[str, Team], now_ms: float) -> None:
         """Replace the teams by those of a new configuration, keeping known levels."""
@@ -137,42 +127,39 @@
             reported_by_name[use.name] = use.used
 
     def add_digest(
-        self, digest: GroupDigest, now_ms: float, *, recent_share: float
+        self,
+        digest: GroupDigest,
+        now_ms: float,
+        *,
+        recent_share: float,
+        own_group: str,
     ) -> None:
         """Subtract the use of other groups since the last digest of its sender.
 
         Of the use before the first digest, only `recent_share` falls into the uptime
-        of this entry. A new sender for known entries counts from its first digest.
+        of this entry. A new sender for known entries counts from what the one before
+        it reported, or from its first digest if that is not known.
         """
-        source = DigestSource(source_of(digest), digest.vm, digest.incarnation)
-        reported_by_name = self._reported_use_by_digest.get(source)
-        if reported_by_name is None:
+        outside = self._outside_use
+        if not outside.knows(digest, now_ms):
             if not digest.has_all_limits:
                 return
-            if self._reported_use_by_digest:
-                recent_share = 0
-            reported_by_name = self._contained_uses(
+            contained = self._contained_uses(
                 digest.limit_uses,
                 now_ms,
-                recent_share=recent_share,
+                recent_share=0 if outside.is_known else recent_share,
                 uptime_ms=digest.uptime_ms,
             )
-            self._reported_use_by_digest[source] = reported_by_name
-        for use in digest.limit_uses:
+            outside.add_sender(digest, contained, now_ms)
+        for use in outside.count(digest, own_group, now_ms):
             limit = self._limit_by_name.get(use.name)
             if limit is not None:
-                amount = use.used - reported_by_name.get(use.name, 0)
-                limit.subtract_outside_use(amount, now_ms)
-            reported_by_name[use.name] = use.used
+                limit.subtract_outside_use(use.used, now_ms)
+        self._note_told(digest, now_ms)
 
-    def keep_digests(self, digests: Iterable[GroupDigest]) -> None:
-        """Forget what senders reported that are no longer heard."""
-        kept = {
-            DigestSource(source_of(digest), digest.vm, digest.incarnation)
-            for digest in digests
-        }
-        for source in self._reported_use_by_digest.keys() - kept:
-            self._reported_use_by_digest.pop(source)
+    def bases(self, scope: Scope, own_group: str, now_ms: float) -> list[LimitBase]:
+        """Return from where on the digests of this relay are to be counted."""
+        return self._handover.bases(scope, own_group, now_ms)
 
     def digest_uses(self, scope: Scope, *, with_all_limits: bool) -> list[LimitUse]:
         """Return the use since the start of this entry, of all or of changed limits."""
@@ -206,6 +193,18 @@
             if isinstance(limit.rule, Team) and limit.knows_level(now_ms)
         ]
 
+    def _note_told(self, digest: GroupDigest, now_ms: float) -> None:
+        limits = self._limit_by_name.items()
+        if digest.scope == Scope.GROUP:
+            told = [LimitUse(name, limit.reported_by_group) for name, limit in limits]
+            self._handover.on_group(digest, told, now_ms)
+            return
+        known = KnownSums(
+            [LimitUse(name, limit.used_in_group) for name, limit in limits],
+            [LimitUse(name, limit.used_outside) for name, limit in limits],
+        )
+        self._handover.on_sum(known)
+
     def _learn_levels(self, state: PeerState, now_ms: float) -> None:
         learned = [
             reported
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -85,7 +85,12 @@
     def on_digest(self, digest):
         recent_share = min(1, self.uptime_ms() / max(1, digest.uptime_ms))
         now_ms = self.clock.monotonic_ms()
-        self.limits.add_digest(digest, now_ms, recent_share=recent_share)
+        self.limits.add_digest(
+            digest,
+            now_ms,
+            recent_share=recent_share,
+            own_group=self.peers.groups.own_group,
+        )
         self.moves.on_reports(source_of(digest), digest.moves)
         self.peer_loads.replace(report_of_digest(digest), 0)
 
--- a/tests/test_limits_of_restarted_entries.py
+++ b/tests/test_limits_of_restarted_entries.py
@@ -143,6 +143,12 @@
         relays = chain.from_iterable(self.network.relays().values())
         self.restart_each(KILL_INTERVAL_MS, 2, spared=relays)
 
+    def kill_relay(self):
+        """Kill the relay of one group, which becomes it again later, at each turn."""
+        relays = min(sorted(self.network.relays().items()))[1]
+        members = set(self.network.entry_by_vm) - set(relays)
+        self.restart_each(KILL_ALL_INTERVAL_MS, 1, spared=members)
+
     def replace_one(self):
         """Replace one entry after the other."""
         self.restart_each(DOWN_MS, 1)
@@ -253,3 +259,15 @@
         play = LimitPlay(LARGE, team=LARGE_TEAM)
         play.run(PLAY_MS / 4, play.ask_half, restart=play.kill_two)
         self.assertEqual(play.refused_ms, [])
+
+    def test_relays_killed(self):
+        """Guards against use that is forgotten each time a relay is replaced."""
+        play = LimitPlay(LARGE, team=LARGE_TEAM, ask=LARGE_ASK_PROBABILITY)
+        play.run(PLAY_MS / 2, play.ask_everywhere, restart=play.kill_relay)
+        self.assert_within(play, PLAY_MS / 2)
+
+    def test_relay_in_turns(self):
+        """Guards against counting use again that another relay had reported."""
+        play = LimitPlay(LARGE, team=LARGE_TEAM)
+        play.run(PLAY_MS, play.ask_half, restart=play.kill_relay)
+        self.assertEqual(play.refused_ms, [])
