Read the table of entries although the store refuses writes

A lone entry, or a system that starts at once, said not ready for as long as the store refused or lost its writes: readiness asks for the entries to be read, and the read came after the write of the own row had succeeded. The read now follows a failed write, which is tried again as before.

Evidence: tests.test_start_order.TestKnownMembers.test_writes_refused fails before and passes with the change.

--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -73,10 +73,10 @@
     def register(self) -> None:
         """Write the row of this entry and read all; raises `StoreError`.
 
-        The row is written again if a restored store has lost it.
+        The row is written again if a restored store has lost it. A store that refuses
+        writes may still be read.
         """
-        if not self._is_registered:
-            self._write_own_row()
+        write_error = self._write_first_row()
         known_count = len(self._peers.member_by_vm)
         # Before the read, which may miss a row that is written meanwhile.
         self._peers.is_incomplete = False
@@ -86,12 +86,14 @@
         self._peers.reading = MemberReading.DONE
         self._choose_interval(len(self._peers.member_by_vm) - known_count)
         known_vms = {member.key for member in rows.rows}
-        if self._vm not in known_vms:
+        if self._is_registered and self._vm not in known_vms:
             logger.bind(era=era_of(rows.revision)).warning(
                 'row of this entry missing in the store'
             )
             self._write_own_row()
         self._read_era = era_of(rows.revision)
+        if write_error is not None:
+            raise write_error
 
     def _choose_interval(self, added_count: int) -> None:
         if added_count:
@@ -115,6 +117,16 @@
             if self._peers.is_incomplete:
                 rest_ms = MIN_READ_INTERVAL_MS
 
+    def _write_first_row(self) -> StoreError | None:
+        """Write the row of this entry unless that is done; return why it failed."""
+        if self._is_registered:
+            return None
+        try:
+            self._write_own_row()
+        except StoreError as error:
+            return error
+        return None
+
     def _write_own_row(self) -> None:
         self._client.write_row(ENTRY_TABLE, self._vm, self._own_record)
         self._is_registered = True
--- a/tests/test_start_order.py
+++ b/tests/test_start_order.py
@@ -134,23 +134,32 @@
 class TestKnownMembers(StoreCase):
     """Other entries are known from the store, or from what they send."""
 
-    def test_store_down(self):
-        """Guards against an entry that waits for the store until an outage ends."""
-        peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
-        directory = MemberDirectory(
+    def setUp(self):
+        super().setUp()
+        self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
+        self.directory = MemberDirectory(
             self.client,
-            peers,
+            self.peers,
             self.clock,
             vm='entry-1',
             address='10.0.0.1:7',
             data_centre='dc-a',
             store_era=lambda: self.store.era,
         )
-        peers.add_member('entry-2', Member('10.0.0.2:7', 'dc-a'))
-        self.assertFalse(peers.is_known)
+
+    def test_store_down(self):
+        """Guards against an entry that waits for the store until an outage ends."""
+        self.peers.add_member('entry-2', Member('10.0.0.2:7', 'dc-a'))
+        self.assertFalse(self.peers.is_known)
         self.store.faults.status = 503
-        self.addCleanup(spawn(directory.run).kill)
-        self.assertTrue(wait_until(lambda: peers.is_known))
+        self.addCleanup(spawn(self.directory.run).kill)
+        self.assertTrue(wait_until(lambda: self.peers.is_known))
+
+    def test_writes_refused(self):
+        """Guards against entries that no write lets become ready, though they read."""
+        self.store.faults.lose_writes = True
+        self.addCleanup(spawn(self.directory.run).kill)
+        self.assertTrue(wait_until(lambda: self.peers.is_known))
 
 
 class TestStopOrder(EntryCase):
