--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -5,7 +5,7 @@
 from marjoramfall.gateway.callers.call import Call, Delegation
 from marjoramfall.gateway.http_messages import RequestHead
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.servers.demand import build_demand
+from marjoramfall.gateway.servers.demand import build_demand, give_up_ms
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 from tests.gateway_fakes import TEAM, make_fields, make_route
 
@@ -66,8 +66,14 @@
         self.assertFalse(demand.is_begun)
         self.assertEqual(demand.give_up_ms, 4200)
 
-    def test_begun(self):
+    def test_begun_gives_up(self):
         """Guards against a begun stream that is given up before its deadline."""
+        self.assertEqual(give_up_ms(self.call), 4200)
+        self.call.first_byte_ms = 1200
+        self.assertEqual(give_up_ms(self.call), 13_000)
+
+    def test_begun(self):
+        """Guards against a begun stream that waits like a request of its priority."""
         self.call.first_byte_ms = 1200
         demand = build_demand(self.call, 6000, ANY_VERSION)
         self.assertTrue(demand.is_begun)
