Report levels of limits in full heartbeats and answers only

Entries that start are answered at once, so that levels need not go along with every change: they go with speeds now, each 500 ms.

nose2 tests.test_limit_levels tests.test_relay_handover tests.test_peer_groups tests.test_shared_limits tests.test_limits_of_restarted_entries tests.test_incomplete_members tests.test_peer_exchange tests.test_planned_stop: 79 tests, OK.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -192,7 +192,7 @@
             server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
             delegation_address=self._settings.delegation_address,
             reached_service_ids=self._fleet.paths.reached_service_ids(),
-            limit_levels=self._limit_levels() if with_all_limits else None,
+            limit_levels=self._limit_levels() if with_speeds else None,
         )
 
     def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -124,7 +124,7 @@
     # whose servers it reaches.
     delegation_address: str = ''
     reached_service_ids: list[str] = []
-    # Only in states with all limits; absent in those of versions without levels.
+    # Only in states with speeds; absent in those of versions without levels.
     limit_levels: list[LimitLevel] | None = None
 
 
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -102,12 +102,12 @@
         sources = {peer.state.vm for peer in self.peers.live_peers()}
         self.peer_loads.keep_only(sources | self.peers.outside.live_sources())
 
-    def state(self, *, with_all_limits):
+    def state(self, *, with_all_limits, with_levels=False):
         """Return the state for the group."""
         self.sequence += 1
         limits = self.limits
         levels = None
-        if with_all_limits and self.vm not in self.network.old_vms:
+        if with_levels and self.vm not in self.network.old_vms:
             levels = limits.levels(self.clock.monotonic_ms())
         return make_state(
             self.vm,
@@ -124,9 +124,10 @@
 
     def heartbeat(self, *, is_full):
         """Send the state to the group, in a small system with all limits."""
-        is_full = is_full or (self.has_changed and not self.peers.is_large)
+        with_all_limits = is_full or (self.has_changed and not self.peers.is_large)
         self.has_changed = False
-        datagram = encode_state(self.state(with_all_limits=is_full))
+        state = self.state(with_all_limits=with_all_limits, with_levels=is_full)
+        datagram = encode_state(state)
         self.send(datagram, self.peers.group_addresses())
 
     def send(self, datagram, addresses):
@@ -144,8 +145,8 @@
         if previous is state:
             return
         if previous is None or previous.incarnation != state.incarnation:
-            datagram = encode_state(self.state(with_all_limits=True))
-            self.send(datagram, [state.address])
+            own_state = self.state(with_all_limits=True, with_levels=True)
+            self.send(encode_state(own_state), [state.address])
         now_ms = self.clock.monotonic_ms()
         self.limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
         self.peer_loads.replace(report_of_state(state), 0)
