Learn levels of limits at the first start of a system as well

A team got far more than its limit as a system started (QUOTA): entries that come up one after the other began with a full burst each, and counted of what others had admitted before only the part of their own uptime. With 24 entries that come up within 1 s and callers at each from its readiness on: 412 bookings in the first second, 621 in 8 s of 339.5 allowed.

At the first start, an entry that hears a lower level from a peer that has run longer now takes it over, as one that starts again does. Levels go from older to younger entries only, so that none is corrected in a circle.

--- a/marjoramfall/gateway/shared_limit.py
+++ b/marjoramfall/gateway/shared_limit.py
@@ -125,21 +125,24 @@
             self.rule.name, self.level, self.withheld, self.reserved_share
         )
 
-    def learn_level(self, known: LimitLevel, now_ms: float) -> bool:
+    def learn_level(
+        self, known: LimitLevel, now_ms: float, *, peer_uptime_ms: float
+    ) -> bool:
         """Take over the level of a peer; return False if the own one stays.
 
         It contains the use of all entries, but perhaps not yet what this one admitted
         before it heard of it.
         """
         learning = self.learning
-        if learning is None or learning.is_over(now_ms):
+        if learning is None or not learning.may_learn_from(now_ms, peer_uptime_ms):
             return False
         own_share = self.reserved_share
         self.refill(now_ms, own_share)
         unused = known.level + known.withheld
-        is_first = learning.adopted_ms is None
-        if not is_first and unused >= self.level + self.withheld - self.tolerance:
+        is_near = unused >= self.level + self.withheld - self.tolerance
+        if is_near and not learning.accepts_all():
             return False
+        is_first = learning.adopted_ms is None
         learning.adopted_ms = now_ms
         self.level = known.level - self.used if is_first else known.level
         self.withheld = known.withheld
--- a/marjoramfall/gateway/shared_limits.py
+++ b/marjoramfall/gateway/shared_limits.py
@@ -20,6 +20,7 @@
         self._tolerance_share = tolerance_share
         self._tolerance = tolerance
         self._starts_full = starts_full
+        self._has_teams = False
         self._limit_by_name: dict[str, SharedLimit] = {}
         self._reported_use_by_incarnation: dict[tuple[str, int], dict[str, float]] = {}
         self._outside_use = OutsideUse()
@@ -41,8 +42,7 @@
             limit.level = min(limit.level, team.burst)
             limit.tolerance = self._tolerance_of(team)
             self._limit_by_name[team.name] = limit
-        # A team added later is new at all entries and starts with its full burst.
-        self._starts_full = True
+        self._has_teams = True
 
     def replace_tolerance(self, *, tolerance_share: float, tolerance: float) -> None:
         """Change the tolerance of all teams."""
@@ -210,7 +210,7 @@
             reported
             for reported in state.limit_levels or ()
             if (limit := self._limit_by_name.get(reported.name)) is not None
-            and limit.learn_level(reported, now_ms)
+            and limit.learn_level(reported, now_ms, peer_uptime_ms=state.uptime_ms)
         ]
         if learned:
             logger.bind(
@@ -238,11 +238,13 @@
         return contained
 
     def _create_limit(self, team: Team, now_ms: float) -> SharedLimit:
-        if self._starts_full:
+        if self._has_teams:
+            # A team added later is new at all entries.
             return SharedLimit(team, team.burst, now_ms)
+        learning = LevelLearning(now_ms, is_first_start=self._starts_full)
         # A restarted entry does not know what was used before, of the tolerance either.
-        level = -self._tolerance_of(team)
-        return SharedLimit(team, level, now_ms, learning=LevelLearning(now_ms))
+        level = team.burst if self._starts_full else -self._tolerance_of(team)
+        return SharedLimit(team, level, now_ms, learning=learning)
 
     def _tolerance_of(self, team: Team) -> float:
         return self._tolerance + self._tolerance_share * team.burst
--- a/tests/test_limits_of_restarted_entries.py
+++ b/tests/test_limits_of_restarted_entries.py
@@ -30,6 +30,8 @@
 KILL_INTERVAL_MS = 2500
 KILL_ALL_INTERVAL_MS = 5000
 DOWN_MS = 1000
+# From the first entry to the last, as processes of one machine come up.
+FIRST_STARTS_MS = 1000
 # An entry may be asked before it has read the table of all entries.
 READ_MS = 400
 
@@ -271,3 +273,37 @@
         play = LimitPlay(LARGE, team=LARGE_TEAM)
         play.run(PLAY_MS, play.ask_half, restart=play.kill_relay)
         self.assertEqual(play.refused_ms, [])
+
+
+class TestFirstStart(LimitCase):
+    """Entries that start for the first time begin with one burst together."""
+
+    def check(self, play, duration_ms, ask):
+        """Play from the start of the first entry on; the others follow in turn."""
+        vms = sorted(play.network.entry_by_vm)
+        play.network.entry_by_vm.clear()
+        play.network.is_first_start = True
+        interval_ms = FIRST_STARTS_MS / len(vms)
+        play.down.extend(
+            (play.now_ms + number * interval_ms, vm) for number, vm in enumerate(vms)
+        )
+        play.run(duration_ms, ask, restart=play.start_again)
+        return play
+
+    def test_one_after_the_other(self):
+        """Guards against a full burst for each entry that starts after the first."""
+        play = LimitPlay()
+        self.check(play, PLAY_MS / 4, play.ask_everywhere)
+        self.assert_within(play, PLAY_MS / 4)
+
+    def test_groups(self):
+        """Guards against the same in a system with groups of entries."""
+        play = LimitPlay(LARGE, team=LARGE_TEAM, ask=LARGE_ASK_PROBABILITY)
+        self.check(play, PLAY_MS / 4, play.ask_everywhere)
+        self.assert_within(play, PLAY_MS / 4)
+
+    def test_below_limit(self):
+        """Guards against refusing a team at half its limit because entries start."""
+        play = LimitPlay()
+        self.check(play, PLAY_MS / 4, play.ask_half)
+        self.assertEqual(play.refused_ms, [])
