Add plays of streams and limits to the soak

`python -m tests.soak.plays` runs the entries of any checkout (`--root`, `--mixed-root`) as processes beside servers that restart, lose paths, fall silent or answer errors, and counts what callers and servers saw; the log lines of cut streams are printed by their ids.

Restarted servers really refuse connections: their listener is closed. The connections of one entry are told apart by the ports of its process, as all entries connect from the same loopback address. Entries are told of a first start only at their first start.

What is beyond the limit comes in the first four seconds, in which entries start one after the other, each with a full burst.

--- /dev/null
+++ b/tests/soak/plays/__init__.py
@@ -0,0 +1,1 @@
+"""Plays of real entry processes that count what callers and servers saw."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import socket as plain_socket
 import tempfile
 from collections import Counter
 from contextlib import closing
@@ -16,7 +15,7 @@
 from tests.platform_records import CONFIG
 from tests.soak.backend import CountingBackend
 from tests.soak.caller import Response, find_violation, send_request
-from tests.soak.entries import EntryProcess
+from tests.soak.entries import EntryProcess, choose_base_port
 from tests.soak.proxy import LinkFault, LoopbackProxy
 
 ENTRIES = 3
@@ -81,7 +80,7 @@
         self._change_config()
         self._copy = self._store.copy()
         self._entries = [
-            EntryProcess(number, _choose_base_port(), proxy.address, directory)
+            EntryProcess(number, choose_base_port(), proxy.address, directory)
             for number, proxy in enumerate(self._store_proxies)
         ]
 
@@ -258,13 +257,6 @@
             entry.start()
 
 
-def _choose_base_port() -> int:
-    """Return the first of four ports, derived from a free one but not checked."""
-    with plain_socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return 20_000 + probe.getsockname()[1] % 8000
-
-
 def run_soak(seed: int, seconds: float, directory: Path | None = None) -> Report:
     """Run one seed; the entries write their logs to the directory."""
     if directory is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,12 @@
 """Run the soak test for a short time with fixed seeds."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
+from tests.soak.plays.callers import Ending
+from tests.soak.plays.streams import StreamPlay, StreamReport
+from tests.soak.plays.system import Plan
 from tests.soak.run import run_soak
 
 SECONDS = 5
@@ -26,3 +31,27 @@
                 report = run_soak(seed, SECONDS)
                 self.assertEqual(report.violations, [])
                 self.assertGreater(report.served_after_faults, 0)
+
+
+class TestStreamPlay(unittest.TestCase):
+    """Begun streams are whole while one server at a time is restarted."""
+
+    def test_places_at_one_server(self):
+        """Guards against streams cut by restarts though each server has all places."""
+        report = self._play(callers=5)
+        self.assertEqual(report.faults, [])
+        self.assertGreater(report.count_by_ending[Ending.WHOLE.value], 0)
+
+    def _play(self, callers: int) -> StreamReport:
+        plan = Plan(
+            entries=4,
+            servers=2,
+            callers=callers,
+            troubles=('restart',),
+            seconds=6,
+            seed=1,
+            # Both servers may restart twice within a stream's time.
+            max_attempts=4,
+        )
+        with tempfile.TemporaryDirectory() as directory:
+            return StreamPlay(plan, Path(directory)).run()
