Add the stream play to the soak test

Eight callers at two servers of 5 slots: while one restarts for a second, three streams wait, and all have a place once it is back, before a caller leaves after 2 s.

The log lines of the same play by hand show "is_path_lost":true after two servers refused connections within seconds, though both are restarted in turn and one is always there; the stream goes to peers that have lost the path as well, and ends with "no path" or "no server", or its caller leaves.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,15 @@
         self.assertEqual(report.faults, [])
         self.assertGreater(report.count_by_ending[Ending.WHOLE.value], 0)
 
+    def test_places_at_both_servers(self):
+        """Guards against streams cut while a server returns within a second.
+
+        All callers have places once both servers are back, before any of them leaves.
+        """
+        report = self._play(callers=8)
+        self.assertEqual(report.faults, [])
+        self.assertGreater(report.count_by_ending[Ending.WHOLE.value], 0)
+
     def _play(self, callers: int) -> StreamReport:
         plan = Plan(
             entries=4,
