--- a/tests/soak/plays/servers.py
+++ b/tests/soak/plays/servers.py
@@ -101,7 +101,7 @@
         self._reset_all(None)
 
     def lose_path(self, lost_ports: Callable[[], Ports]) -> None:
-        """Reset the connections from the given ports, now and until `lost_ports`."""
+        """Reset the connections from some ports until `lost_ports` is None again."""
         self.lost_ports = lost_ports
         self._reset_all(lost_ports())
 
