Let all entries spend from one retry budget of a service

Cause: each entry had 0.75 x (0.2 x its own requests of the window + 58 / entries). With one or two requests that is less than one retry, and what others leave unspent helped nobody. Before this commit, 65 budgets with one request each in the window, one retry asked at each (a call of RetryBudget.on_request and try_retry(0, 65) at each): 0 allowed.

Change: entries report the requests and retries in their window, and the requests that wait for the budget, as absolute numbers in states and digests. A report counts until the window has passed, by incarnation; after 1.5 s of silence only its retries do. The larger figure counts of what several relays report of the same entries. Slack is spent for the entries that report. A retry is allowed for sure if all that may ask within a reporting delay fit into what is left, else with the chance at which their sum stays four standard deviations within the bound. Begun streams may use 0.9 of the bound, others 0.75. An entry that has started again uses it in proportion to the part of the window it has seen. A refused move from a silent server pauses for a reporting delay, so that it asks once in it. The line of a refusal has the figures of the decision. Requests that have left the window are dropped as others arrive, so that the lists of a service that never asks for its budget do not grow.

Evidence: tests.test_shared_retry_budget, simulated entries with datagrams 100 ms late and the real digests.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -11,7 +11,7 @@
 from marjoramfall.gateway.servers.failover import Failover
 from marjoramfall.gateway.servers.service_queue import Assignment, OverloadError
 
-# After a search without a place, or a retry that the budget refused.
+# After a search without a place.
 SEARCH_PAUSE_MS = 300.0
 
 
@@ -123,8 +123,9 @@
         return True
 
     def _try_move(self) -> bool:
-        if not self._fleet.try_retry(self._call):
-            self._pause('retry budget spent')
+        retries = self._fleet.retries
+        if not retries.try_retry(self._call):
+            self._pause('retry budget spent', retries.pause_ms)
             return False
         if self._search is not None:
             self._reserved = self._search.take()
@@ -132,9 +133,9 @@
         self._is_moving = True
         return True
 
-    def _pause(self, reason: object) -> None:
+    def _pause(self, reason: object, pause_ms: float = SEARCH_PAUSE_MS) -> None:
         self.cancel()
-        self._paused_until_ms = self._clock.monotonic_ms() + SEARCH_PAUSE_MS
+        self._paused_until_ms = self._clock.monotonic_ms() + pause_ms
         logger.bind(
             request=self._call.fields.attempt_id,
             server=self._current.load.server.server_id,
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -29,7 +29,7 @@
 from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
-from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
@@ -77,7 +77,10 @@
             clock, own_vm=settings.vm, data_centre=settings.data_centre
         )
         self._pool = ConnectionPool(clock, connect_timeout_ms=CONNECT_TIMEOUT_MS)
-        self._retry_budgets = RetryBudgets(self._retry_bounds())
+        self._retry_budgets = RetryBudgets(
+            self._bounds.retry_bounds,
+            restarted_ms=None if settings.is_first_start else self._started_ms,
+        )
         self._limits = SharedLimits(
             tolerance_share=self._bounds.limit_tolerance_share,
             tolerance=self._bounds.limit_tolerance,
@@ -116,7 +119,9 @@
             on_change=self._notify_peers,
             needs_state=self._needs_state,
         )
-        self._digests = DigestBuilder(clock, self.peers, self._limits, self.moves)
+        self._digests = DigestBuilder(
+            clock, self.peers, self._limits, self.moves, self._retry_budgets
+        )
         self._exchange = PeerExchange(
             peer_address, self.peers, self.registry, self, clock, own_vm=settings.vm
         )
@@ -148,7 +153,7 @@
     def use_bounds(self, bounds: EntryBounds) -> None:
         """Apply changed bounds."""
         self._bounds = bounds
-        self._retry_budgets.replace_bounds(self._retry_bounds())
+        self._retry_budgets.replace_bounds(bounds.retry_bounds)
         self._limits.replace_tolerance(
             tolerance_share=bounds.limit_tolerance_share,
             tolerance=bounds.limit_tolerance,
@@ -192,6 +197,7 @@
             server_limits=self._fleet.server_limits.reports(is_full=with_speeds),
             delegation_address=self._settings.delegation_address,
             reached_service_ids=self._fleet.paths.reached_service_ids(),
+            retry_uses=self._retry_budgets.uses(self._clock.monotonic_ms()),
         )
 
     def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
@@ -212,6 +218,7 @@
         recent_share = min(1, self.uptime_ms() / max(1, digest.uptime_ms))
         now_ms = self._clock.monotonic_ms()
         self._limits.add_digest(digest, now_ms, recent_share=recent_share)
+        self._retry_budgets.add_digest(digest, now_ms)
         self.moves.on_reports(source_of(digest), digest.moves)
         self.quarantine.merge(digest.crash_evidence)
         self._fleet.on_report(report_of_digest(digest))
@@ -220,6 +227,7 @@
         """Apply the new state of a peer."""
         now_ms = self._clock.monotonic_ms()
         self._limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
+        self._retry_budgets.add_state(state, now_ms)
         self.moves.on_reports(state.vm, state.moves)
         self.quarantine.merge(state.crash_evidence)
         self._fleet.on_report(report_of_state(state))
@@ -252,14 +260,6 @@
             self._fleet.set_servers(self.registry.servers)
         self._notify_peers()
 
-    def _retry_bounds(self) -> RetryBounds:
-        bounds = self._bounds
-        return RetryBounds(
-            share=bounds.retry_ratio,
-            slack=bounds.retry_slack,
-            window_ms=bounds.retry_window_s * MS_PER_SECOND,
-        )
-
     def _is_ready(self) -> bool:
         return not self._is_leaving and self.registry.is_informed
 
--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+
 
 @dataclass(frozen=True, slots=True)
 class EntryBounds:
@@ -24,6 +27,15 @@
     expose_share: float
     expose_slack: float
 
+    @property
+    def retry_bounds(self) -> RetryBounds:
+        """Return the bounds of the retry budget of a service."""
+        return RetryBounds(
+            share=self.retry_ratio,
+            slack=self.retry_slack,
+            window_ms=self.retry_window_s * MS_PER_SECOND,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -5,8 +5,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from loguru import logger
-
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
@@ -15,13 +13,14 @@
 from marjoramfall.gateway.peers.own_load import OwnLoad
 from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.retry_gate import RetryGate
 from marjoramfall.gateway.servers.assign_timer import AssignTimer
 from marjoramfall.gateway.servers.connection_pool import (
     ConnectionPool,
     max_idle_connections,
 )
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
-from marjoramfall.gateway.servers.retry_budget import RetryBudgets
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
@@ -92,7 +91,7 @@
             self._queue_by_service,
             is_path_lost=self.paths.is_lost,
         )
-        self._retry_budgets = retry_budgets
+        self.retries = RetryGate(clock, peers, retry_budgets, self.queue, notify_peers)
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
         self.server_notices = ServerNotices(
             clock, self._load_by_id.get, entry_count=peers.entry_count
@@ -165,29 +164,6 @@
         if outcome.ending is not Ending.NOT_RUN:
             self._moves.on_result(result)
 
-    def on_request(self, call: Call) -> None:
-        """Count a request for the retry budget of its service."""
-        budget = self._retry_budgets.find(call.service_id)
-        budget.on_request(self._clock.monotonic_ms())
-
-    def try_retry(self, call: Call) -> bool:
-        """Count and allow a retry, or return False if the budget is spent."""
-        budget = self._retry_budgets.find(call.service_id)
-        entry_count = self._peers.entry_count()
-        allowed = budget.try_retry(self._clock.monotonic_ms(), entry_count)
-        if not allowed:
-            use = budget.use
-            logger.bind(
-                request=call.fields.attempt_id,
-                service=call.service_id,
-                requests=use.requests,
-                retries=use.retries,
-                entry_count=entry_count,
-                attempts_left=call.attempts_left,
-                is_begun=call.is_begun_stream,
-            ).warning('retry refused: shared retry budget spent')
-        return allowed
-
     @contextmanager
     def releasing(self, assignment: Assignment) -> Iterator[None]:
         """Free the slot of an assignment at the end of the block."""
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -210,7 +210,7 @@
     def _count_send(self, call: Call) -> None:
         if not call.sends:
             # The entry whose servers get the request counts it for their budget.
-            self._fleet.on_request(call)
+            self._fleet.retries.on_request(call)
         call.sends += 1
 
     def _record_served(self, call: Call, writer: ResponseWriter) -> None:
@@ -303,7 +303,7 @@
             allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
         else:
             allowed = call.may_repeat and call.attempts_left > 0
-        return allowed and self._fleet.try_retry(call)
+        return allowed and self._fleet.retries.try_retry(call)
 
     def _finish_failed(
         self, call: Call, writer: ResponseWriter, outcome: Outcome
--- a/marjoramfall/gateway/peers/digest_builder.py
+++ b/marjoramfall/gateway/peers/digest_builder.py
@@ -17,6 +17,7 @@
 from marjoramfall.gateway.peers.outside_groups import source_of
 from marjoramfall.gateway.peers.peer_state import PeerState, WaitingCall
 from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
@@ -30,11 +31,13 @@
         peers: PeerTable,
         limits: SharedLimits,
         moves: VersionMoves,
+        retry_budgets: RetryBudgets,
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._limits = limits
         self._moves = moves
+        self._retry_budgets = retry_budgets
 
     def build(
         self, scope: Scope, own_state: PeerState, *, with_all_limits: bool
@@ -46,6 +49,7 @@
             self._group_waiting(own_state) if is_group else self._outside_waiting()
         )
         peers = self._peers
+        now_ms = self._clock.monotonic_ms()
         return GroupDigest(
             form=DIGEST_FORM,
             scope=scope,
@@ -71,6 +75,8 @@
             offers=draw_offers(
                 _group_offers(states) if is_group else _outside_offers(states)
             ),
+            retry_uses=self._retry_budgets.digest_uses(scope, now_ms),
+            retry_reporters=self._retry_budgets.digest_reporters(scope, now_ms),
         )
 
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
--- a/marjoramfall/gateway/peers/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -12,6 +12,7 @@
     LimitUse,
     MoveReport,
     PeerState,
+    RetryUse,
     ServerLimitReport,
     ServerUse,
     WaitingCall,
@@ -71,6 +72,10 @@
     server_limits: list[ServerLimitReport] = []
     # Some of the entries that serve requests of others.
     offers: list[DelegateOffer] = []
+    # None in digests of versions that do not share their retry budget.
+    retry_uses: list[RetryUse] | None = None
+    # How many entries report their use of it.
+    retry_reporters: int = 0
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -49,6 +49,18 @@
     used: float
 
 
+class RetryUse(msgspec.Struct, array_like=True, frozen=True):
+    """Report the requests and retries of a service in the window of its budget.
+
+    `waiting` requests wait for the budget.
+    """
+
+    service_id: str
+    requests: int
+    retries: int
+    waiting: int = 0
+
+
 class ServerLimitReport(msgspec.Struct, array_like=True, frozen=True):
     """Report the rate that a server named `age_ms` ago, None if it named none."""
 
@@ -112,6 +124,8 @@
     # whose servers it reaches.
     delegation_address: str = ''
     reached_service_ids: list[str] = []
+    # None in states of versions that do not share their retry budget.
+    retry_uses: list[RetryUse] | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -1,10 +1,23 @@
-"""Bound the retries that entries send to a service."""
+"""Bound the retries that all entries together send to a service."""
 
-from collections import defaultdict, deque
+import random
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
+from math import sqrt
 
-# Leaves a margin for the retries of peers and for counts that arrive late.
+from marjoramfall.gateway.peers.peer_state import RetryUse
+from marjoramfall.gateway.servers.retry_reports import NO_USE, SharedRetryUse
+
+# Leave a margin for the retries of entries that do not report theirs and for counts
+# that arrive late. The last part is kept for streams that have begun at their callers.
 SAFETY_FACTOR = 0.75
+BEGUN_SAFETY_FACTOR = 0.9
+# How far a chance sum may lie above its mean, in standard deviations.
+MAX_DEVIATIONS = 4.0
+
+Draw = Callable[[], float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +25,7 @@
     """Bound retries by a share of the requests in a window of milliseconds.
 
     `slack` retries per window are allowed without any request, to all entries
-    together; each entry gets an equal part.
+    together.
     """
 
     share: float
@@ -21,20 +34,51 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RetryUse:
-    """Count the requests and retries in a window."""
+class RetryAsk:
+    """Hold what a retry is decided on besides the counts of this entry.
+
+    `running` requests of the service are known at all entries, and reports of others
+    may be `delay_ms` old. `known_share` is the part of the window that this entry
+    knows, less than 1 after a start.
+    """
 
+    entry_count: int = 1
+    others: SharedRetryUse = NO_USE
+    running: int = 0
+    delay_ms: float = 0.0
+    known_share: float = 1.0
+    is_begun: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Say whether a retry is allowed, and on which counts that was decided.
+
+    `left` retries may be used, and `rivals` is how many may be asked for before
+    other entries know of this one.
+    """
+
+    is_allowed: bool
     requests: int
     retries: int
+    left: float
+    rivals: float
 
 
 class RetryBudget:
-    """Allow retries up to a share of the requests in a sliding window."""
+    """Allow retries up to a share of the requests in a sliding window.
 
-    def __init__(self, bounds: RetryBounds) -> None:
+    All entries spend from one budget. As they hear of each other late, each allows a
+    retry only with the chance that keeps the sum of all within what is left.
+    """
+
+    def __init__(self, bounds: RetryBounds, draw: Draw = random.random) -> None:
         self._bounds = bounds
+        self._draw = draw
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        # Requests that wait for this budget here.
+        self.waiting = 0
 
     def replace_bounds(self, bounds: RetryBounds) -> None:
         """Replace the bounds and keep the counts of the window."""
@@ -42,24 +86,63 @@
 
     def on_request(self, now_ms: float) -> None:
         """Count a request once, at its arrival."""
+        self._drop_expired(now_ms)
         self._requests.append(now_ms)
 
-    @property
-    def use(self) -> RetryUse:
-        """Return what the window held when a retry was last asked for."""
-        return RetryUse(len(self._requests), len(self._retries))
+    def use(self, service_id: str, now_ms: float) -> RetryUse:
+        """Return what the window holds here."""
+        self._drop_expired(now_ms)
+        return RetryUse(
+            service_id, len(self._requests), len(self._retries), self.waiting
+        )
+
+    @contextmanager
+    def waiting_request(self) -> Iterator[None]:
+        """Count a request as waiting for the budget within the block."""
+        self.waiting += 1
+        try:
+            yield
+        finally:
+            self.waiting -= 1
 
     def try_retry(self, now_ms: float, entry_count: int) -> bool:
-        """Count and allow a retry, or return False if the budget is spent."""
+        """Count and allow a retry of an entry that hears of no others."""
+        return self.decide(now_ms, RetryAsk(entry_count)).is_allowed
+
+    def decide(self, now_ms: float, ask: RetryAsk) -> RetryDecision:
+        """Count and allow a retry, or refuse it as the budget is spent."""
         self._drop_expired(now_ms)
+        requests = len(self._requests) + ask.others.requests
+        retries = len(self._retries) + ask.others.retries
+        bound = self._bound(requests, ask)
+        safety_factor = BEGUN_SAFETY_FACTOR if ask.is_begun else SAFETY_FACTOR
+        left = safety_factor * bound - retries
+        rivals = self._rivals(requests, ask)
+        is_allowed = left >= 1 and self._is_drawn(left, bound - retries, rivals)
+        decision = RetryDecision(is_allowed, requests, retries, left, rivals)
+        if is_allowed:
+            self._retries.append(now_ms)
+        return decision
+
+    def _bound(self, requests: int, ask: RetryAsk) -> float:
+        reporters = ask.others.reporters + 1
+        slack_share = min(1, reporters / max(1, ask.entry_count))
         bounds = self._bounds
-        allowed = bounds.share * len(self._requests) + bounds.slack / max(
-            1, entry_count
-        )
-        if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
-            return False
-        self._retries.append(now_ms)
-        return True
+        return ask.known_share * (bounds.share * requests + bounds.slack * slack_share)
+
+    def _rivals(self, requests: int, ask: RetryAsk) -> float:
+        """Return how many retries all entries may ask for within a reporting delay."""
+        if not ask.others.reporters:
+            return 1
+        arriving = requests * ask.delay_ms / self._bounds.window_ms
+        waiting = self.waiting + ask.others.waiting
+        return 1 + ask.running + waiting + arriving
+
+    def _is_drawn(self, left: float, room: float, rivals: float) -> bool:
+        """Return whether one of several retries is allowed, at random if need be."""
+        if left >= rivals:
+            return True
+        return self._draw() * rivals < min(left, _safe_mean(room))
 
     def _drop_expired(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._bounds.window_ms
@@ -68,24 +151,11 @@
                 times.popleft()
 
 
-class RetryBudgets:
-    """Keep a retry budget for each service."""
+def _safe_mean(room: float) -> float:
+    """Return the mean of a count of chances that hardly ever exceeds the room.
 
-    def __init__(self, bounds: RetryBounds) -> None:
-        self._bounds = bounds
-        self._budget_by_service: dict[str, RetryBudget] = defaultdict(
-            self._create_budget
-        )
-
-    def find(self, service_id: str) -> RetryBudget:
-        """Return the budget of a service, created on first use."""
-        return self._budget_by_service[service_id]
-
-    def replace_bounds(self, bounds: RetryBounds) -> None:
-        """Replace the bounds of all services."""
-        self._bounds = bounds
-        for budget in self._budget_by_service.values():
-            budget.replace_bounds(bounds)
-
-    def _create_budget(self) -> RetryBudget:
-        return RetryBudget(self._bounds)
+    The variance of such a count is at most its mean, so that the mean and
+    `MAX_DEVIATIONS` times its root fit into the room.
+    """
+    half = MAX_DEVIATIONS / 2
+    return (sqrt(half * half + room) - half) ** 2
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -15,7 +15,8 @@
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
-from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from marjoramfall.platform.dialect import PlatformDialect
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -1,6 +1,7 @@
 """Simulate the entries of a large system and the datagrams between them."""
 
 from collections import Counter, defaultdict
+from random import Random
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import Team
@@ -21,6 +22,8 @@
     encode_state,
 )
 from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, Member, PeerTable
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limit import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from tests.gateway_fakes import make_load, make_state
@@ -34,9 +37,11 @@
 STEPS_PER_HEARTBEAT = int(HEARTBEAT_MS / STEP_MS)
 STEPS_PER_FULL_STATE = 2 * STEPS_PER_HEARTBEAT
 REQUEST_TOKENS = 3840
+SEED = 1
 # Bounds set by the users: the allowed excess over a limit in a window of 8 s.
 OVER_SHARE = 0.1
 SLACK = 190_000
+RETRY_BOUNDS = RetryBounds(share=0.2, slack=58, window_ms=10_000)
 TEAM = Team('school', None, RATE_PER_S, BURST, counts_tokens=True, plain_tokens=200)
 
 
@@ -69,10 +74,17 @@
             f's{number}': make_load(f's{number}') for number in range(SERVERS)
         }
         self.peer_loads = PeerLoads(self.loads, lambda service_id: None)
+        self.retry_budgets = RetryBudgets(
+            RETRY_BOUNDS,
+            restarted_ms=None if network.is_first_start else self.started_ms,
+            draw=network.draw,
+        )
         self.uses = []
         self.has_changed = False
         self.exchanged_ms = self.started_ms
-        self.digests = DigestBuilder(self.clock, self.peers, self.limits, self.moves)
+        self.digests = DigestBuilder(
+            self.clock, self.peers, self.limits, self.moves, self.retry_budgets
+        )
         self.relay = GroupRelay(self.peers, self, self.clock, own_vm=vm, send=self.send)
 
     def own_digest(self, scope, *, with_all_limits):
@@ -86,6 +98,7 @@
         recent_share = min(1, self.uptime_ms() / max(1, digest.uptime_ms))
         now_ms = self.clock.monotonic_ms()
         self.limits.add_digest(digest, now_ms, recent_share=recent_share)
+        self.retry_budgets.add_digest(digest, now_ms)
         self.moves.on_reports(source_of(digest), digest.moves)
         self.peer_loads.replace(report_of_digest(digest), 0)
 
@@ -111,6 +124,7 @@
             uses=self.uses,
             limit_uses=limits.uses() if with_all_limits else limits.changed_uses(),
             has_all_limits=with_all_limits,
+            retry_uses=self.retry_budgets.uses(self.clock.monotonic_ms()),
         )
 
     def heartbeat(self, *, is_full):
@@ -134,6 +148,7 @@
             return
         now_ms = self.clock.monotonic_ms()
         self.limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
+        self.retry_budgets.add_state(state, now_ms)
         self.peer_loads.replace(report_of_state(state), 0)
 
     def check(self, *, is_heartbeat):
@@ -165,8 +180,9 @@
 class Network:
     """Connect simulated entries and count their datagrams."""
 
-    def __init__(self, count):
+    def __init__(self, count, *, seed=SEED):
         self.clock = PausedClock()
+        self.draw = Random(seed).random
         self.data_centre_by_vm = members(count)
         self.incarnations = 0
         self.sent_by_vm = Counter()
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -339,7 +339,13 @@
 
     def test_digest(self):
         """Guards against a whole group that finds no entry with a path."""
-        builder = DigestBuilder(self.clock, self.peers, self.limits, self.fleet._moves)
+        builder = DigestBuilder(
+            self.clock,
+            self.peers,
+            self.limits,
+            self.fleet._moves,
+            self.retry_budgets,
+        )
         own = make_state(
             'entry-1', delegation_address='10.0.0.1:7601', reached_service_ids=[MODEL]
         )
--- a/tests/test_version_results.py
+++ b/tests/test_version_results.py
@@ -13,7 +13,8 @@
 from marjoramfall.gateway.revision import make_revision
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
-from marjoramfall.gateway.servers.retry_budget import RetryBounds, RetryBudgets
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_load import RunningRequest
 from marjoramfall.gateway.servers.service_queue import Assignment
 from marjoramfall.gateway.shared_limit import SharedLimits
