Let a request wait for the retry budget instead of failing at once

What callers saw: a refusal by the budget cut a begun stream, or answered 502, within a millisecond, with seconds left to the deadline.

Cause: the budget was asked once, as the exchange had failed.

--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
 from marjoramfall.gateway.place_search import PlaceSearch
+from marjoramfall.gateway.retry_wait import RetryWait
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
@@ -60,6 +61,7 @@
         self._pool = pool
         self._quarantine = quarantine
         self._delegates = fleet.delegates
+        self._retry_wait = RetryWait(fleet.retries, clock)
         self._dialect = dialect
         self._clock = clock
         self._running = RunningExchanges(quarantine.is_refused)
@@ -303,7 +305,7 @@
             allowed = call.sends < call.route.max_attempts + MAX_REJECTED_SENDS
         else:
             allowed = call.may_repeat and call.attempts_left > 0
-        return allowed and self._fleet.retries.try_retry(call)
+        return allowed and self._retry_wait.try_retry(call, outcome)
 
     def _finish_failed(
         self, call: Call, writer: ResponseWriter, outcome: Outcome
