Give each entry its part of what is left of a retry budget

What callers would have seen: with the budget of all entries alone, a begun stream at 65 entries paused for 0.8 s or more after half of the single failures, though an eighth of the bound was used: each retry had the chance at which even a failure of all running requests stays in bounds.

Change: an entry has a part of what is left for each reporting delay, by its own running and waiting requests among all that may ask. Its retries take chances from it, 1 as long as the part lasts, and no more in any such time. The delay reckoned with in a large system is 1 s, as simulated reports take up to 0.83 s. A source counts as silent after 0.9 s, when its load is forgotten as well. Begun streams may use 0.85 of the bound, and the sum of all chances lies six standard deviations below it, since a cut hides from both sides what was spent just before.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -124,7 +124,7 @@
 
     def _try_move(self) -> bool:
         retries = self._fleet.retries
-        if not retries.try_retry(self._call):
+        if not retries.try_retry(self._call, is_running=True):
             self._pause('retry budget spent', retries.pause_ms)
             return False
         if self._search is not None:
--- a/marjoramfall/gateway/retry_gate.py
+++ b/marjoramfall/gateway/retry_gate.py
@@ -15,7 +15,7 @@
 # The time in which the retries of an entry become known to all others; in a large
 # system they pass two relays.
 REPORT_DELAY_MS = 500.0
-LARGE_SYSTEM_REPORT_DELAY_MS = 800.0
+LARGE_SYSTEM_REPORT_DELAY_MS = 1000.0
 
 
 class RetryGate:
@@ -47,9 +47,12 @@
         budget = self._budgets.find(call.service_id)
         budget.on_request(self._clock.monotonic_ms())
 
-    def try_retry(self, call: Call) -> bool:
-        """Count and allow a retry, or return False if the budget is spent."""
-        ask = self._build_ask(call)
+    def try_retry(self, call: Call, *, is_running: bool = False) -> bool:
+        """Count and allow a retry, or return False if the budget is spent.
+
+        `is_running` is set for a request that is at a server yet.
+        """
+        ask = self._build_ask(call, asking=int(not is_running))
         budget = self._budgets.find(call.service_id)
         decision = budget.decide(self._clock.monotonic_ms(), ask)
         if decision.is_allowed:
@@ -65,7 +68,7 @@
             self._notify_peers()
             yield
 
-    def _build_ask(self, call: Call) -> RetryAsk:
+    def _build_ask(self, call: Call, *, asking: int) -> RetryAsk:
         service_id = call.service_id
         now_ms = self._clock.monotonic_ms()
         loads = self._find_queue(service_id).load_by_id.values()
@@ -74,7 +77,8 @@
             # A new relay knows no other groups at first.
             entry_count=max(self._peers.entry_count(), others.entries + 1),
             others=others,
-            running=sum(load.running for load in loads),
+            running=asking + sum(load.running for load in loads),
+            own_running=asking + sum(len(load.own_requests) for load in loads),
             delay_ms=self.pause_ms,
             known_share=self._budgets.known_share(now_ms),
             is_begun=call.is_begun_stream,
@@ -95,7 +99,8 @@
         oldest_report_ms=round(others.oldest_age_ms),
         known_share=round(ask.known_share, 2),
         left=round(decision.left, 1),
-        rivals=round(decision.rivals, 1),
+        own_rivals=round(decision.rivals.own, 1),
+        rivals=round(decision.rivals.known, 1),
         attempts_left=call.attempts_left,
         is_begun=ask.is_begun,
     ).warning('retry refused: shared retry budget spent')
--- a/marjoramfall/gateway/retry_wait.py
+++ b/marjoramfall/gateway/retry_wait.py
@@ -26,8 +26,7 @@
             return True
         if not self._may_wait(call, outcome):
             return False
-        with self._gate.waiting(call):
-            return self._wait(call)
+        return self._wait(call)
 
     def _may_wait(self, call: Call, outcome: Outcome) -> bool:
         if not call.may_repeat or call.attempts_left <= 0:
@@ -41,7 +40,8 @@
             left_ms = self._give_up_ms(call) - self._clock.monotonic_ms()
             if left_ms <= 0:
                 return False
-            self._clock.sleep_ms(min(left_ms, self._gate.pause_ms))
+            with self._gate.waiting(call):
+                self._clock.sleep_ms(min(left_ms, self._gate.pause_ms))
             has_time = call.remaining_ms(self._clock.monotonic_ms()) > 0
             if has_time and self._gate.try_retry(call):
                 self._log_end(call, self._clock.monotonic_ms() - started_ms)
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -2,22 +2,26 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from math import sqrt
+from math import inf, sqrt
 
 from marjoramfall.gateway.peers.peer_state import RetryUse
+from marjoramfall.gateway.servers.retry_chances import (
+    Draw,
+    RetryChances,
+    RetryRivals,
+)
 from marjoramfall.gateway.servers.retry_reports import NO_USE, SharedRetryUse
 
 # Leave a margin for the retries of entries that do not report theirs and for counts
 # that arrive late. The last part is kept for streams that have begun at their callers.
 SAFETY_FACTOR = 0.75
-BEGUN_SAFETY_FACTOR = 0.9
-# How far a chance sum may lie above its mean, in standard deviations.
-MAX_DEVIATIONS = 4.0
-
-Draw = Callable[[], float]
+BEGUN_SAFETY_FACTOR = 0.85
+# How far a chance sum may lie above its mean, in standard deviations. More than chance
+# requires, as a cut may hide from both sides what was spent just before it.
+MAX_DEVIATIONS = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +41,16 @@
 class RetryAsk:
     """Hold what a retry is decided on besides the counts of this entry.
 
-    `running` requests of the service are known at all entries, and reports of others
-    may be `delay_ms` old. `known_share` is the part of the window that this entry
-    knows, less than 1 after a start.
+    `running` requests of the service are known at all entries, `own_running` of them
+    here, with the one that asks; reports of others may be `delay_ms` old.
+    `known_share` is the part of the window that this entry knows, less than 1 after
+    a start.
     """
 
     entry_count: int = 1
     others: SharedRetryUse = NO_USE
-    running: int = 0
+    running: int = 1
+    own_running: int = 1
     delay_ms: float = 0.0
     known_share: float = 1.0
     is_begun: bool = False
@@ -54,27 +60,26 @@
 class RetryDecision:
     """Say whether a retry is allowed, and on which counts that was decided.
 
-    `left` retries may be used, and `rivals` is how many may be asked for before
-    other entries know of this one.
+    `left` retries may be used.
     """
 
     is_allowed: bool
     requests: int
     retries: int
     left: float
-    rivals: float
+    rivals: RetryRivals
 
 
 class RetryBudget:
     """Allow retries up to a share of the requests in a sliding window.
 
-    All entries spend from one budget. As they hear of each other late, each allows a
-    retry only with the chance that keeps the sum of all within what is left.
+    All entries spend from one budget. As they hear of each other late, each spends
+    no more than its part of what is left until the others know of it.
     """
 
     def __init__(self, bounds: RetryBounds, draw: Draw = random.random) -> None:
         self._bounds = bounds
-        self._draw = draw
+        self._chances = RetryChances(draw)
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
         # Requests that wait for this budget here.
@@ -118,7 +123,8 @@
         safety_factor = BEGUN_SAFETY_FACTOR if ask.is_begun else SAFETY_FACTOR
         left = safety_factor * bound - retries
         rivals = self._rivals(requests, ask)
-        is_allowed = left >= 1 and self._is_drawn(left, bound - retries, rivals)
+        part = self._part(left, bound - retries, rivals)
+        is_allowed = self._chances.try_take(part, now_ms, ask.delay_ms)
         decision = RetryDecision(is_allowed, requests, retries, left, rivals)
         if is_allowed:
             self._retries.append(now_ms)
@@ -130,19 +136,23 @@
         bounds = self._bounds
         return ask.known_share * (bounds.share * requests + bounds.slack * slack_share)
 
-    def _rivals(self, requests: int, ask: RetryAsk) -> float:
-        """Return how many retries all entries may ask for within a reporting delay."""
+    def _rivals(self, requests: int, ask: RetryAsk) -> RetryRivals:
+        own = ask.own_running + self.waiting
         if not ask.others.reporters:
-            return 1
-        arriving = requests * ask.delay_ms / self._bounds.window_ms
+            return RetryRivals(own, own)
         waiting = self.waiting + ask.others.waiting
-        return 1 + ask.running + waiting + arriving
-
-    def _is_drawn(self, left: float, room: float, rivals: float) -> bool:
-        """Return whether one of several retries is allowed, at random if need be."""
-        if left >= rivals:
-            return True
-        return self._draw() * rivals < min(left, _safe_mean(room))
+        # Requests that arrive meanwhile have no part of their own.
+        arriving = requests * ask.delay_ms / self._bounds.window_ms
+        known = ask.running + waiting + arriving
+        return RetryRivals(own, max(own, known))
+
+    def _part(self, left: float, room: float, rivals: RetryRivals) -> float:
+        """Return how many retries this entry may allow in a reporting delay."""
+        if left < 1:
+            return 0
+        if rivals.known <= max(left, rivals.own):
+            return inf
+        return rivals.own_part(min(left, _safe_mean(room)))
 
     def _drop_expired(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._bounds.window_ms
--- a/marjoramfall/gateway/servers/retry_reports.py
+++ b/marjoramfall/gateway/servers/retry_reports.py
@@ -8,9 +8,9 @@
 from marjoramfall.gateway.peers.outside_groups import OTHER_GROUPS, source_of
 from marjoramfall.gateway.peers.peer_state import PeerState, RetryUse
 
-# Longer than a group takes to replace its relay. A source that is silent for longer
-# may be cut off and spend its part of the slack by itself.
-REPORT_SILENCE_MS = 1500.0
+# A source that is silent for longer may be cut off and spend its part of the slack by
+# itself. Its load is not known any more either.
+REPORT_SILENCE_MS = 900.0
 
 
 @dataclass(frozen=True, slots=True)
