--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from marjoramfall.gateway.http_messages import HEAD_METHOD
 from marjoramfall.gateway.lost_runs import LostRuns
 from marjoramfall.gateway.place_finder import PlaceFinder
+from marjoramfall.gateway.retry_wait import RetryWait
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.demand import give_up_ms
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
@@ -63,6 +64,7 @@
         self._pool = pool
         self._quarantine = quarantine
         self._delegates = fleet.delegates
+        self._retry_wait = RetryWait(fleet.retries, clock)
         self._dialect = dialect
         self._clock = clock
         self._places = PlaceFinder(fleet, clock)
@@ -217,7 +219,7 @@
     def _count_send(self, call: Call) -> None:
         if not call.sends:
             # The entry whose servers get the request counts it for their budget.
-            self._fleet.on_request(call)
+            self._fleet.retries.on_request(call)
         call.sends += 1
 
     def _record_served(self, call: Call, writer: ResponseWriter) -> None:
@@ -299,7 +301,7 @@
             allowed = call.sends < call.route.max_attempts + _max_rejected_sends(call)
         else:
             allowed = call.may_repeat and call.attempts_left > 0
-        return allowed and self._fleet.try_retry(call)
+        return allowed and self._retry_wait.try_retry(call, outcome)
 
     def _finish_failed(
         self, call: Call, writer: ResponseWriter, outcome: Outcome
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -61,6 +61,18 @@
     reserved_share: float = 0
 
 
+class RetryUse(msgspec.Struct, array_like=True, frozen=True):
+    """Report the requests and retries of a service in the window of its budget.
+
+    `waiting` requests wait for the budget.
+    """
+
+    service_id: str
+    requests: int
+    retries: int
+    waiting: int = 0
+
+
 class ServerLimitReport(msgspec.Struct, array_like=True, frozen=True):
     """Report the rate that a server named `age_ms` ago, None if it named none."""
 
@@ -124,6 +136,8 @@
     # whose servers it reaches.
     delegation_address: str = ''
     reached_service_ids: list[str] = []
+    # None in states of versions that do not share their retry budget.
+    retry_uses: list[RetryUse] | None = None
     # Only in states with speeds; absent in those of versions without levels.
     limit_levels: list[LimitLevel] | None = None
 
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -1,10 +1,27 @@
-"""Bound the retries that entries send to a service."""
+"""Bound the retries that all entries together send to a service."""
 
-from collections import defaultdict, deque
+import random
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
-
-# Leaves a margin for the retries of peers and for counts that arrive late.
+from math import inf, sqrt
+
+from marjoramfall.gateway.peers.peer_state import RetryUse
+from marjoramfall.gateway.servers.retry_chances import (
+    Draw,
+    RetryChances,
+    RetryRivals,
+)
+from marjoramfall.gateway.servers.retry_reports import NO_USE, SharedRetryUse
+
+# Leave a margin for the retries of entries that do not report theirs and for counts
+# that arrive late. The last part is kept for streams that have begun at their callers.
 SAFETY_FACTOR = 0.75
+BEGUN_SAFETY_FACTOR = 0.85
+# How far a chance sum may lie above its mean, in standard deviations. More than chance
+# requires, as a cut may hide from both sides what was spent just before it.
+MAX_DEVIATIONS = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +29,7 @@
     """Bound retries by a share of the requests in a window of milliseconds.
 
     `slack` retries per window are allowed without any request, to all entries
-    together; each entry gets an equal part.
+    together.
     """
 
     share: float
@@ -21,20 +38,52 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RetryUse:
-    """Count the requests and retries in a window."""
+class RetryAsk:
+    """Hold what a retry is decided on besides the counts of this entry.
+
+    `running` requests of the service are known at all entries, `own_running` of them
+    here, with the one that asks; reports of others may be `delay_ms` old.
+    `known_share` is the part of the window that this entry knows, less than 1 after
+    a start.
+    """
+
+    entry_count: int = 1
+    others: SharedRetryUse = NO_USE
+    running: int = 1
+    own_running: int = 1
+    delay_ms: float = 0.0
+    known_share: float = 1.0
+    is_begun: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Say whether a retry is allowed, and on which counts that was decided.
 
+    `left` retries may be used.
+    """
+
+    is_allowed: bool
     requests: int
     retries: int
+    left: float
+    rivals: RetryRivals
 
 
 class RetryBudget:
-    """Allow retries up to a share of the requests in a sliding window."""
+    """Allow retries up to a share of the requests in a sliding window.
+
+    All entries spend from one budget. As they hear of each other late, each spends
+    no more than its part of what is left until the others know of it.
+    """
 
-    def __init__(self, bounds: RetryBounds) -> None:
+    def __init__(self, bounds: RetryBounds, draw: Draw = random.random) -> None:
         self._bounds = bounds
+        self._chances = RetryChances(draw)
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        # Requests that wait for this budget here.
+        self.waiting = 0
 
     def replace_bounds(self, bounds: RetryBounds) -> None:
         """Replace the bounds and keep the counts of the window."""
@@ -42,24 +91,68 @@
 
     def on_request(self, now_ms: float) -> None:
         """Count a request once, at its arrival."""
+        self._drop_expired(now_ms)
         self._requests.append(now_ms)
 
-    @property
-    def use(self) -> RetryUse:
-        """Return what the window held when a retry was last asked for."""
-        return RetryUse(len(self._requests), len(self._retries))
+    def use(self, service_id: str, now_ms: float) -> RetryUse:
+        """Return what the window holds here."""
+        self._drop_expired(now_ms)
+        return RetryUse(
+            service_id, len(self._requests), len(self._retries), self.waiting
+        )
+
+    @contextmanager
+    def waiting_request(self) -> Iterator[None]:
+        """Count a request as waiting for the budget within the block."""
+        self.waiting += 1
+        try:
+            yield
+        finally:
+            self.waiting -= 1
 
     def try_retry(self, now_ms: float, entry_count: int) -> bool:
-        """Count and allow a retry, or return False if the budget is spent."""
+        """Count and allow a retry of an entry that hears of no others."""
+        return self.decide(now_ms, RetryAsk(entry_count)).is_allowed
+
+    def decide(self, now_ms: float, ask: RetryAsk) -> RetryDecision:
+        """Count and allow a retry, or refuse it as the budget is spent."""
         self._drop_expired(now_ms)
+        requests = len(self._requests) + ask.others.requests
+        retries = len(self._retries) + ask.others.retries
+        bound = self._bound(requests, ask)
+        safety_factor = BEGUN_SAFETY_FACTOR if ask.is_begun else SAFETY_FACTOR
+        left = safety_factor * bound - retries
+        rivals = self._rivals(requests, ask)
+        part = self._part(left, bound - retries, rivals)
+        is_allowed = self._chances.try_take(part, now_ms, ask.delay_ms)
+        decision = RetryDecision(is_allowed, requests, retries, left, rivals)
+        if is_allowed:
+            self._retries.append(now_ms)
+        return decision
+
+    def _bound(self, requests: int, ask: RetryAsk) -> float:
+        reporters = ask.others.reporters + 1
+        slack_share = min(1, reporters / max(1, ask.entry_count))
         bounds = self._bounds
-        allowed = bounds.share * len(self._requests) + bounds.slack / max(
-            1, entry_count
-        )
-        if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
-            return False
-        self._retries.append(now_ms)
-        return True
+        return ask.known_share * (bounds.share * requests + bounds.slack * slack_share)
+
+    def _rivals(self, requests: int, ask: RetryAsk) -> RetryRivals:
+        own = ask.own_running + self.waiting
+        if not ask.others.reporters:
+            return RetryRivals(own, own)
+        waiting = self.waiting + ask.others.waiting
+        # Requests that arrive meanwhile have no part of their own.
+        arriving = requests * ask.delay_ms / self._bounds.window_ms
+        known = ask.running + waiting + arriving
+        return RetryRivals(own, max(own, known))
+
+    def _part(self, left: float, room: float, rivals: RetryRivals) -> float:
+        """Return how many retries this entry may allow in a reporting delay."""
+        if left < 1:
+            return 0
+        if rivals.known <= max(left, rivals.own):
+            return inf
+        return rivals.own_part(min(left, _safe_mean(room)))
 
     def _drop_expired(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._bounds.window_ms
@@ -68,24 +161,11 @@
                 times.popleft()
 
 
-class RetryBudgets:
-    """Keep a retry budget for each service."""
-
-    def __init__(self, bounds: RetryBounds) -> None:
-        self._bounds = bounds
-        self._budget_by_service: dict[str, RetryBudget] = defaultdict(
-            self._create_budget
-        )
-
-    def find(self, service_id: str) -> RetryBudget:
-        """Return the budget of a service, created on first use."""
-        return self._budget_by_service[service_id]
-
-    def replace_bounds(self, bounds: RetryBounds) -> None:
-        """Replace the bounds of all services."""
-        self._bounds = bounds
-        for budget in self._budget_by_service.values():
-            budget.replace_bounds(bounds)
+def _safe_mean(room: float) -> float:
+    """Return the mean of a count of chances that hardly ever exceeds the room.
 
-    def _create_budget(self) -> RetryBudget:
-        return RetryBudget(self._bounds)
+    The variance of such a count is at most its mean, so that the mean and
+    `MAX_DEVIATIONS` times its root fit into the room.
+    """
+    half = MAX_DEVIATIONS / 2
+    return (sqrt(half * half + room) - half) ** 2
--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -1,6 +1,7 @@
 """Simulate the entries of a large system and the datagrams between them."""
 
 from collections import Counter, defaultdict
+from random import Random
 
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.model import Team
@@ -21,6 +22,8 @@
     encode_state,
 )
 from marjoramfall.gateway.peers.peer_table import HEARTBEAT_MS, Member, PeerTable
+from marjoramfall.gateway.servers.retry_budget import RetryBounds
+from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from tests.gateway_fakes import make_load, make_state
@@ -32,9 +35,11 @@
 # About the time in which an entry collects changes before it reports them.
 STEP_MS = 25
 REQUEST_TOKENS = 3840
+SEED = 1
 # Bounds set by the users: the allowed excess over a limit in a window of 8 s.
 OVER_SHARE = 0.1
 SLACK = 190_000
+RETRY_BOUNDS = RetryBounds(share=0.2, slack=58, window_ms=10_000)
 TEAM = Team('school', None, RATE_PER_S, BURST, counts_tokens=True, plain_tokens=200)
 
 
@@ -68,11 +73,18 @@
             f's{number}': make_load(f's{number}') for number in range(SERVERS)
         }
         self.peer_loads = PeerLoads(self.loads, lambda service_id: None)
+        self.retry_budgets = RetryBudgets(
+            RETRY_BOUNDS,
+            restarted_ms=None if network.is_first_start else self.started_ms,
+            draw=network.draw,
+        )
         self.uses = []
         # The configuration, which an entry that starts again reads at once.
         self.has_changed = not network.is_first_start
         self.exchanged_ms = self.started_ms
-        self.digests = DigestBuilder(self.clock, self.peers, self.limits, self.moves)
+        self.digests = DigestBuilder(
+            self.clock, self.peers, self.limits, self.moves, self.retry_budgets
+        )
         self.relay = GroupRelay(self.peers, self, self.clock, own_vm=vm, send=self.send)
 
     def own_digest(self, scope, *, with_all_limits):
@@ -91,6 +103,7 @@
             recent_share=recent_share,
             own_group=self.peers.groups.own_group,
         )
+        self.retry_budgets.add_digest(digest, now_ms)
         self.moves.on_reports(source_of(digest), digest.moves)
         self.peer_loads.replace(report_of_digest(digest), 0)
 
@@ -119,6 +132,7 @@
             uses=self.uses,
             limit_uses=limits.uses() if with_all_limits else limits.changed_uses(),
             has_all_limits=with_all_limits,
+            retry_uses=self.retry_budgets.uses(self.clock.monotonic_ms()),
             limit_levels=levels,
         )
 
@@ -149,6 +163,7 @@
             self.send(encode_state(own_state), [state.address])
         now_ms = self.clock.monotonic_ms()
         self.limits.add_state(state, now_ms, uptime_ms=self.uptime_ms())
+        self.retry_budgets.add_state(state, now_ms)
         self.peer_loads.replace(report_of_state(state), 0)
 
     def check(self, *, is_heartbeat):
@@ -181,11 +196,12 @@
 class Network:
     """Connect simulated entries and count their datagrams."""
 
-    def __init__(self, count, *, team=TEAM, step_ms=STEP_MS):
+    def __init__(self, count, *, team=TEAM, step_ms=STEP_MS, seed=SEED):
         self.clock = PausedClock()
         self.team = team
         self.step_ms = step_ms
         self.steps_per_heartbeat = int(HEARTBEAT_MS / step_ms)
+        self.draw = Random(seed).random
         self.data_centre_by_vm = members(count)
         self.incarnations = 0
         self.sent_by_vm = Counter()
