--- a/tests/test_retry_waits.py
+++ b/tests/test_retry_waits.py
@@ -65,7 +65,8 @@
     def test_error_passed_on(self):
         """Guards against a wait where the server's own error answers the caller."""
         failure = partial(answer, status='500 Internal Server Error')
-        self.add_backend(failure, service_id=MODEL)
+        for _ in range(2):
+            self.add_backend(failure, service_id=MODEL)
         with patch.object(self.fleet.retries, 'waiting') as waiting:
             self.assertIn(b' 500 ', self.ask('/review/1'))
         waiting.assert_not_called()
