Go on elsewhere after a peer has failed a request that may repeat

Only a peer's 503 was followed by another place; its 502, which says that the request has run there, ended the request at the entry that had delegated it.

A peer's 502 for a request that may repeat now ends that exchange as unknown: the run is counted, and attempts, retry budget and time decide on the next place, as after a server's broken connection.

Evidence: tests.test_second_places test_failed_by_peer: 502 {"error":"no path"} before, 200 now; test_failed_by_peer_at_last keeps the bound.

--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -33,6 +33,7 @@
 # How often a peer that sends nothing is checked for being alive.
 LIVENESS_INTERVAL_MS = 300.0
 OK = 200
+BAD_GATEWAY = 502
 UNAVAILABLE = 503
 CONTENT_TYPE = b'content-type'
 RETRY_AFTER = b'retry-after'
@@ -137,6 +138,9 @@
         if messages.may_go_elsewhere(response) or (has_run and is_refused):
             self._call.runs -= 1
             return Outcome(Ending.NOT_REACHED, failure)
+        if response.status == BAD_GATEWAY and self._call.may_repeat:
+            # It has run there, but may run once more elsewhere.
+            return Outcome(Ending.UNKNOWN, failure)
         if response.status != UNAVAILABLE:
             raise GatewayFailureError(response.status, failure)
         self._call.runs -= 1
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -56,6 +56,12 @@
     return False
 
 
+def fail_delegated(exchange):
+    """Say as a peer that a request has failed after it had run there."""
+    extra = f'{FAILURE.decode()}: no path\r\n'
+    answer(exchange, status='502 Bad Gateway', extra=extra)
+
+
 def break_off(_exchange):
     """End the connection without a response."""
     return False
@@ -253,6 +259,24 @@
         """Guards against a 502 with time left as no entry has a path for a moment."""
         self.check_asked_again(refuse_elsewhere)
 
+    def use_attempts(self, count):
+        """Let requests run some times."""
+        route = make_route('read', max_attempts=count)
+        self.registry.put_config(make_config(2, routes=(route,)), 2)
+
+    def test_failed_by_peer(self):
+        """Guards against a 502 of a peer passed on with attempts and time left."""
+        self.use_attempts(3)
+        self.check_asked_again(fail_delegated)
+
+    def test_failed_by_peer_at_last(self):
+        """Guards against more runs than the route allows as peers fail a request."""
+        self.use_attempts(2)
+        self.add_backend(break_off)
+        peer = self.add_peer_script(fail_delegated, answer)
+        self.assertIn(b'502 Bad', self.ask('/read/1'))
+        self.assertEqual(len(peer.heads), 1)
+
     @patch.object(service_paths, 'PROBE_INTERVAL_MS', 20)
     def test_lost_path(self):
         """Guards against attempts spent on a lost path that resets connections."""
