Parse nothing else while a pipelined body waits for room

A caller that pipelines a large body behind a request, while the budget of bodies is full, got a third answer on its connection, or a 503 for a request that was running (MIXED, REFUSED): the greenlet of the answered request waited for room, and the connection's reader parsed on beside it.

While a parse waits for room, the reader neither parses nor reads; what it had read is parsed after the wait.

Evidence: tests.test_large_bodies test_pipelined fails before (an answer while there is no room) and passes with the change.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -182,6 +182,8 @@
         self._clock = clock
         self._bodies = bodies
         self._room: BodyReservation | None = None
+        # Set while a greenlet waits for room: nothing else is parsed, or read, then.
+        self._is_waiting_for_room = False
         self._on_end = on_end
         self._worker: Greenlet | None = None
         self._pipelined = bytearray()
@@ -233,6 +235,9 @@
         self._on_end(self)
 
     def _read_once(self) -> bool:
+        if self._is_waiting_for_room:
+            self._room.granted.wait(TIMEOUT_CHECK_INTERVAL_S)
+            return True
         # A timeout set on the socket would also apply to the worker's writes.
         try:
             socket.wait_read(self._socket.fileno(), timeout=TIMEOUT_CHECK_INTERVAL_S)
@@ -242,7 +247,7 @@
         if not received:
             return False
         self._last_activity_ms = self._clock.monotonic_ms()
-        if self._worker is not None:
+        if self._worker is not None or self._is_waiting_for_room:
             self._pipelined += received
             return len(self._pipelined) <= MAX_PIPELINED_BYTES
         return self._parse(received)
@@ -280,13 +285,24 @@
         if size <= SMALL_BODY_BYTES or self._room is not None:
             return True
         self._room = self._bodies.reserve(size)
+        self._is_waiting_for_room = True
         try:
             self._bodies.wait(self._room)
         except BodyBudgetError as error:
             self._send_error(UNAVAILABLE, str(error))
             return False
+        finally:
+            self._is_waiting_for_room = False
         self._last_activity_ms = self._clock.monotonic_ms()
-        return True
+        return self._parse_pipelined()
+
+    def _parse_pipelined(self) -> bool:
+        """Parse what arrived while there was no parser for it."""
+        if not self._pipelined:
+            return True
+        pipelined = bytes(self._pipelined)
+        self._pipelined.clear()
+        return self._parse(pipelined)
 
     def _release_room(self) -> None:
         if self._room is not None:
@@ -326,11 +342,8 @@
             return
         self._last_activity_ms = self._clock.monotonic_ms()
         self._parser = self._new_parser()
-        if self._pipelined:
-            pipelined = bytes(self._pipelined)
-            self._pipelined.clear()
-            if not self._parse(pipelined):
-                self._shut_down()
+        if not self._parse_pipelined():
+            self._shut_down()
 
     def _shut_down(self) -> None:
         # The shutdown ends the reader, which waits for the socket in another greenlet.
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -9,7 +9,7 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.http_messages import RequestParser
 from marjoramfall.gateway.servers.backend_connection import has_input
-from tests.gateway_case import GatewayCase, answer
+from tests.gateway_case import ATTEMPT, GatewayCase, answer
 
 BODY = bytes(300_000)
 REQUESTS = 5
@@ -102,6 +102,36 @@
         self.add_backend(answer)
         self.assertIn(b' 200 ', self.ask('/read/1', method='POST', body=BODY))
 
+    def test_pipelined(self):
+        """Guards against a second answer, or a refusal of a request that runs."""
+        for is_released in (False, True):
+            room = self.bodies.reserve(len(BODY))
+            connection = self.pipeline()
+            connection.sendall(BODY[SMALL_BODY_BYTES:])
+            sleep(PAUSE_S)
+            self.assertFalse(has_input(connection))
+            if is_released:
+                self.bodies.release(room)
+                self.assertIn(b' 200 ', self.receive(connection))
+                continue
+            self.assertIn(b' 503 ', self.receive(connection))
+            self.assertEqual(connection.recv(1), b'')
+            self.bodies.release(room)
+
+    def pipeline(self):
+        """Begin a large request while the one before is served, and receive that."""
+        self.may_answer.clear()
+        backend = self.add_backend(self.hold)
+        connection = self.send('/read/1')
+        self.wait_for(lambda: backend.heads)
+        head = f'POST /read/2 HTTP/1.1\r\nHost: a.example\r\n{ATTEMPT}: a-1\r\n'
+        head += f'Authorization: Bearer key-1\r\nContent-Length: {len(BODY)}\r\n\r\n'
+        connection.sendall(head.encode() + BODY[:SMALL_BODY_BYTES])
+        sleep(PAUSE_S)
+        self.may_answer.set()
+        self.assertIn(b' 200 ', self.receive(connection))
+        return connection
+
     def test_caller_leaves(self):
         """Guards against room that is kept for callers that have left."""
         for _ in range(REQUESTS):
