Hold room for a body no longer and no larger than it needs

While large bodies wait for room, callers got 503 where there was memory: a body of unknown length kept room for the longest one until its request had ended, and a caller that sent a byte now and then kept its room without end. An entry that had delegated a request got a bare 503 from a peer without room, and passed it on as a server's answer, also for a request that had run.

The room shrinks to the body once that is complete; a body that holds room for longer than the idle timeout gets 408; a peer marks such a refusal as its own, so that another entry is asked.

Evidence: tests.test_large_bodies test_chunked and test_slow_body fail before and pass with the change. The mark of a peer's refusal has no test of its own.

--- a/marjoramfall/gateway/callers/body_budget.py
+++ b/marjoramfall/gateway/callers/body_budget.py
@@ -57,6 +57,13 @@
         ).warning('request refused: no room for its body')
         raise BodyBudgetError('no room for the body')
 
+    def shrink(self, reservation: BodyReservation, size: int) -> None:
+        """Give back what a body of unknown length did not need after all."""
+        if reservation.granted.is_set():
+            self._held_bytes -= reservation.size - size
+            reservation.size = size
+            self._grant()
+
     def release(self, reservation: BodyReservation) -> None:
         """Give the room back, or end the wait for it, once."""
         if reservation.granted.is_set():
--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -46,6 +46,7 @@
 # Below this, a request may be on its way on a connection that was just accepted.
 MIN_IDLE_MS = 100.0
 LAST_CHUNK = b'0\r\n\r\n'
+REQUEST_TIMEOUT = 408
 UNAVAILABLE = 503
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -160,6 +161,10 @@
     def limits(self) -> CallerLimits:
         """Return the limits in force."""
 
+    def refusal_headers(self, _reason: str) -> list[Header]:
+        """Return headers of the refusal of a request that was not read whole."""
+        return []
+
     @abstractmethod
     def is_stopping(self) -> bool:
         """Return whether connections should end after their next response."""
@@ -182,6 +187,7 @@
         self._clock = clock
         self._bodies = bodies
         self._room: BodyReservation | None = None
+        self._room_granted_ms = float(0)
         # Set while a greenlet waits for room: nothing else is parsed, or read, then.
         self._is_waiting_for_room = False
         self._on_end = on_end
@@ -282,8 +288,10 @@
     def _has_room(self) -> bool:
         """Wait for room for a large body; return False if the request was refused."""
         size = self._parser.expected_body_bytes(SMALL_BODY_BYTES)
-        if size <= SMALL_BODY_BYTES or self._room is not None:
+        if size <= SMALL_BODY_BYTES:
             return True
+        if self._room is not None:
+            return self._check_body_time()
         self._room = self._bodies.reserve(size)
         self._is_waiting_for_room = True
         try:
@@ -294,8 +302,17 @@
         finally:
             self._is_waiting_for_room = False
         self._last_activity_ms = self._clock.monotonic_ms()
+        self._room_granted_ms = self._last_activity_ms
         return self._parse_pipelined()
 
+    def _check_body_time(self) -> bool:
+        """Refuse a body that keeps others from room for too long; return False."""
+        held_ms = self._clock.monotonic_ms() - self._room_granted_ms
+        if held_ms <= self._handler.limits().idle_timeout_ms:
+            return True
+        self._send_error(REQUEST_TIMEOUT, 'the body took too long')
+        return False
+
     def _parse_pipelined(self) -> bool:
         """Parse what arrived while there was no parser for it."""
         if not self._pipelined:
@@ -319,9 +336,10 @@
             keep_alive=keep_alive and not self._handler.is_stopping(),
         )
         parser.close()
-        self._worker = spawn(
-            self._handle_request, parser.head, parser.take_body(), writer
-        )
+        body = parser.take_body()
+        if self._room is not None:
+            self._bodies.shrink(self._room, len(body))
+        self._worker = spawn(self._handle_request, parser.head, body, writer)
 
     def _handle_request(
         self, head: RequestHead, body: bytes, writer: ResponseWriter
@@ -374,7 +392,8 @@
     def _send_error(self, status: int, reason: str) -> None:
         writer = ResponseWriter(self._socket, RequestHead(), keep_alive=False)
         try:
-            writer.send_response(status, [], reason.encode())
+            headers = self._handler.refusal_headers(reason)
+            writer.send_response(status, headers, reason.encode())
         except CallerGoneError:
             self._is_closed = True
 
--- a/marjoramfall/gateway/delegation/requests.py
+++ b/marjoramfall/gateway/delegation/requests.py
@@ -9,7 +9,7 @@
 )
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.gateway import Gateway
-from marjoramfall.gateway.http_messages import RequestHead
+from marjoramfall.gateway.http_messages import Header, RequestHead
 from marjoramfall.gateway.model import CallerLimits
 
 # Room for the headers that an entry adds to those of a caller.
@@ -22,6 +22,10 @@
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
 
+    def refusal_headers(self, reason: str) -> list[Header]:
+        """Let the entry that has sent the request choose another one."""
+        return messages.failure_headers(reason, is_elsewhere=True)
+
     def handle(self, head: RequestHead, body: bytes, writer: ResponseWriter) -> None:
         """Answer one request; its caller and limits were checked by the peer."""
         value_by_name = dict(head.headers)
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -1,6 +1,7 @@
 """Test how many bodies of requests an entry holds, and for how long."""
 
 import gc
+from unittest.mock import patch
 
 from gevent import sleep
 from gevent.event import Event
@@ -8,11 +9,13 @@
 from marjoramfall.gateway.callers.body_budget import SMALL_BODY_BYTES, BodyBudget
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.http_messages import RequestParser
+from marjoramfall.gateway.model import CallerLimits
 from marjoramfall.gateway.servers.backend_connection import has_input
 from tests.gateway_case import ATTEMPT, GatewayCase, answer
 
 BODY = bytes(300_000)
 REQUESTS = 5
+SLOW_BODY_MS = 300
 PAUSE_S = 0.1
 
 
@@ -132,6 +135,36 @@
         self.assertIn(b' 200 ', self.receive(connection))
         return connection
 
+    def test_slow_body(self):
+        """Guards against callers that keep others from room by a byte now and then."""
+        limits = CallerLimits(idle_timeout_ms=SLOW_BODY_MS)
+        with patch.object(self.gateway, 'limits', return_value=limits):
+            connection = self.begin(f'Content-Length: {len(BODY)}')
+            for _ in range(REQUESTS):
+                connection.sendall(b'x')
+                sleep(SLOW_BODY_MS / 2000)
+                if has_input(connection):
+                    break
+            self.assertIn(b' 408 ', self.receive(connection))
+        self.add_backend(answer)
+        self.assertIn(b' 200 ', self.ask('/read/1', method='POST', body=BODY))
+
+    def test_chunked(self):
+        """Guards against room for the longest body kept for a short one."""
+        self.bodies = BodyBudget(max_bytes=CallerLimits().max_body_bytes)
+        backend = self.add_backend(self.hold)
+        size = 2 * SMALL_BODY_BYTES
+        connection = self.begin(
+            'Transfer-Encoding: chunked', 'Authorization: Bearer key-1'
+        )
+        connection.sendall(b'%x\r\n' % size + bytes(size))
+        sleep(PAUSE_S)
+        connection.sendall(b'\r\n0\r\n\r\n')
+        self.wait_for(lambda: backend.heads)
+        self.assertTrue(self.bodies.reserve(len(BODY)).granted.is_set())
+        self.may_answer.set()
+        self.assertIn(b' 200 ', self.receive(connection))
+
     def test_caller_leaves(self):
         """Guards against room that is kept for callers that have left."""
         for _ in range(REQUESTS):
