--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -5,7 +5,7 @@
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.callers.call import Call, Delegation
-from marjoramfall.gateway.callers.caller_connection import ResponseWriter
+from marjoramfall.gateway.callers.response_writer import ResponseWriter
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.dialect import Dialect
--- a/marjoramfall/gateway/delegation/requests.py
+++ b/marjoramfall/gateway/delegation/requests.py
@@ -3,10 +3,8 @@
 from dataclasses import replace
 
 from marjoramfall.gateway.callers.call import Delegation
-from marjoramfall.gateway.callers.caller_connection import (
-    RequestHandler,
-    ResponseWriter,
-)
+from marjoramfall.gateway.callers.caller_connection import RequestHandler
+from marjoramfall.gateway.callers.response_writer import ResponseWriter
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.gateway import Gateway
 from marjoramfall.gateway.http_messages import Header, RequestHead
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -8,7 +8,7 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.call_failover import CallFailover
 from marjoramfall.gateway.callers.call import Call
-from marjoramfall.gateway.callers.caller_connection import ResponseWriter
+from marjoramfall.gateway.callers.response_writer import ResponseWriter
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.delegation.delegates import MAX_UNREACHED_SERVERS
 from marjoramfall.gateway.delegation.exchange import DelegatedExchange
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -5,10 +5,10 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call, CallFields, Delegation
-from marjoramfall.gateway.callers.caller_connection import (
+from marjoramfall.gateway.callers.caller_connection import RequestHandler
+from marjoramfall.gateway.callers.response_writer import (
     CallerGoneError,
     EntryStopsError,
-    RequestHandler,
     ResponseWriter,
 )
 from marjoramfall.gateway.delegation.messages import failure_headers
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -4,7 +4,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
-from marjoramfall.gateway.callers.caller_connection import ResponseWriter
+from marjoramfall.gateway.callers.response_writer import ResponseWriter
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.http_messages import HEAD_METHOD, Response, find_header
 from marjoramfall.gateway.servers.backend_connection import (
