Return to a server while all others are ejected and busy

A begun stream waited to its end for an ejected server that was still at a request of this entry, while one that had failed the stream earlier was free: an ejected server counted as one that takes requests.

Evidence: tests.test_service_queue test_silent_server: nothing assigned before, the free server with the change.

--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -240,10 +240,10 @@
         Those that have failed the request are among them if it may return and no
         other server takes requests.
         """
-        open_loads = self._open_loads(demand, now_ms)
-        if demand.may_return and not open_loads:
-            return returnable_loads(self.load_by_id.values(), demand, now_ms)
-        return healthy_loads(open_loads, now_ms)
+        usable = healthy_loads(self._open_loads(demand, now_ms), now_ms)
+        if usable or not demand.may_return:
+            return usable
+        return returnable_loads(self.load_by_id.values(), demand, now_ms)
 
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -14,6 +14,9 @@
 )
 from tests.gateway_fakes import make_demand, make_load, make_server
 
+# Ejects a server.
+MANY_FAILURES = 3
+
 
 class QueueCase(unittest.TestCase):
     """Provide a queue with two servers of two slots each."""
@@ -313,6 +316,17 @@
         waiter = self.submit(has_run=True)
         self.assertIn(waiter, self.queue.waiters)
 
+    def test_silent_server(self):
+        """Guards against a stream that waits for a server as silent as ejected."""
+        now_ms = self.clock.monotonic_ms()
+        silent = self.queue.load_by_id['s2']
+        silent.begin(make_demand(now_ms), now_ms)
+        for _ in range(MANY_FAILURES):
+            silent.on_unreachable(now_ms)
+        failed = {'s1'}
+        self.submit(has_run=True, may_return=True, excluded_server_ids=failed)
+        self.assertEqual(self.chosen_ids(), ['s1'])
+
     def test_begun_first(self):
         """Guards against a begun stream that waits behind requests of its priority.
 
