Count entries that were not heard yet, and keep in mind that some were

The retry budget now counts the members that were not heard since a recent start, as the limits of teams do; an entry that has once known its peers stays ready.

--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -83,6 +83,7 @@
         # Set once entries or groups are heard of that are not known here.
         self.is_incomplete = False
         self.reading = MemberReading.NOT_TRIED
+        self._has_heard_any = False
         self._unknown_senders: set[UnknownSender] = set()
         self.outside = OutsideGroups(clock)
 
@@ -93,7 +94,8 @@
         The latter is enough only if reading has failed.
         """
         if self.reading is MemberReading.FAILED:
-            return bool(self.member_by_vm)
+            # Those that were heard may have expired since.
+            return self._has_heard_any
         return self.reading is MemberReading.DONE
 
     def add_member(self, vm: str, member: Member) -> None:
@@ -101,6 +103,7 @@
         if vm == self._own_vm or self.member_by_vm.get(vm) == member:
             return
         known = self.member_by_vm.get(vm)
+        self._has_heard_any = True
         self.member_by_vm[vm] = member
         if known is None or known.data_centre != member.data_centre:
             self._has_new_members = True
@@ -232,6 +235,10 @@
         """Return the number of unexpired entries, including this one."""
         return self.group_entry_count() + self.outside.entry_count()
 
+    def expected_entry_count(self) -> int:
+        """Return the number of entries with those not heard since a recent start."""
+        return self.entry_count() + self._undiscovered_count()
+
     def group_entry_count(self) -> int:
         """Return the number of unexpired entries of the own group."""
         oldest_ms = self._clock.monotonic_ms() - PEER_EXPIRY_MS
--- a/marjoramfall/gateway/retry_gate.py
+++ b/marjoramfall/gateway/retry_gate.py
@@ -75,7 +75,7 @@
         others = self._budgets.others_use(service_id, now_ms)
         return RetryAsk(
             # A new relay knows no other groups at first.
-            entry_count=max(self._peers.entry_count(), others.entries + 1),
+            entry_count=max(self._peers.expected_entry_count(), others.entries + 1),
             others=others,
             running=asking + sum(load.running for load in loads),
             own_running=asking + sum(len(load.own_requests) for load in loads),
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -61,6 +61,19 @@
             with self.subTest(count):
                 self.check_waves(count, running=10, least=0.7)
 
+    def test_not_heard_yet(self):
+        """Guards against the whole budget spent by each entry that knows no other."""
+        network = RetryNetwork(FEW_ENTRIES)
+        vms = list(network.entry_by_vm)
+        network.entry_by_vm.clear()
+        network.is_first_start = True
+        for vm in vms:
+            network.start(vm)
+        for entry in network.entry_by_vm.values():
+            entry.begin(10)
+            entry.fail_all(is_begun=True)
+        self.assertLessEqual(network.most_used(), 1)
+
     def test_replaced_entries(self):
         """Guards against retries forgotten with the entry that sent them."""
         for count in (FEW_ENTRIES, ENTRIES):
--- a/tests/test_start_order.py
+++ b/tests/test_start_order.py
@@ -154,6 +154,8 @@
         self.store.faults.status = 503
         self.addCleanup(spawn(self.directory.run).kill)
         self.assertTrue(wait_until(lambda: self.peers.is_known))
+        self.peers.member_by_vm.clear()
+        self.assertTrue(self.peers.is_known, 'after its peers have expired')
 
     def test_writes_refused(self):
         """Guards against entries that no write lets become ready, though they read."""
