Decide on a request that has waited by those that wait as well

With 65 entries and 80 running streams, callers left begun streams as no event came: each ask for the retry budget was left to chance, as all running requests might fail at once, with 8 of 59 retries spent, and two chances are all that a caller's patience allows.

A refused request waits for a reporting delay in any case, and is known to all others as waiting after it. It is now decided against those that wait, not against all that run: sure if they fit into what is left.

What is left waits twice, as a server it was sent to rejected it.

--- a/marjoramfall/gateway/retry_gate.py
+++ b/marjoramfall/gateway/retry_gate.py
@@ -47,12 +47,15 @@
         budget = self._budgets.find(call.service_id)
         budget.on_request(self._clock.monotonic_ms())
 
-    def try_retry(self, call: Call, *, is_running: bool = False) -> bool:
+    def try_retry(
+        self, call: Call, *, is_running: bool = False, has_waited: bool = False
+    ) -> bool:
         """Count and allow a retry, or return False if the budget is spent.
 
-        `is_running` is set for a request that is at a server yet.
+        `is_running` is set for a request that is at a server yet, `has_waited` for one
+        that others know to wait for the budget.
         """
-        ask = self._build_ask(call, asking=int(not is_running))
+        ask = self._build_ask(call, asking=int(not is_running), has_waited=has_waited)
         budget = self._budgets.find(call.service_id)
         decision = budget.decide(self._clock.monotonic_ms(), ask)
         if decision.is_allowed:
@@ -68,7 +71,7 @@
             self._notify_peers()
             yield
 
-    def _build_ask(self, call: Call, *, asking: int) -> RetryAsk:
+    def _build_ask(self, call: Call, *, asking: int, has_waited: bool) -> RetryAsk:
         service_id = call.service_id
         now_ms = self._clock.monotonic_ms()
         loads = self._find_queue(service_id).load_by_id.values()
@@ -82,6 +85,7 @@
             delay_ms=self.pause_ms,
             known_share=self._budgets.known_share(now_ms),
             is_begun=call.is_begun_stream,
+            has_waited=has_waited,
         )
 
 
@@ -103,4 +107,5 @@
         rivals=round(decision.rivals.known, 1),
         attempts_left=call.attempts_left,
         is_begun=ask.is_begun,
+        has_waited=ask.has_waited,
     ).warning('retry refused: shared retry budget spent')
--- a/marjoramfall/gateway/retry_wait.py
+++ b/marjoramfall/gateway/retry_wait.py
@@ -43,7 +43,7 @@
             with self._gate.waiting(call):
                 self._clock.sleep_ms(min(left_ms, self._gate.pause_ms))
             has_time = call.remaining_ms(self._clock.monotonic_ms()) > 0
-            if has_time and self._gate.try_retry(call):
+            if has_time and self._gate.try_retry(call, has_waited=True):
                 self._log_end(call, self._clock.monotonic_ms() - started_ms)
                 return True
 
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -44,7 +44,8 @@
     `running` requests of the service are known at all entries, `own_running` of them
     here, with the one that asks; reports of others may be `delay_ms` old.
     `known_share` is the part of the window that this entry knows, less than 1 after
-    a start.
+    a start. A request that `has_waited` for a reporting delay knows of all others that
+    failed together with it.
     """
 
     entry_count: int = 1
@@ -54,6 +55,7 @@
     delay_ms: float = 0.0
     known_share: float = 1.0
     is_begun: bool = False
+    has_waited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +139,9 @@
         return ask.known_share * (bounds.share * requests + bounds.slack * slack_share)
 
     def _rivals(self, requests: int, ask: RetryAsk) -> RetryRivals:
+        if ask.has_waited:
+            own = 1 + self.waiting
+            return RetryRivals(own, own + ask.others.waiting)
         own = ask.own_running + self.waiting
         if not ask.others.reporters:
             return RetryRivals(own, own)
--- a/tests/retry_simulation.py
+++ b/tests/retry_simulation.py
@@ -79,10 +79,10 @@
             self.network.request_times.append(now_ms)
             self.ask(make_call(is_begun=is_begun), now_ms + PATIENCE_MS, ExitStack())
 
-    def ask(self, call, give_up_ms, waiting):
+    def ask(self, call, give_up_ms, waiting, *, has_waited=False):
         """Ask for a retry, and wait if it is refused."""
         now_ms = self.clock.monotonic_ms()
-        if self.may_retry(call):
+        if self.may_retry(call, has_waited=has_waited):
             self.network.retry_times.append(now_ms)
             self.notify()
             waiting.close()
@@ -93,12 +93,12 @@
             due_ms = now_ms + self.gate.pause_ms
             self.asks.append((due_ms, call, give_up_ms, waiting))
 
-    def may_retry(self, call):
+    def may_retry(self, call, *, has_waited):
         """Decide as this build, or as the one before, which shares nothing."""
         if self.is_old:
             now_ms = self.clock.monotonic_ms()
             return self.budget.try_retry(now_ms, self.peers.entry_count())
-        return self.gate.try_retry(call)
+        return self.gate.try_retry(call, has_waited=has_waited)
 
     def ask_again(self):
         """Ask for the retries that are due."""
@@ -106,7 +106,7 @@
         self.asks = [ask for ask in self.asks if ask not in due]
         for _due_ms, call, give_up_ms, waiting in due:
             waiting.close()
-            self.ask(call, give_up_ms, waiting)
+            self.ask(call, give_up_ms, waiting, has_waited=True)
 
 
 class RetryNetwork(Network):
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -1,6 +1,7 @@
 """Test the retry budget that all entries of a system share."""
 
 import unittest
+from dataclasses import replace
 
 import msgspec
 
@@ -133,6 +134,17 @@
             ask = RetryAsk(2, MEMBER, running=79, is_begun=True)
             self.assertIs(budget.decide(0, ask).is_allowed, is_allowed)
 
+    def test_waited(self):
+        """Guards against a stream that others only might have failed with, refused."""
+        bounds = RetryBounds(share=0, slack=60, window_ms=1000)
+        budget = RetryBudget(bounds, draw=lambda: 0.99)
+        others = SharedRetryUse(reporters=64, entries=64)
+        ask = RetryAsk(entry_count=65, others=others, running=80, is_begun=True)
+        self.assertFalse(budget.decide(0, ask).is_allowed)
+        self.assertTrue(budget.decide(0, replace(ask, has_waited=True)).is_allowed)
+        many = replace(ask, others=replace(others, waiting=80), has_waited=True)
+        self.assertFalse(budget.decide(0, many).is_allowed)
+
     def test_own_part(self):
         """Guards against one failure that is left to chance, or many that are not."""
         budget = RetryBudget(RETRY_BOUNDS, iter((0.99, 0.99, 0, 0.99)).__next__)
