Test the mark of a peer's refusal for want of room

The mark that lets an entry ask another peer, where one has no room for a body, had no test of its own. tests.test_large_bodies test_refused_by_peer fails with an empty list in place of the mark (x-delegated-failure not found) and passes with it. No product code changes.

--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -91,6 +91,7 @@
             GatewayMetrics(vm='entry-1'),
             self.clock,
         )
+        self.handler = self.gateway
         self.listener = StreamServer(('127.0.0.1', 0), self.serve)
         self.listener.start()
         self.addCleanup(self.listener.stop, timeout=0)
@@ -110,7 +111,7 @@
         """Serve one connection of a caller."""
         CallerConnection(
             connection,
-            self.gateway,
+            self.handler,
             self.clock,
             bodies=self.bodies,
             on_end=lambda ended: None,
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -8,6 +8,8 @@
 
 from marjoramfall.gateway.callers.body_budget import SMALL_BODY_BYTES, BodyBudget
 from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.delegation.messages import ELSEWHERE, FAILURE
+from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.http_messages import RequestParser
 from marjoramfall.gateway.model import CallerLimits
 from marjoramfall.gateway.servers.backend_connection import has_input
@@ -165,6 +167,14 @@
         self.may_answer.set()
         self.assertIn(b' 200 ', self.receive(connection))
 
+    def test_refused_by_peer(self):
+        """Guards against a peer without room whose refusal looks like a server's."""
+        self.handler = DelegatedRequests(self.gateway)
+        self.bodies.reserve(len(BODY))
+        refusal = self.receive(self.begin(f'Content-Length: {len(BODY)}'))
+        for header in (FAILURE, ELSEWHERE):
+            self.assertIn(header, refusal)
+
     def test_caller_leaves(self):
         """Guards against room that is kept for callers that have left."""
         for _ in range(REQUESTS):
