Call competing retries contenders

No behaviour changes; test_shared_retry_budget.TestRetryBudgetOfAll, test_retry_waits, test_proofs and test_operations_page pass.

--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -11,7 +11,7 @@
 from marjoramfall.gateway.servers.retry_chances import (
     Draw,
     RetryChances,
-    RetryRivals,
+    RetryContenders,
 )
 from marjoramfall.gateway.servers.retry_reports import NO_USE, SharedRetryUse
 
@@ -69,7 +69,7 @@
     requests: int
     retries: int
     left: float
-    rivals: RetryRivals
+    contenders: RetryContenders
 
 
 class RetryBudget:
@@ -124,10 +124,10 @@
         bound = self._bound(requests, ask)
         safety_factor = BEGUN_SAFETY_FACTOR if ask.is_begun else SAFETY_FACTOR
         left = safety_factor * bound - retries
-        rivals = self._rivals(requests, ask)
-        part = self._part(left, bound - retries, rivals)
+        contenders = self._contenders(requests, ask)
+        part = self._part(left, bound - retries, contenders)
         is_allowed = self._chances.try_take(part, now_ms, ask.delay_ms)
-        decision = RetryDecision(is_allowed, requests, retries, left, rivals)
+        decision = RetryDecision(is_allowed, requests, retries, left, contenders)
         if is_allowed:
             self._retries.append(now_ms)
         return decision
@@ -138,26 +138,26 @@
         bounds = self._bounds
         return ask.known_share * (bounds.share * requests + bounds.slack * slack_share)
 
-    def _rivals(self, requests: int, ask: RetryAsk) -> RetryRivals:
+    def _contenders(self, requests: int, ask: RetryAsk) -> RetryContenders:
         if ask.has_waited:
             own = 1 + self.waiting
-            return RetryRivals(own, own + ask.others.waiting)
+            return RetryContenders(own, own + ask.others.waiting)
         own = ask.own_running + self.waiting
         if not ask.others.reporters:
-            return RetryRivals(own, own)
+            return RetryContenders(own, own)
         waiting = self.waiting + ask.others.waiting
         # Requests that arrive meanwhile have no part of their own.
         arriving = requests * ask.delay_ms / self._bounds.window_ms
         known = ask.running + waiting + arriving
-        return RetryRivals(own, max(own, known))
+        return RetryContenders(own, max(own, known))
 
-    def _part(self, left: float, room: float, rivals: RetryRivals) -> float:
+    def _part(self, left: float, room: float, contenders: RetryContenders) -> float:
         """Return how many retries this entry may allow in a reporting delay."""
         if left < 1:
             return 0
-        if rivals.known <= max(left, rivals.own):
+        if contenders.known <= max(left, contenders.own):
             return inf
-        return rivals.own_part(min(left, _safe_mean(room)))
+        return contenders.own_part(min(left, _safe_mean(room)))
 
     def _drop_expired(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._bounds.window_ms
--- a/marjoramfall/gateway/servers/retry_chances.py
+++ b/marjoramfall/gateway/servers/retry_chances.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RetryRivals:
+class RetryContenders:
     """Count the retries that may be asked for in a reporting delay, here and by all."""
 
     own: float
