Decode evacuation, cold, home and memory fields and ask placement rules in one order

What callers saw: nothing yet; no code read coldStartS, coldPerS, allowedRegions, kvCapacity or the regions of the data centres. Change: the adapter decodes the fields leniently (a bad optional field is logged and left aside, the rest of the row stays in force), and PlacementRules asks each PlacementRule at every assignment, before cost and room (docs/design/0001). Evidence: tests of the queue, the registry, the adapter and the gateway path pass; no rule is installed yet, so nothing else changes.

--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -1,6 +1,6 @@
 """Define the settings of an entry process."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.servers.retry_budget import RetryBounds
@@ -15,7 +15,8 @@
     `expose_slack` bound the requests of an unproven version in the same way.
     A stopping entry waits for its requests up to `grace_s`. An entry may admit
     requests beyond the limit of a team by `limit_tolerance_share` of the burst
-    plus `limit_tolerance`.
+    plus `limit_tolerance`. A cold server gets at most `cold_over` times its rate plus
+    `cold_slack` requests in any second from all entries together.
     """
 
     grace_s: float
@@ -26,6 +27,8 @@
     limit_tolerance: float
     expose_share: float
     expose_slack: float
+    cold_over: float = 1
+    cold_slack: float = 0
 
     @property
     def retry_bounds(self) -> RetryBounds:
@@ -56,3 +59,6 @@
     # Where peers send the requests whose servers they can't reach.
     delegation_address: str
     bounds: EntryBounds
+    region_by_data_centre: dict[str, str] = field(default_factory=dict)
+    # What the VM gives to the process, in MB; 0 if it states no limit.
+    memory_mb: float = 0
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -20,6 +20,7 @@
     max_idle_connections,
 )
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
@@ -65,11 +66,13 @@
         retry_budgets: RetryBudgets,
         limits: SharedLimits,
         notify_peers: Callable[[], None],
+        rules: PlacementRules | None = None,
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._pool = pool
         self._moves = moves
+        self._rules = rules or PlacementRules()
         self._unanswered_results = UnansweredResults(clock)
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
@@ -125,6 +128,7 @@
                 self._clock,
                 is_model=self._is_model(service_id),
                 schedule_assign=self._limit_timer.schedule,
+                rules=self._rules,
             )
             self._queue_by_service[service_id] = queue
         return queue
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -52,16 +52,28 @@
     priority: int
     max_attempts: int
     is_public: bool
+    # The regions whose servers may get the requests; empty for all.
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe a group of interchangeable backend servers."""
+    """Describe a group of interchangeable backend servers.
+
+    A server that has just started is cold for `cold_start_ms` and takes
+    `cold_rate_per_s` requests per second meanwhile, no limit if 0. `memory_tokens`
+    bounds the tokens of the requests that a model server holds, no limit if 0.
+    Its running requests can be moved between servers if `moves_runs`.
+    """
 
     service_id: str
     max_connections: int
     is_model: bool
     tokens_per_event: float
+    cold_start_ms: float = 0
+    cold_rate_per_s: float = 0
+    memory_tokens: int = 0
+    moves_runs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +91,8 @@
     burst: float
     counts_tokens: bool
     plain_tokens: int
+    # The regions whose servers may get the team's requests; empty for all.
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def max_debt(self) -> float:
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -7,6 +7,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
 from marjoramfall.gateway.servers.usable_servers import (
     healthy_loads,
@@ -87,13 +88,16 @@
         *,
         is_model: bool,
         schedule_assign: Callable[[float], None] = _ignore_delay,
+        rules: PlacementRules | None = None,
     ) -> None:
         """Create an empty queue.
 
         `schedule_assign` is to call `assign` after a delay in milliseconds, when the
-        limit of a server next allows a request.
+        limit of a server next allows a request. No server gets a request that one of
+        the `rules` excludes.
         """
         self._clock = clock
+        self._rules = rules or PlacementRules()
         self._schedule_assign = schedule_assign
         self._service_time_ms = (
             INITIAL_MODEL_SERVICE_TIME_MS if is_model else INITIAL_PLAIN_SERVICE_TIME_MS
@@ -243,7 +247,8 @@
         usable = healthy_loads(self._open_loads(demand, now_ms), now_ms)
         if usable or not demand.may_return:
             return usable
-        return returnable_loads(self.load_by_id.values(), demand, now_ms)
+        allowed = self._rules.allowed(list(self.load_by_id.values()), demand, now_ms)
+        return returnable_loads(allowed, demand, now_ms)
 
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
@@ -252,12 +257,10 @@
         ]
 
     def _eligible_loads(self, demand: Demand) -> list[ServerLoad]:
-        loads = self.load_by_id.values()
-        if demand.version is ANY_VERSION and not demand.excluded_server_ids:
-            return [load for load in loads if not load.is_leaving]
-        return [
-            load for load in loads if not load.is_leaving and demand.allows(load.server)
-        ]
+        eligible = [load for load in self.load_by_id.values() if not load.is_leaving]
+        if demand.version is not ANY_VERSION or demand.excluded_server_ids:
+            eligible = [load for load in eligible if demand.allows(load.server)]
+        return self._rules.allowed(eligible, demand, self._clock.monotonic_ms())
 
     def _peer_sort_keys(self) -> list[tuple[float, float]]:
         return sorted(
--- a/marjoramfall/platform/json_records.py
+++ b/marjoramfall/platform/json_records.py
@@ -1,9 +1,11 @@
 """Decode JSON that any writer may have left in the store."""
 
+import math
 from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, TypeVar
 
 import msgspec
+from loguru import logger
 
 Record = TypeVar('Record')
 LAST_PORT = 65_535
@@ -24,6 +26,27 @@
         raise InvalidRecordError(str(error)) from error
 
 
+def read_amount(found: object, name: str) -> float:
+    """Return an optional amount; one that is none counts as absent and is logged."""
+    if found is None:
+        return 0
+    is_number = isinstance(found, int | float) and not isinstance(found, bool)
+    if is_number and math.isfinite(found) and found >= 0:
+        return float(found)
+    _log_ignored(found, name)
+    return 0
+
+
+def read_names(found: object, name: str) -> frozenset[str]:
+    """Return an optional list of names; anything else counts as absent."""
+    if found is None:
+        return frozenset()
+    if isinstance(found, list) and all(isinstance(entry, str) for entry in found):
+        return frozenset(found)
+    _log_ignored(found, name)
+    return frozenset()
+
+
 def check_address(address: str) -> None:
     """Raise `InvalidRecordError` unless this is an IPv4 address with a port."""
     host, _, port = address.rpartition(':')
@@ -34,3 +57,9 @@
     is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(LAST_PORT))
     if not is_number or not 1 <= int(port) <= LAST_PORT:
         raise InvalidRecordError(f'invalid port {port[:MAX_SHOWN_CHARS]!r}')
+
+
+def _log_ignored(found: object, name: str) -> None:
+    logger.bind(field=name, found=repr(found)[:MAX_SHOWN_CHARS]).warning(
+        'invalid optional field of a record ignored'
+    )
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -1,5 +1,6 @@
 """Decode and validate the records of operators and backend servers."""
 
+from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import (
     BackendServer,
     CallerLimits,
@@ -16,9 +17,12 @@
     InvalidRecordError,
     check_address,
     decode_record,
+    read_amount,
+    read_names,
 )
 from marjoramfall.platform.wire_records import (
     WireConfig,
+    WireEngine,
     WireRollout,
     WireRoute,
     WireServer,
@@ -105,6 +109,7 @@
         priority=wire.priority,
         max_attempts=max(1, wire.max_attempts),
         is_public=wire.public,
+        home_regions=read_names(wire.allowed_regions, f'{wire.name}.allowedRegions'),
     )
 
 
@@ -117,9 +122,18 @@
 
 
 def _to_service(wire: WireService) -> Service:
-    tokens_per_event = wire.engine.stride if wire.engine else 1
-    is_model = wire.engine is not None
-    return Service(wire.name, wire.max_conns, is_model, max(1, tokens_per_event))
+    engine = wire.engine or WireEngine()
+    cold_start_s = read_amount(wire.cold_start_s, f'{wire.name}.coldStartS')
+    return Service(
+        service_id=wire.name,
+        max_connections=wire.max_conns,
+        is_model=wire.engine is not None,
+        tokens_per_event=max(1, engine.stride),
+        cold_start_ms=cold_start_s * MS_PER_SECOND,
+        cold_rate_per_s=read_amount(wire.cold_per_s, f'{wire.name}.coldPerS'),
+        memory_tokens=int(read_amount(engine.kv_capacity, f'{wire.name}.kvCapacity')),
+        moves_runs=engine.moves is True,
+    )
 
 
 def _to_team(wire: WireTeam) -> Team:
@@ -130,4 +144,5 @@
         burst=wire.burst,
         counts_tokens=wire.unit == 'tokens',
         plain_tokens=wire.plain_tokens,
+        home_regions=read_names(wire.allowed_regions, f'{wire.name}.allowedRegions'),
     )
--- a/marjoramfall/platform/settings.py
+++ b/marjoramfall/platform/settings.py
@@ -33,6 +33,13 @@
     quota_slack: float = msgspec.field(name='quotaSlack', default=0)
     expose_share: float = msgspec.field(name='exposeShare', default=0.1)
     expose_slack: float = msgspec.field(name='exposeSlack', default=50)
+    cold_over: float = msgspec.field(name='coldOver', default=1)
+    cold_slack: float = msgspec.field(name='coldSlack', default=0)
+
+
+class _Limits(msgspec.Struct):
+    # 0 for no limit.
+    memory_mb: float = msgspec.field(name='memoryMb', default=0)
 
 
 class _Settings(msgspec.Struct):
@@ -46,6 +53,10 @@
     # True only at the first start of the whole system.
     is_first_start: bool = msgspec.field(name='bootstrap', default=False)
     bounds: _Bounds = msgspec.field(name='bounds', default_factory=_Bounds)
+    region_by_data_centre: dict[str, str] = msgspec.field(
+        name='zones', default_factory=dict
+    )
+    limits: _Limits = msgspec.field(name='limits', default_factory=_Limits)
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +129,8 @@
         metrics_address=metrics,
         is_first_start=decoded.is_first_start,
         delegation_address=f'{decoded.ip}:{decoded.internal_ports[0] + 1}',
+        region_by_data_centre=decoded.region_by_data_centre,
+        memory_mb=decoded.limits.memory_mb,
         bounds=EntryBounds(
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
@@ -127,5 +140,7 @@
             limit_tolerance=bounds.quota_slack * LIMIT_TOLERANCE_SHARE,
             expose_share=bounds.expose_share,
             expose_slack=bounds.expose_slack,
+            cold_over=bounds.cold_over,
+            cold_slack=bounds.cold_slack,
         ),
     )
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -1,5 +1,7 @@
 """Define the records of the platform as they are encoded in its store."""
 
+from typing import Any
+
 import msgspec
 
 from marjoramfall.platform.json_records import Count
@@ -31,13 +33,18 @@
     resumable: bool = False
     # The largest gap wanted between events of a stream.
     gap_aim_ms: float = 0
+    # Read leniently: a value that is no list of regions leaves the route in force.
+    allowed_regions: Any = None
 
 
-class WireEngine(msgspec.Struct):
+class WireEngine(msgspec.Struct, rename='camel'):
     """Describe the model servers of a service."""
 
     # The number of tokens in one event of a stream.
     stride: float = 1
+    # Read leniently, as all that later pages have added.
+    kv_capacity: Any = None
+    moves: Any = None
 
 
 class WireService(msgspec.Struct, rename='camel'):
@@ -46,6 +53,9 @@
     name: str
     max_conns: int = 0
     engine: WireEngine | None = None
+    # Read leniently: a value that is no time or rate leaves the service in force.
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class WireTeam(msgspec.Struct, rename='camel'):
@@ -58,6 +68,8 @@
     plain_tokens: int = 0
     rate_per_s: float = 0
     burst: float = 0
+    # Read leniently, like that of a route.
+    allowed_regions: Any = None
 
 
 class WireLimits(msgspec.Struct, rename='camel'):
