Send nothing to evacuated data centres, and keep requests in their homes

What callers saw: nothing changed when an operator evacuated a data centre; its servers went on getting requests, and homes of routes and teams were not kept. Cause: no code read op/evacuate/ZONE nor allowedRegions.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -7,7 +7,6 @@
 from marjoramfall.gateway.delegation.delegates import Delegates
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.place_search import PlaceSearch
-from marjoramfall.gateway.servers.demand import build_demand
 from marjoramfall.gateway.servers.failover import Failover
 from marjoramfall.gateway.servers.service_queue import Assignment, OverloadError
 
@@ -87,7 +86,13 @@
         if self._search.rejection is not None:
             self._pause(self._search.rejection)
             return False
-        return self._search.is_found() and self._try_move()
+        if not self._search.is_found():
+            return False
+        if self._search.is_revoked():
+            # A later place may be at a server that serves the request.
+            self.cancel()
+            return False
+        return self._try_move()
 
     def cancel(self) -> None:
         """Leave the queue, and free a place that is reserved."""
@@ -106,8 +111,7 @@
         if not self._has_other_server():
             return False
         call = self._call
-        version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
+        demand = self._fleet.build_demand(call)
         # The wait costs nothing, as the first server may still go on.
         demand.give_up_ms = call.deadline_ms
         demand.excluded_server_ids = {
--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -93,6 +93,8 @@
     # Set if a peer has accepted the request from its caller.
     delegation: Delegation | None = None
     tried_delegates: set[str] = field(default_factory=set)
+    # The regions whose servers may get the request; empty for all.
+    home_regions: frozenset[str] = frozenset()
 
     @cached_property
     def fingerprint(self) -> str:
--- a/marjoramfall/gateway/delegation/delegates.py
+++ b/marjoramfall/gateway/delegation/delegates.py
@@ -6,6 +6,7 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
+from marjoramfall.gateway.homes import Homes
 from marjoramfall.gateway.peers.peer_state import PeerState
 from marjoramfall.gateway.peers.peer_table import PeerTable
 
@@ -23,6 +24,7 @@
     def __init__(self, peers: PeerTable, paths: ServicePaths) -> None:
         self._peers = peers
         self._paths = paths
+        self.homes = Homes({}, data_centre='')
 
     def choose(self, call: Call) -> DelegateOffer | None:
         """Return the peer to send a request to, None to serve it here."""
@@ -44,11 +46,32 @@
     def _open_offers(self, call: Call) -> list[DelegateOffer]:
         if call.is_delegated or len(call.tried_delegates) >= MAX_DELEGATIONS:
             return []
-        return [
+        untried = [
             offer
             for offer in self._offers(call.service_id)
             if offer.vm not in call.tried_delegates
         ]
+        return self._offers_at_home(call, untried) if call.home_regions else untried
+
+    def _offers_at_home(
+        self, call: Call, offers: list[DelegateOffer]
+    ) -> list[DelegateOffer]:
+        """Return the offers of peers that may hold the body of the request.
+
+        Those in the region of this entry may, as the caller is connected here; they
+        help if none at home is left.
+        """
+        at_home: list[DelegateOffer] = []
+        near: list[DelegateOffer] = []
+        for offer in offers:
+            member = self._peers.member_by_vm.get(offer.vm)
+            if member is None:
+                continue
+            if self.homes.is_in(member.data_centre, call.home_regions):
+                at_home.append(offer)
+            elif self.homes.is_near(member.data_centre):
+                near.append(offer)
+        return at_home or near
 
     def _offers(self, service_id: str) -> list[DelegateOffer]:
         """Return the peers of the group that reach the service.
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -4,8 +4,7 @@
 import time
 from collections.abc import Callable
 
-from gevent import spawn
-from gevent.event import Event
+from gevent import event, spawn
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
@@ -27,6 +26,7 @@
 from marjoramfall.gateway.peers.peer_state import LimitLevel, PeerState
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.peers.watch_duty import WatchDuty
+from marjoramfall.gateway.placement_orders import PlacementOrders
 from marjoramfall.gateway.registry import Registry
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
@@ -71,7 +71,7 @@
         self._sequence = 0
         self._is_listening = False
         self._is_leaving = False
-        self._stopped = Event()
+        self._stopped = event.Event()
         peer_address = f'{settings.ip}:{settings.peer_port}'
         self.peer_address = peer_address
         self.peers = PeerTable(
@@ -88,6 +88,7 @@
             starts_full=settings.is_first_start,
         )
         self.moves = VersionMoves(clock, expose_share=self._bounds.expose_share)
+        self._orders = PlacementOrders(settings, clock)
         self._fleet = Fleet(
             clock,
             self.peers,
@@ -97,11 +98,19 @@
             retry_budgets=self._retry_budgets,
             limits=self._limits,
             notify_peers=self._notify_peers,
+            rules=self._orders.rules,
         )
+        self._fleet.delegates.homes = self._orders.homes
         self.registry = Registry(
-            clock, self._on_config, self._on_servers, self.moves.begin
+            clock,
+            self._on_config,
+            self._on_servers,
+            self.moves.begin,
+            evacuations=self._orders.evacuations,
+            on_evacuation=self._on_evacuation,
         )
         self._metrics = GatewayMetrics(vm=settings.vm)
+        self._orders.add_gauges(self._metrics, self.registry)
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
         forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
         self._gateway = Gateway(
@@ -112,6 +121,7 @@
             dialect,
             self._metrics,
             clock,
+            homes=self._orders.homes,
         )
         self.watch_duty = WatchDuty(
             self.peers,
@@ -268,6 +278,7 @@
 
     def _on_config(self, config: Configuration) -> None:
         self._limits.set_teams(config.team_by_name, self._clock.monotonic_ms())
+        self._orders.homes.use_config(config)
         self._fleet.set_config(config)
         self._fleet.set_servers(self.registry.servers)
         self._notify_peers()
@@ -277,12 +288,21 @@
             self._fleet.set_servers(self.registry.servers)
         self._notify_peers()
 
+    def _on_evacuation(self) -> None:
+        self._orders.warn_of_unknown_data_centres()
+        self._fleet.use_changed_rules()
+        self._notify_peers()
+
     def _is_ready(self) -> bool:
         if self._is_leaving or not self._is_listening:
             return False
+        if self.registry.lacks_evacuations and self.watch_duty.is_store_reachable:
+            return False
         return self.registry.is_informed and self.peers.is_known
 
     def _needs_state(self) -> bool:
+        if self.registry.lacks_evacuations:
+            return True
         return not self._settings.is_first_start and not self.registry.is_informed
 
     def _maintain(self) -> None:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -19,13 +19,18 @@
     ConnectionPool,
     max_idle_connections,
 )
+from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
-from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
+from marjoramfall.gateway.servers.service_queue import (
+    Assignment,
+    NoServerError,
+    ServiceQueue,
+)
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
@@ -143,6 +148,19 @@
             return choice
         return ANY_VERSION
 
+    def build_demand(self, call: Call) -> Demand:
+        """Return what a call requires for its next attempt.
+
+        Where rules exclude all servers of the new version, an old one serves it.
+        """
+        version = self.choose_version(call.service_id)
+        now_ms = self._clock.monotonic_ms()
+        demand = build_demand(call, now_ms, version)
+        loads = self.queue(call.service_id).load_by_id.values()
+        if version.only and not self._rules.allows_any(loads, demand, now_ms):
+            demand.version = VersionChoice(excluded=version.only)
+        return demand
+
     def on_outcome(
         self, call: Call, assignment: Assignment, outcome: Outcome, *, status: int
     ) -> None:
@@ -191,6 +209,24 @@
             if queue.waiters:
                 queue.assign()
 
+    def use_changed_rules(self) -> None:
+        """Place waiting requests anew, or reject them, after a change of the rules."""
+        now_ms = self._clock.monotonic_ms()
+        for queue in self._queue_by_service.values():
+            loads = queue.load_by_id.values()
+            for waiter in tuple(queue.waiters):
+                if not self._rules.allows_any(loads, waiter.demand, now_ms):
+                    queue.withdraw(waiter)
+                    reason = self._rules.refusal(loads, waiter.demand, now_ms)
+                    waiter.on_reject(NoServerError(reason, retry_after_ms=0))
+        self.assign()
+
+    def revoked_by(self, assignment: Assignment) -> str | None:
+        """Return the rule that revokes a place not used yet, None if it holds."""
+        return self._rules.revoked_by(
+            assignment.load, assignment.request.demand, self._clock.monotonic_ms()
+        )
+
     def on_report(self, report: LoadReport) -> None:
         """Replace the load of a peer or group and assign waiting requests."""
         self.server_limits.merge(report.server_limits, self._load_by_id.get)
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -241,9 +241,8 @@
 
         Checked again after the wait, as servers may have crashed meanwhile.
         """
-        if failover.has_place:
-            assignment = failover.take_place()
-        else:
+        assignment = failover.take_place() if failover.has_place else None
+        while assignment is None or self._is_revoked(call, assignment):
             self._check_path(call)
             self._quarantine.check(call)
             assignment = self._acquire(call)
@@ -254,6 +253,22 @@
             raise
         return assignment
 
+    def _is_revoked(self, call: Call, assignment: Assignment) -> bool:
+        """Give a place back that a rule excludes since it was assigned."""
+        rule = self._fleet.revoked_by(assignment)
+        if rule is None:
+            return False
+        now_ms = self._clock.monotonic_ms()
+        logger.bind(
+            request=call.fields.attempt_id,
+            server=assignment.load.server.server_id,
+            data_centre=assignment.load.server.data_centre,
+            reason=rule,
+            assigned_ms_ago=round(now_ms - assignment.request.started_ms),
+        ).info('place given back')
+        self._fleet.finish(assignment)
+        return True
+
     def _acquire(self, call: Call) -> Assignment:
         try:
             return self._places.find(call)
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -15,6 +15,7 @@
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.fleet import pick_weighted
 from marjoramfall.gateway.forwarder import Forwarder
+from marjoramfall.gateway.homes import Homes
 from marjoramfall.gateway.http_messages import BadMessageError, RequestHead
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.model import CallerLimits, Configuration, Route, Team
@@ -48,6 +49,8 @@
         dialect: Dialect,
         metrics: GatewayMetrics,
         clock: Clock,
+        *,
+        homes: Homes,
     ) -> None:
         self._registry = registry
         self._limits = limits
@@ -56,6 +59,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._clock = clock
+        self._homes = homes
         self.stopping = False
         self._latest_deadline_ms = float('inf')
         self.in_flight = 0
@@ -221,6 +225,7 @@
             deadline_ms=received_ms + timeout_ms,
             last_event_id=fields.last_event_id,
             delegation=delegation,
+            home_regions=self._homes.find(route, team),
         )
 
     def _current_config_version(self) -> int:
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -8,7 +8,7 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.place_search import PlaceSearch
-from marjoramfall.gateway.servers.demand import Demand, build_demand, give_up_ms
+from marjoramfall.gateway.servers.demand import Demand, give_up_ms
 from marjoramfall.gateway.servers.service_queue import Assignment, NoServerError
 
 # Between two tries of a request that no server takes for the moment.
@@ -41,8 +41,7 @@
             self._clock.sleep_ms(RETURN_PAUSE_MS)
 
     def _build_demand(self, call: Call) -> Demand:
-        version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
+        demand = self._fleet.build_demand(call)
         demand.may_return = demand.has_run
         demand.give_up_ms = give_up_ms(call)
         return demand
--- a/marjoramfall/gateway/place_search.py
+++ b/marjoramfall/gateway/place_search.py
@@ -45,6 +45,10 @@
         """Return whether a place was found."""
         return self._assigned.successful()
 
+    def is_revoked(self) -> bool:
+        """Return whether a rule excludes the place since it was found."""
+        return self._fleet.revoked_by(self._assigned.value) is not None
+
     def take(self) -> Assignment:
         """Return the place that was found."""
         self._is_taken = True
--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.evacuations import EvacuationNews, Evacuations
 from marjoramfall.gateway.grace_periods import GracePeriod, GracePeriods
 from marjoramfall.gateway.model import BackendServer, Configuration, VersionMove
 from marjoramfall.gateway.revision import era_of, number_of
@@ -45,6 +46,9 @@
     lapsing: tuple[GracePeriod, ...] = ()
     # Not used, as they had left before the store came back from an older copy.
     withheld: tuple[GracePeriod, ...] = ()
+    # None in snapshots of entries that don't know all up to `config_as_of`, such as
+    # those of versions without evacuations.
+    evacuations: tuple[EvacuationNews, ...] | None = None
 
 
 @dataclass(slots=True)
@@ -74,6 +78,8 @@
     change_by_id: dict[str, ServerChange] = field(default_factory=dict)
     removed_by_id: dict[str, ServerChange] = field(default_factory=dict)
     outage_ended_ms: float = float('-inf')
+    evacuations: Evacuations | None = None
+    on_evacuation: Callable[[], None] = lambda: None
     lapsing: GracePeriods = field(init=False)
     withheld: GracePeriods = field(init=False)
 
@@ -81,6 +87,8 @@
         """Start without grace periods."""
         self.lapsing = GracePeriods(self.clock)
         self.withheld = GracePeriods(self.clock)
+        if self.evacuations is None:
+            self.evacuations = Evacuations(self.clock)
 
     @property
     def servers(self) -> list[BackendServer]:
@@ -96,6 +104,16 @@
         """Return whether a configuration and the servers are known."""
         return self.config is not None and self.servers_state.as_of > 0
 
+    @property
+    def operator_as_of(self) -> int:
+        """Return the revision up to which all that operators wrote is known."""
+        return min(self.config_state.as_of, self.evacuations.as_of)
+
+    @property
+    def lacks_evacuations(self) -> bool:
+        """Return whether a peer without them has told the configuration."""
+        return self.evacuations.as_of < self.config_state.as_of
+
     @property
     def store_era(self) -> int:
         """Return the newest era of the store that is known here; 0 if none."""
@@ -127,10 +145,35 @@
         self.config_state.changed = max(self.config_state.changed, order.revision)
         self.on_order(order)
 
+    def put_evacuation(self, news: EvacuationNews) -> None:
+        """Apply the begin or the end of an evacuation if it is newer."""
+        lasted_ms = self.evacuations.age_ms(news.data_centre)
+        is_changed = self.evacuations.put(news)
+        if not is_changed:
+            return
+        self.config_state.changed = max(self.config_state.changed, news.revision)
+        data_centre = news.data_centre
+        log = logger.bind(
+            data_centre=data_centre,
+            era=era_of(news.revision),
+            revision=number_of(news.revision),
+            servers=sum(server.data_centre == data_centre for server in self.servers),
+        )
+        if news.is_evacuated:
+            log.info('evacuation begun')
+        else:
+            log.bind(lasted_ms=round(lasted_ms)).info('evacuation ended')
+        self.on_evacuation()
+
     def set_config_as_of(self, revision: int) -> None:
         """Record that all configuration changes up to a revision are known."""
         self.config_state.as_of = max(self.config_state.as_of, revision)
 
+    def set_operator_as_of(self, revision: int) -> None:
+        """Record that all that operators wrote up to a revision is known."""
+        self.set_config_as_of(revision)
+        self.evacuations.advance(revision)
+
     def apply_changes(self, changes: Iterable[ServerChange], as_of: int) -> None:
         """Apply individual changes of servers, complete up to `as_of`."""
         for change in changes:
@@ -173,6 +216,8 @@
             logger.bind(server=server_id).info('server of a restored store used again')
         if lapsed_ids or listed_ids:
             self.on_servers()
+        for news in self.evacuations.lapsed():
+            self.put_evacuation(news)
 
     def snapshot(self) -> Snapshot:
         """Return what this entry knows of the store."""
@@ -185,10 +230,15 @@
             orders=tuple(self.order_by_service.values()),
             lapsing=self.lapsing.report(),
             withheld=self.withheld.report(),
+            evacuations=None if self.lacks_evacuations else self.evacuations.report(),
         )
 
     def merge(self, snapshot: Snapshot) -> None:
         """Apply the parts of a peer's snapshot that are newer."""
+        if snapshot.evacuations is not None:
+            for news in snapshot.evacuations:
+                self.put_evacuation(news)
+            self.evacuations.advance(snapshot.config_as_of)
         if snapshot.config is not None:
             self.put_config(snapshot.config, snapshot.config_revision)
             for order in snapshot.orders:
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -30,7 +30,8 @@
     `give_up_ms` ends the wait of a request that may have run (`has_run`), not an
     estimate: it can't be refused as not run any more. The caller has the beginning
     of a stream that `is_begun`. A request that `may_return` uses excluded servers
-    where no other takes it, the one that failed it last only after all others.
+    where no other takes it, the one that failed it last only after all others. Only
+    servers in `home_regions` may get it, any if there are none.
     """
 
     service_id: str
@@ -47,6 +48,7 @@
     is_begun: bool = False
     may_return: bool = False
     last_failed_server_id: str = ''
+    home_regions: frozenset[str] = frozenset()
 
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
@@ -89,6 +91,7 @@
         has_run=call.has_run,
         is_begun=call.is_begun_stream,
         last_failed_server_id=call.last_failed_server_id,
+        home_regions=call.home_regions,
     )
 
 
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -119,7 +119,10 @@
         self._refill_limits(now_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
         if not usable and not self._eligible_loads(waiter.demand):
-            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
+            reason = self._rules.refusal(
+                self.load_by_id.values(), waiter.demand, now_ms
+            )
+            raise NoServerError(reason, retry_after_ms=self._service_time_ms)
         if usable:
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
             waiter.expected_wait_ms = wait_ms
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.gateway.evacuations import EvacuationNews
 from marjoramfall.gateway.model import VersionMove
 from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry, ServerChange
@@ -39,6 +40,8 @@
 SERVER_TABLE = 'servers'
 CONFIG_KEY = 'config'
 MOVE_PREFIX = 'rollout/'
+# The row of a data centre that is evacuated until the row is deleted.
+EVACUATION_PREFIX = 'evacuate/'
 
 
 class TableWatch(ABC):
@@ -181,24 +184,35 @@
 
 
 class OperatorWatch(TableWatch):
-    """Follow the configuration and the orders of version moves."""
+    """Follow the configuration and the orders of version moves and evacuations."""
 
     table = OPERATOR_TABLE
     poll_pause_ms = 500.0
 
     def known_revision(self) -> int:
-        """Return the revision up to which the configuration is known, or 0."""
-        return self._registry.config_state.as_of
+        """Return the revision up to which the table is known, or 0."""
+        return self._registry.operator_as_of
 
     def apply_all(self, rows: RowSet) -> None:
         """Apply all rows of the table."""
+        listed = [
+            _to_evacuation(row).data_centre
+            for row in rows.rows
+            if _is_evacuation(row) and row.content is not None
+        ]
+        evacuations = self._registry.evacuations
+        for news in evacuations.missing(listed, rows.revision):
+            self._registry.put_evacuation(news)
         self.apply_changes(rows)
 
     def apply_changes(self, rows: RowSet) -> None:
         """Apply changed rows."""
+        evacuations = [row for row in rows.rows if _is_evacuation(row)]
+        for row in evacuations:
+            self._registry.put_evacuation(_to_evacuation(row))
         for row in rows.rows:
-            # After a deletion, the last configuration or order stays in force.
-            if row.content is None:
+            # After a deletion, the last configuration or move stays in force.
+            if row.content is None or row in evacuations:
                 continue
             try:
                 self._apply_row(row)
@@ -206,7 +220,7 @@
                 logger.bind(
                     key=row.key, revision=row.revision, details=str(error)
                 ).error('invalid operator record')
-        self._registry.set_config_as_of(rows.revision)
+        self._registry.set_operator_as_of(rows.revision)
 
     def _apply_row(self, row: Row) -> None:
         if row.key == CONFIG_KEY:
@@ -235,6 +249,19 @@
         self._registry.apply_changes(map(_to_change, rows.rows), rows.revision)
 
 
+def _is_evacuation(row: Row) -> bool:
+    return row.key.startswith(EVACUATION_PREFIX)
+
+
+def _to_evacuation(row: Row) -> EvacuationNews:
+    # The row says nothing beyond its key.
+    return EvacuationNews(
+        row.key.removeprefix(EVACUATION_PREFIX),
+        is_evacuated=row.content is not None,
+        revision=row.revision,
+    )
+
+
 def _to_change(row: Row) -> ServerChange:
     if row.content is None:
         return ServerChange(row.key, None, row.revision)
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -9,13 +9,18 @@
 from marjoramfall.gateway.callers.body_budget import BodyBudget
 from marjoramfall.gateway.callers.caller_connection import CallerConnection
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.evacuations import Evacuations
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.gateway import Gateway
+from marjoramfall.gateway.homes import Homes
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.evacuation_rule import EvacuationRule
+from marjoramfall.gateway.servers.home_rule import HomeRule
+from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budget import RetryBounds
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
@@ -26,6 +31,7 @@
 
 ATTEMPT = 'Marjoramfall-Attempt-Id'
 TIMEOUT_S = 5
+REGIONS = {'dc-a': 'east', 'dc-b': 'east', 'dc-c': 'west'}
 
 
 def read_attempt(exchange):
@@ -62,6 +68,8 @@
             RetryBounds(share=1, slack=50, window_ms=10 * MS_PER_SECOND)
         )
         self.limits = SharedLimits(tolerance_share=0, tolerance=0, starts_full=True)
+        self.evacuations = Evacuations(self.clock)
+        self.homes = Homes(REGIONS, data_centre='dc-a')
         self.fleet = Fleet(
             self.clock,
             self.peers,
@@ -71,10 +79,19 @@
             retry_budgets=self.retry_budgets,
             limits=self.limits,
             notify_peers=lambda: None,
+            rules=PlacementRules(
+                (HomeRule(self.homes), EvacuationRule(self.evacuations))
+            ),
         )
+        self.fleet.delegates.homes = self.homes
         self.quarantine = CrashQuarantine(self.clock, notify_peers=lambda: None)
         self.registry = Registry(
-            self.clock, self.use_config, self.use_servers, lambda order: None
+            self.clock,
+            self.use_config,
+            self.use_servers,
+            lambda order: None,
+            evacuations=self.evacuations,
+            on_evacuation=self.fleet.use_changed_rules,
         )
         self.gateway = Gateway(
             self.registry,
@@ -90,6 +107,7 @@
             PlatformDialect(),
             GatewayMetrics(vm='entry-1'),
             self.clock,
+            homes=self.homes,
         )
         self.handler = self.gateway
         self.listener = StreamServer(('127.0.0.1', 0), self.serve)
@@ -101,6 +119,7 @@
         """Apply a configuration."""
         now_ms = self.clock.monotonic_ms()
         self.limits.set_teams(config.team_by_name, now_ms)
+        self.homes.use_config(config)
         self.fleet.set_config(config)
 
     def use_servers(self):
@@ -117,12 +136,13 @@
             on_end=lambda ended: None,
         ).run()
 
-    def add_backend(self, *scripts, service_id=PLAIN, server_id=None):
+    def add_backend(self, *scripts, service_id=PLAIN, server_id=None, **changes):
         """Register a scripted backend server."""
         backend = ScriptedBackend(*scripts)
         self.addCleanup(backend.stop)
         server_id = server_id or f'i-{backend.address}'
-        server = make_server(server_id, address=backend.address, service_id=service_id)
+        fields = {'address': backend.address, 'service_id': service_id, **changes}
+        server = make_server(server_id, **fields)
         revision = self.registry.servers_state.as_of + 1
         change = ServerChange(server_id, server, revision)
         self.registry.apply_changes([change], revision)
