--- a/marjoramfall/gateway/registry.py
+++ b/marjoramfall/gateway/registry.py
@@ -18,6 +18,8 @@
 LAPSE_DETECTION_MS = 1500.0
 # A restored store drops the registration of a server that is gone within this time.
 RESTORE_GRACE_MS = 4000.0
+# News that a peer had before its own path to the store failed may come so late.
+LATE_NEWS_MS = 2000.0
 # More than leave in the time that a restoration loses.
 MAX_REMOVED_SERVERS = 1000
 
@@ -49,6 +51,8 @@
     # None in snapshots of entries that don't know all up to `config_as_of`, such as
     # those of versions without evacuations.
     evacuations: tuple[EvacuationNews, ...] | None = None
+    # How long ago an outage of the store ended; None if not known.
+    outage_age_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -78,6 +82,8 @@
     change_by_id: dict[str, ServerChange] = field(default_factory=dict)
     removed_by_id: dict[str, ServerChange] = field(default_factory=dict)
     outage_ended_ms: float = float('-inf')
+    # When a peer last told news of the servers.
+    peer_news_ms: float = float('-inf')
     evacuations: Evacuations | None = None
     on_evacuation: Callable[[], None] = lambda: None
     lapsing: GracePeriods = field(init=False)
@@ -202,9 +208,14 @@
             self._apply(change)
         self._advance_servers(as_of)
 
-    def note_outage_end(self) -> None:
-        """Record that the store is reachable again after an outage."""
-        self.outage_ended_ms = self.clock.monotonic_ms()
+    def note_outage_end(self, failed_ms: float | None = None) -> None:
+        """Record that the store is reachable again after an outage.
+
+        Where peers told news of it long after it failed for this entry, it served
+        others, and no registration has lapsed.
+        """
+        if failed_ms is None or self.peer_news_ms < failed_ms + LATE_NEWS_MS:
+            self.outage_ended_ms = self.clock.monotonic_ms()
 
     def end_grace_periods(self) -> None:
         """Remove servers that did not register again, and use those still listed."""
@@ -231,6 +242,7 @@
             lapsing=self.lapsing.report(),
             withheld=self.withheld.report(),
             evacuations=None if self.lacks_evacuations else self.evacuations.report(),
+            outage_age_ms=_recent_outage_age_ms(self),
         )
 
     def merge(self, snapshot: Snapshot) -> None:
@@ -245,6 +257,7 @@
                 self.put_order(order)
             self.set_config_as_of(snapshot.config_as_of)
         if snapshot.servers_as_of > self.servers_state.as_of:
+            _note_outage_of_peer(self, snapshot)
             self.apply_all(snapshot.servers, snapshot.servers_as_of)
             self.lapsing.merge(snapshot.lapsing)
             self.withheld.merge(snapshot.withheld)
@@ -265,6 +278,8 @@
     def _apply(self, change: ServerChange) -> None:
         server_id = change.server_id
         known = self.change_by_id.get(server_id)
+        if _was_removed(change, self.removed_by_id.get(server_id)):
+            return
         if known is not None and _is_outdated(change, known):
             _log_outdated(known, change)
             return
@@ -324,6 +339,29 @@
         ).info('server registered')
 
 
+def _recent_outage_age_ms(registry: Registry) -> float | None:
+    age_ms = registry.clock.monotonic_ms() - registry.outage_ended_ms
+    return age_ms if age_ms < LAPSE_GRACE_MS else None
+
+
+def _note_outage_of_peer(registry: Registry, snapshot: Snapshot) -> None:
+    now_ms = registry.clock.monotonic_ms()
+    # Entries of versions without evacuations don't tell of outages either.
+    if snapshot.evacuations is not None:
+        registry.peer_news_ms = now_ms
+    if snapshot.outage_age_ms is not None:
+        ended_ms = now_ms - snapshot.outage_age_ms
+        registry.outage_ended_ms = max(registry.outage_ended_ms, ended_ms)
+
+
+def _was_removed(change: ServerChange, removed: ServerChange | None) -> bool:
+    """Return whether a peer tells of a server what held before its removal."""
+    if removed is None or change.server is None:
+        return False
+    is_same_era = era_of(change.revision) == era_of(removed.revision)
+    return is_same_era and change.revision <= removed.revision
+
+
 def _is_outdated(change: ServerChange, known: ServerChange) -> bool:
     if change.revision <= known.revision:
         return True
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -67,6 +67,7 @@
         self._last_response_ms = clock.monotonic_ms()
         self._applied_revision: int | None = None
         self._is_connected = True
+        self._failed_ms = self._last_response_ms
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -158,13 +159,14 @@
         if not self._is_connected:
             self._is_connected = True
             self._duty.set_store_reachable(is_reachable=True)
-            self._registry.note_outage_end()
+            self._registry.note_outage_end(self._failed_ms)
             logger.bind(table=self.table).info('store reachable again')
 
     def _on_failure(self, error: StoreError) -> None:
         self._duty.set_store_reachable(is_reachable=False)
         if self._is_connected:
             self._is_connected = False
+            self._failed_ms = self._clock.monotonic_ms()
             logger.bind(table=self.table, details=str(error)).warning(
                 'store unreachable'
             )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,6 +7,7 @@
 from marjoramfall.gateway.peers.peer_table import PEER_EXPIRY_MS, Member, PeerTable
 from marjoramfall.gateway.registry import (
     LAPSE_GRACE_MS,
+    LATE_NEWS_MS,
     RESTORE_GRACE_MS,
     Registry,
     ServerChange,
@@ -99,6 +100,42 @@
         other.end_grace_periods()
         self.assertEqual(other.servers, [])
 
+    def test_refused_alone(self):
+        """Guards against keeping a server that left while the store refused this entry.
+
+        Its peers followed the store meanwhile, so that no registration has lapsed.
+        """
+        failed_ms = self.clock.monotonic_ms()
+        self.clock.advance_ms(LATE_NEWS_MS + 1)
+        peer = new_registry(self.clock)
+        peer.apply_all([change('s1', 10), change('s2', 11)], 11)
+        self.registry.merge(peer.snapshot())
+        self.registry.note_outage_end(failed_ms)
+        self.registry.apply_changes([ServerChange('s1', None, 12)], 12)
+        self.assertEqual(self.ids(), {'s2'})
+
+    def test_outage_heard_of(self):
+        """Guards against dropping servers as a peer found an outage to end first."""
+        failed_ms = self.clock.monotonic_ms()
+        self.clock.advance_ms(LATE_NEWS_MS + 1)
+        peer = new_registry(self.clock)
+        peer.note_outage_end()
+        peer.apply_all([change('s1', 10), change('s2', 11)], 11)
+        self.registry.merge(peer.snapshot())
+        self.registry.note_outage_end(failed_ms)
+        self.registry.apply_changes([ServerChange('s1', None, 12)], 12)
+        self.assertEqual(self.ids(), {'s1', 's2'})
+
+    def test_removed_server_in_snapshot(self):
+        """Guards against using a server again that only a peer holds to be lapsing."""
+        peer = new_registry(self.clock)
+        peer.note_outage_end()
+        peer.merge(self.registry.snapshot())
+        peer.apply_changes([ServerChange('s1', None, 12)], 13)
+        self.registry.apply_changes([ServerChange('s1', None, 12)], 12)
+        self.registry.merge(peer.snapshot())
+        self.assertEqual(self.ids(), set())
+
     def test_order_in_snapshot(self):
         """Guards against a version move that only those following the store know."""
         orders = []
