Let one entry use each cold server at a bounded rate

Change: while a server is cold by its registration, an answer or its start, one entry of one group, chosen by rendezvous hashing, uses it, at a rate at which three entries that each take themselves for the chosen one stay below the bound. A server that an entry failed to reach counts as cold until it is reached again and its cold time is over; it is reached by connecting, not by a request. Placement counts a cold server as slower than a warm one of another group. A cold time in a row that is none is left aside with one line, the row stays in force. What only such a rule excludes for a while waits in the queue.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -101,7 +101,9 @@
         self.registry = Registry(
             clock, self._on_config, self._on_servers, self.moves.begin
         )
+        self._fleet.cold.bounds = self._bounds.cold_bounds
         self._metrics = GatewayMetrics(vm=settings.vm)
+        self._fleet.cold.add_gauges(self._metrics)
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
         forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
         self._gateway = Gateway(
@@ -164,6 +166,7 @@
             tolerance=bounds.limit_tolerance,
         )
         self.moves.set_expose_share(bounds.expose_share)
+        self._fleet.cold.bounds = bounds.cold_bounds
 
     def begin_stop(self) -> None:
         """Report not ready, finish requests in flight, and end `run`."""
--- a/marjoramfall/gateway/entry_settings.py
+++ b/marjoramfall/gateway/entry_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from marjoramfall.clock import MS_PER_SECOND
+from marjoramfall.gateway.servers.cold_bounds import ColdBounds
 from marjoramfall.gateway.servers.retry_budget import RetryBounds
 
 
@@ -30,6 +31,11 @@
     cold_over: float = 1
     cold_slack: float = 0
 
+    @property
+    def cold_bounds(self) -> ColdBounds:
+        """Return the bounds of the requests to a cold server."""
+        return ColdBounds(over=self.cold_over, slack=self.cold_slack)
+
     @property
     def retry_bounds(self) -> RetryBounds:
         """Return the bounds of the retry budget of a service."""
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+from gevent import spawn
+
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
@@ -15,6 +17,8 @@
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.retry_gate import RetryGate
 from marjoramfall.gateway.servers.assign_timer import AssignTimer
+from marjoramfall.gateway.servers.backend_connection import NotReachedError
+from marjoramfall.gateway.servers.cold_servers import ColdRule, ColdServers
 from marjoramfall.gateway.servers.connection_pool import (
     ConnectionPool,
     max_idle_connections,
@@ -72,7 +76,8 @@
         self._peers = peers
         self._pool = pool
         self._moves = moves
-        self._rules = rules or PlacementRules()
+        self.cold = ColdServers(clock, is_chosen=peers.is_user_of)
+        self._rules = (rules or PlacementRules()).extended(ColdRule(self.cold))
         self._unanswered_results = UnansweredResults(clock)
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
@@ -97,7 +102,10 @@
         self.retries = RetryGate(clock, peers, retry_budgets, self.queue, notify_peers)
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
         self.server_notices = ServerNotices(
-            clock, self._load_by_id.get, entry_count=peers.entry_count
+            clock,
+            self._load_by_id.get,
+            entry_count=peers.entry_count,
+            on_cold=self.cold.on_answer,
         )
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
@@ -108,15 +116,18 @@
         """Replace the services by those of a configuration."""
         self._sharing_basis = None
         self._service_by_id = config.service_by_id
+        self.cold.use_services(config.service_by_id)
 
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replace the registered servers; known ones keep their load and speeds."""
+        self.cold.on_servers(servers)
         by_id = {server.server_id: server for server in servers}
         for server_id in tuple(self._load_by_id):
             if server_id not in by_id:
                 self._remove(server_id)
         for server in servers:
             self._add(server)
+        self._mark_cold()
         self._share_servers()
         self.assign()
 
@@ -208,14 +219,32 @@
         sources |= self._peers.outside.live_sources()
         self._peer_loads.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
+        self._mark_cold()
+        for server in self.cold.take_due_probes(self._load_by_id.values()):
+            spawn(self._probe_cold, server)
         self.assign()
 
     def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
         server = assignment.load.server
         if not outcome.is_answered:
             self.paths.on_failure(server)
+            if assignment.load.consecutive_failures:
+                self.cold.on_unreached(server)
         elif outcome.ending is not Ending.NOT_RUN or outcome.response is not None:
             self.paths.on_response(server, assignment.request.started_ms)
+            self.cold.on_reached(server)
+
+    def _mark_cold(self) -> None:
+        for load in self._load_by_id.values():
+            load.speeds.cold_until_ms = self.cold.end_ms(load.server)
+
+    def _probe_cold(self, server: BackendServer) -> None:
+        try:
+            self._pool.open_kept(server.server_id, server.address)
+        except NotReachedError:
+            self.cold.on_unreached(server)
+        else:
+            self.cold.on_reached(server)
 
     def _assign_soon(self) -> None:
         if self._peers.is_large:
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -9,6 +9,7 @@
 
 # The unused part of a server's limit is kept for this long.
 SERVER_BURST_S = 1.0
+UNSTATED_COLD_MS = -1.0
 # What peers report late, as after a partition, holds up requests no longer than this.
 SERVER_DEBT_S = 4.0
 
@@ -172,7 +173,8 @@
     """Describe one incarnation of a registered backend server.
 
     `born_ms` tells the incarnations of a server id apart, and `sequence` counts what
-    this one has said of itself.
+    this one has said of itself. It was cold for `cold_ms` more as it said so; negative
+    if it did not say.
     """
 
     server_id: str
@@ -202,12 +204,14 @@
 
     `pause_ms` is how long it wants no requests from this entry, None if it does.
     `rejections_per_s` is set as it rejects a request for lack of room and would fall
-    over if it had to reject more than that, from all entries together.
+    over if it had to reject more than that, from all entries together. `cold_ms` is
+    how long it stays cold, None if it does not say.
     """
 
     is_leaving: bool = False
     pause_ms: float | None = None
     rejections_per_s: float | None = None
+    cold_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/gateway/peers/peer_groups.py
+++ b/marjoramfall/gateway/peers/peer_groups.py
@@ -62,6 +62,16 @@
         """Return whether an entry is in the group of this one."""
         return self.group_by_vm.get(vm) == self.own_group
 
+    def preferred_group(self, server: BackendServer) -> str:
+        """Return one group for a server, whatever other servers are known.
+
+        It is one of the server's data centre, if there is any.
+        """
+        if self.is_single:
+            return SINGLE_GROUP
+        groups = self._groups_by_data_centre.get(server.data_centre) or self.names
+        return _by_preference(server.server_id, groups)[0]
+
     def own_servers(self, servers: Iterable[BackendServer]) -> set[str]:
         """Return the ids of the servers that this group uses first.
 
--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -7,8 +7,9 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.peers.outside_groups import OutsideGroups
-from marjoramfall.gateway.peers.peer_groups import PeerGroups
+from marjoramfall.gateway.peers.peer_groups import PeerGroups, rendezvous_weight
 from marjoramfall.gateway.peers.peer_state import PeerState
 
 HEARTBEAT_MS = 250.0
@@ -206,6 +207,28 @@
         ]
         return sorted((own, *peers))
 
+    def is_user_of(self, server: BackendServer) -> bool:
+        """Return whether this is the one entry that uses a server alone.
+
+        Entries that hear less than half of their group can't tell, nor can those that
+        have just started.
+        """
+        groups = self.groups
+        group = groups.preferred_group(server)
+        if group != groups.own_group:
+            return False
+        live = [peer.state for peer in self.live_peers()]
+        members = sum(map(groups.has_member, self.member_by_vm)) + 1
+        uptime_ms = self._clock.monotonic_ms() - self._started_ms
+        if 2 * (len(live) + 1) < members or uptime_ms < MIN_DUTY_UPTIME_MS:
+            return False
+        weight = rendezvous_weight(server.server_id, self._own_vm)
+        return all(
+            rendezvous_weight(server.server_id, state.vm) < weight
+            for state in live
+            if state.uptime_ms >= MIN_DUTY_UPTIME_MS and not state.is_leaving
+        )
+
     def live_peers(self) -> Iterator[Peer]:
         """Yield the peers that sent a state within the silence timeout."""
         oldest_ms = self._clock.monotonic_ms() - SILENCE_TIMEOUT_MS
--- a/marjoramfall/gateway/servers/placement_rules.py
+++ b/marjoramfall/gateway/servers/placement_rules.py
@@ -24,6 +24,13 @@
     def excludes(self, load: ServerLoad, demand: Demand, now_ms: float) -> bool:
         """Return whether the server must not get the request."""
 
+    def passes(self, load: ServerLoad, demand: Demand) -> bool:
+        """Return whether an excluded server may get the request a little later."""
+        return False
+
+    def on_assigned(self, load: ServerLoad, now_ms: float) -> None:  # noqa: B027
+        """Count a request that goes to a server; most rules count none."""
+
 
 class PlacementRules:
     """Hold the rules of an entry in the order in which they are asked."""
@@ -31,6 +38,10 @@
     def __init__(self, rules: Iterable[PlacementRule] = ()) -> None:
         self._rules = tuple(rules)
 
+    def extended(self, *rules: PlacementRule) -> 'PlacementRules':
+        """Return these rules and others that are asked after them."""
+        return PlacementRules((*self._rules, *rules))
+
     def allowed(
         self, loads: list[ServerLoad], demand: Demand, now_ms: float
     ) -> list[ServerLoad]:
@@ -42,11 +53,35 @@
                 ]
         return loads
 
+    def on_assigned(self, load: ServerLoad, now_ms: float) -> None:
+        """Let the rules count a request that goes to a server."""
+        for rule in self._rules:
+            if rule.is_active:
+                rule.on_assigned(load, now_ms)
+
+    def refusal(
+        self, loads: list[ServerLoad], demand: Demand, now_ms: float
+    ) -> str | None:
+        """Return why none of the servers will take a request, None if one may soon."""
+        names: set[str] = set()
+        for load in loads:
+            excluding = self._excluding(load, demand, now_ms)
+            if all(rule.passes(load, demand) for rule in excluding):
+                return None
+            names.add(excluding[0].name)
+        return f'no server: {", ".join(sorted(names))}' if names else 'no server'
+
     def excluded_by(
         self, load: ServerLoad, demand: Demand, now_ms: float
     ) -> str | None:
         """Return the name of the first rule that excludes a server, None if none."""
-        for rule in self._rules:
-            if rule.is_active and rule.excludes(load, demand, now_ms):
-                return rule.name
-        return None
+        return next((rule.name for rule in self._excluding(load, demand, now_ms)), None)
+
+    def _excluding(
+        self, load: ServerLoad, demand: Demand, now_ms: float
+    ) -> list[PlacementRule]:
+        return [
+            rule
+            for rule in self._rules
+            if rule.is_active and rule.excludes(load, demand, now_ms)
+        ]
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -27,6 +27,8 @@
 OWN_RESPONSE_VALID_MS = 1000.0
 # Prefill of a prompt pauses the other streams of the server.
 PREFILL_INTERFERENCE_WEIGHT = 0.5
+# More than that of a warm server of another group.
+COLD_COST_MS = 250.0
 # Exceeds any other difference in cost between servers.
 MISSED_DEADLINE_COST_MS = 60_000.0
 
@@ -185,6 +187,8 @@
             cost += first_response_ms
         if now_ms + total_ms > demand.deadline_ms:
             cost += MISSED_DEADLINE_COST_MS
+        if now_ms < self.speeds.cold_until_ms:
+            cost += COLD_COST_MS
         if (
             self.unreachable_report_count
             and now_ms - self.last_response_ms > OWN_RESPONSE_VALID_MS
--- a/marjoramfall/gateway/servers/server_notices.py
+++ b/marjoramfall/gateway/servers/server_notices.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
-from marjoramfall.gateway.model import ServerNotice, ServerRun
+from marjoramfall.gateway.model import BackendServer, ServerNotice, ServerRun
 from marjoramfall.gateway.servers.server_load import HeardNotices, ServerLoad
 
 # More incarnations than a large system replaces while one of them leaves.
@@ -27,9 +27,11 @@
         find_load: Callable[[str], ServerLoad | None],
         *,
         entry_count: Callable[[], int],
+        on_cold: Callable[[BackendServer, float], None] | None = None,
     ) -> None:
         self._clock = clock
         self._entry_count = entry_count
+        self._on_cold = on_cold
         self._find_load = find_load
         # The first heard of come first.
         self._heard_by_run: dict[ServerRun, HeardNotices] = {}
@@ -38,6 +40,8 @@
         self, load: ServerLoad, notice: ServerNotice, *, attempt_id: str
     ) -> None:
         """Apply what the response to a request says of the server."""
+        if notice.cold_ms and self._on_cold is not None:
+            self._on_cold(load.server, notice.cold_ms)
         pause_ms = self._pause_ms(notice)
         if not notice.is_leaving and pause_ms is None:
             return
--- a/marjoramfall/gateway/servers/server_speeds.py
+++ b/marjoramfall/gateway/servers/server_speeds.py
@@ -56,6 +56,8 @@
     """
 
     def __init__(self, event_ms: float) -> None:
+        # A server that has just started is slow until then, in monotonic milliseconds.
+        self.cold_until_ms = 0.0
         self.own = Speed(event_ms, INITIAL_TOKEN_US)
         self.peers = PeerSpeeds()
         self.event_ms = event_ms
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -2,7 +2,7 @@
 
 import random
 from bisect import bisect_left
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
@@ -118,13 +118,17 @@
         now_ms = self._clock.monotonic_ms()
         self._refill_limits(now_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
-        if not usable and not self._eligible_loads(waiter.demand):
-            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
+        is_any_eligible = bool(usable or self._eligible_loads(waiter.demand))
+        if not is_any_eligible:
+            loads = _loads_for(waiter.demand, self.load_by_id.values())
+            reason = self._rules.refusal(loads, waiter.demand, now_ms)
+            if reason is not None:
+                raise NoServerError(reason, retry_after_ms=self._service_time_ms)
         if usable:
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
             waiter.expected_wait_ms = wait_ms
             self._check_wait(waiter.demand, wait_ms, usable, now_ms)
-        else:
+        elif is_any_eligible:
             self._check_pause(waiter.demand, now_ms)
         self.waiters.append(waiter)
         self.assign()
@@ -219,7 +223,9 @@
         load = self._choose_server(free_servers, demand, now_ms)
         if self._should_wait_for_faster(demand, load, usable, now_ms):
             return None
-        return Assignment(load, load.begin(demand, now_ms))
+        assignment = Assignment(load, load.begin(demand, now_ms))
+        self._rules.on_assigned(load, now_ms)
+        return assignment
 
     def _choose_server(
         self, free_servers: list[ServerLoad], demand: Demand, now_ms: float
@@ -257,9 +263,7 @@
         ]
 
     def _eligible_loads(self, demand: Demand) -> list[ServerLoad]:
-        eligible = [load for load in self.load_by_id.values() if not load.is_leaving]
-        if demand.version is not ANY_VERSION or demand.excluded_server_ids:
-            eligible = [load for load in eligible if demand.allows(load.server)]
+        eligible = _loads_for(demand, self.load_by_id.values())
         return self._rules.allowed(eligible, demand, self._clock.monotonic_ms())
 
     def _peer_sort_keys(self) -> list[tuple[float, float]]:
@@ -349,6 +353,14 @@
         self._wait_ratio_by_priority[priority] = updated
 
 
+def _loads_for(demand: Demand, loads: Iterable[ServerLoad]) -> list[ServerLoad]:
+    """Return the servers that the request itself does not exclude."""
+    staying = [load for load in loads if not load.is_leaving]
+    if demand.version is not ANY_VERSION or demand.excluded_server_ids:
+        staying = [load for load in staying if demand.allows(load.server)]
+    return staying
+
+
 def _retry_after(wait_ms: float) -> float:
     return max(MIN_RETRY_AFTER_MS, wait_ms)
 
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -30,6 +30,7 @@
 # Set in all responses of a server that falls over if it has to reject more requests
 # than that in a second.
 SERVER_BRITTLE = b'server-brittle'
+COLD_MS = b'marjoramfall-cold-ms'
 # The number of prompt tokens and the maximum number of output tokens.
 TOKEN_USAGE = b'marjoramfall-token-usage'
 # The caller's estimate of the number of output tokens.
@@ -163,6 +164,7 @@
             is_leaving=find_header(response.headers, SERVER_LEAVING) == IS_LEAVING,
             pause_ms=pause_s * MS_PER_SECOND if pause_s and pause_s > 0 else None,
             rejections_per_s=rejections_per_s,
+            cold_ms=_read_cold_ms(response),
         )
 
     def rejection_headers(
@@ -201,6 +203,11 @@
     return number if math.isfinite(number) else None
 
 
+def _read_cold_ms(response: Response) -> float | None:
+    cold_ms = _read_number(find_header(response.headers, COLD_MS))
+    return None if cold_ms is None or cold_ms < 0 else cold_ms
+
+
 def _read_part_ids(text: bytes) -> list[str]:
     """Return the ids of the parts of a prompt, a single empty one if it has none."""
     return [
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -2,6 +2,7 @@
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import (
+    UNSTATED_COLD_MS,
     BackendServer,
     CallerLimits,
     Configuration,
@@ -69,11 +70,16 @@
         slots=record.slots,
         is_leaving=record.state == LEAVING,
         born_ms=record.born,
-        cold_ms=record.cold_remaining_ms,
+        cold_ms=_read_cold_ms(record.cold_remaining_ms, server_id),
         sequence=record.seq,
     )
 
 
+def _read_cold_ms(found: object, server_id: str) -> float:
+    cold_ms = read_amount(found, f'{server_id}.coldRemainingMs')
+    return cold_ms if cold_ms or found == 0 else UNSTATED_COLD_MS
+
+
 def _check_server(server_id: str, record: WireServer) -> None:
     """Raise `InvalidRecordError` unless requests can be sent to the server."""
     # The id and the version are sent in headers.
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -102,7 +102,8 @@
     state: str
     version: str = ''
     slots: int = DEFAULT_SLOTS
-    cold_remaining_ms: float = 0
+    # Read leniently: a value that is no time leaves the registration in force.
+    cold_remaining_ms: Any = None
     # A time in ms that tells the incarnations of a server id apart.
     born: Count = 0
     # Rises with each report of this incarnation.
