Exclude model servers whose memory has no room for a request

Cause: placement counted requests, not tokens; reports of peers told of running requests and of prompts that wait for prefill only. Change: a request holds its prompt and the most output it may generate from when it is sent. Where requests of the sizes seen can't fill a server, the rule is not asked.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -104,6 +104,7 @@
         self._fleet.cold.bounds = self._bounds.cold_bounds
         self._metrics = GatewayMetrics(vm=settings.vm)
         self._fleet.cold.add_gauges(self._metrics)
+        self._fleet.memory.add_gauges(self._metrics)
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
         forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
         self._gateway = Gateway(
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -28,6 +28,7 @@
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_memory import MemoryRule, ServerMemory
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
 from marjoramfall.gateway.shared_limits import SharedLimits
@@ -77,7 +78,10 @@
         self._pool = pool
         self._moves = moves
         self.cold = ColdServers(clock, is_chosen=peers.is_user_of)
-        self._rules = (rules or PlacementRules()).extended(ColdRule(self.cold))
+        self.memory = ServerMemory()
+        self._rules = (rules or PlacementRules()).extended(
+            MemoryRule(self.memory), ColdRule(self.cold)
+        )
         self._unanswered_results = UnansweredResults(clock)
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
@@ -117,10 +121,12 @@
         self._sharing_basis = None
         self._service_by_id = config.service_by_id
         self.cold.use_services(config.service_by_id)
+        self.memory.use_services(config.service_by_id)
 
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replace the registered servers; known ones keep their load and speeds."""
         self.cold.on_servers(servers)
+        self.memory.use_servers(servers)
         by_id = {server.server_id: server for server in servers}
         for server_id in tuple(self._load_by_id):
             if server_id not in by_id:
@@ -206,6 +212,7 @@
         """Replace the load of a peer or group and assign waiting requests."""
         self.server_limits.merge(report.server_limits, self._load_by_id.get)
         self._peer_loads.replace(report, self._clock.monotonic_ms())
+        self.memory.replace(report.source, report.uses)
         self._assign_soon()
 
     def drop_silent_peers(self) -> None:
@@ -218,6 +225,7 @@
         sources = {peer.state.vm for peer in self._peers.live_peers()}
         sources |= self._peers.outside.live_sources()
         self._peer_loads.keep_only(sources)
+        self.memory.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
         self._mark_cold()
         for server in self.cold.take_due_probes(self._load_by_id.values()):
@@ -285,6 +293,7 @@
             return
         self._sharing_basis = basis
         owned_ids = self._owned_server_ids()
+        self.memory.owned_ids = frozenset(owned_ids)
         for load in self._load_by_id.values():
             self._apply_locality(load, is_owned=load.server.server_id in owned_ids)
             self._set_idle_limit(load, entry_count)
--- a/marjoramfall/gateway/peers/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -130,16 +130,25 @@
     """Return the requests that run at each server, over all states."""
     running: dict[str, int] = defaultdict(int)
     pending_tokens: dict[str, int] = defaultdict(int)
+    held_tokens: dict[str, int | None] = defaultdict(int)
     for state in states:
         for use in state.uses:
             running[use.server_id] += use.running
             pending_tokens[use.server_id] += use.pending_prefill_tokens
+            held_tokens[use.server_id] = _add(
+                held_tokens[use.server_id], use.held_tokens
+            )
     return [
-        ServerUse(server_id, count, pending_tokens[server_id])
+        ServerUse(server_id, count, pending_tokens[server_id], held_tokens[server_id])
         for server_id, count in running.items()
     ]
 
 
+def _add(total: int | None, held: int | None) -> int | None:
+    """Return a sum, None if any part is not known."""
+    return None if total is None or held is None else total + held
+
+
 def first_waiting(calls: Iterable[WaitingCall]) -> list[WaitingCall]:
     """Return the requests that go first, as many as a digest may hold."""
     return sorted(calls, key=waiting_sort_key)[:MAX_WAITING_IN_DIGEST]
--- a/marjoramfall/gateway/peers/own_load.py
+++ b/marjoramfall/gateway/peers/own_load.py
@@ -49,6 +49,7 @@
                     for request in load.own_requests
                     if request.is_prefilling
                 ),
+                sum(request.demand.held_tokens for request in load.own_requests),
             )
             for server_id, load in self._load_by_id.items()
             if load.own_requests
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -11,6 +11,8 @@
     server_id: str
     running: int
     pending_prefill_tokens: int
+    # What the requests need at most; None in reports of versions that don't count it.
+    held_tokens: int | None = None
 
 
 class ServerSpeed(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/gateway/servers/cold_servers.py
+++ b/marjoramfall/gateway/servers/cold_servers.py
@@ -242,6 +242,6 @@
         """Return True, as every server is warm after a while."""
         return True
 
-    def on_assigned(self, load: ServerLoad, now_ms: float) -> None:
+    def on_assigned(self, load: ServerLoad, demand: Demand, now_ms: float) -> None:
         """Count a request that goes to a cold server."""
         self._servers.on_sent(load.server, now_ms)
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -41,6 +41,7 @@
     deadline_ms: float
     prompt_tokens: int = 0
     output_tokens: int = 0
+    max_output_tokens: int = 0
     excluded_server_ids: set[str] = field(default_factory=set)
     version: VersionChoice = ANY_VERSION
     has_run: bool = False
@@ -48,6 +49,11 @@
     may_return: bool = False
     last_failed_server_id: str = ''
 
+    @property
+    def held_tokens(self) -> int:
+        """Return the most memory that a model server needs for the request."""
+        return self.prompt_tokens + max(self.output_tokens, self.max_output_tokens)
+
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
         if server.is_leaving or server.server_id in self.excluded_server_ids:
@@ -84,6 +90,7 @@
         deadline_ms=call.deadline_ms,
         prompt_tokens=call.fields.prompt_tokens,
         output_tokens=call.fields.likely_output_tokens,
+        max_output_tokens=call.fields.output_tokens,
         excluded_server_ids=call.excluded_server_ids,
         version=version,
         has_run=call.has_run,
--- a/marjoramfall/gateway/servers/placement_rules.py
+++ b/marjoramfall/gateway/servers/placement_rules.py
@@ -24,11 +24,17 @@
     def excludes(self, load: ServerLoad, demand: Demand, now_ms: float) -> bool:
         """Return whether the server must not get the request."""
 
+    def concerns(self, demand: Demand) -> bool:
+        """Return whether the rule could exclude any server for a request."""
+        return self.is_active
+
     def passes(self, load: ServerLoad, demand: Demand) -> bool:
         """Return whether an excluded server may get the request a little later."""
         return False
 
-    def on_assigned(self, load: ServerLoad, now_ms: float) -> None:  # noqa: B027
+    def on_assigned(  # noqa: B027
+        self, load: ServerLoad, demand: Demand, now_ms: float
+    ) -> None:
         """Count a request that goes to a server; most rules count none."""
 
 
@@ -47,17 +53,17 @@
     ) -> list[ServerLoad]:
         """Return the servers that no rule excludes."""
         for rule in self._rules:
-            if rule.is_active:
+            if rule.concerns(demand):
                 loads = [
                     load for load in loads if not rule.excludes(load, demand, now_ms)
                 ]
         return loads
 
-    def on_assigned(self, load: ServerLoad, now_ms: float) -> None:
+    def on_assigned(self, load: ServerLoad, demand: Demand, now_ms: float) -> None:
         """Let the rules count a request that goes to a server."""
         for rule in self._rules:
             if rule.is_active:
-                rule.on_assigned(load, now_ms)
+                rule.on_assigned(load, demand, now_ms)
 
     def refusal(
         self, loads: list[ServerLoad], demand: Demand, now_ms: float
@@ -83,5 +89,5 @@
         return [
             rule
             for rule in self._rules
-            if rule.is_active and rule.excludes(load, demand, now_ms)
+            if rule.concerns(demand) and rule.excludes(load, demand, now_ms)
         ]
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -224,7 +224,7 @@
         if self._should_wait_for_faster(demand, load, usable, now_ms):
             return None
         assignment = Assignment(load, load.begin(demand, now_ms))
-        self._rules.on_assigned(load, now_ms)
+        self._rules.on_assigned(load, demand, now_ms)
         return assignment
 
     def _choose_server(
