--- a/marjoramfall/gateway/callers/body_budget.py
+++ b/marjoramfall/gateway/callers/body_budget.py
@@ -10,12 +10,22 @@
 # A body is held up to three times while it is encoded for a server, on a VM with
 # 200 MB.
 MAX_HELD_BYTES = 33_554_432
+# Of the memory of a VM that has less.
+MAX_HELD_SHARE = 1 / 6
+BYTES_PER_MB = 1_000_000
 # Smaller bodies are not counted: those of all connections fit in beside.
 SMALL_BODY_BYTES = 65_536
 # A caller is told to come again rather than left without an answer.
 MAX_WAIT_MS = 2000.0
 
 
+def max_held_bytes(memory_mb: float) -> int:
+    """Return how many bytes of bodies a VM may hold; 0 MB is no stated memory."""
+    if not memory_mb:
+        return MAX_HELD_BYTES
+    return min(MAX_HELD_BYTES, int(MAX_HELD_SHARE * memory_mb * BYTES_PER_MB))
+
+
 class BodyBudgetError(Exception):
     """Indicate that there was no room for a body in time."""
 
--- a/marjoramfall/gateway/callers/entry_listeners.py
+++ b/marjoramfall/gateway/callers/entry_listeners.py
@@ -1,7 +1,7 @@
 """Listen for callers, and for peers that delegate their requests."""
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.callers.body_budget import BodyBudget
+from marjoramfall.gateway.callers.body_budget import BodyBudget, max_held_bytes
 from marjoramfall.gateway.callers.caller_listener import CallerListener
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.entry_settings import GatewaySettings
@@ -14,7 +14,7 @@
     def __init__(
         self, settings: GatewaySettings, gateway: Gateway, clock: Clock
     ) -> None:
-        bodies = BodyBudget()
+        bodies = BodyBudget(max_held_bytes(settings.memory_mb))
         self.callers = CallerListener(
             settings.front_address, gateway, clock, bodies=bodies
         )
--- a/marjoramfall/gateway/servers/server_memory.py
+++ b/marjoramfall/gateway/servers/server_memory.py
@@ -112,7 +112,7 @@
 
     def _remove(self, source: str) -> None:
         for server_id, held in self._held_by_source.pop(source, {}).items():
-            left = self._peer_held_by_id.pop(server_id) - held
+            left = self._peer_held_by_id.pop(server_id, 0) - held
             if left:
                 self._peer_held_by_id[server_id] = left
 
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.callers.body_budget import MAX_HELD_BYTES, max_held_bytes
 from marjoramfall.gateway.model import Service
 from marjoramfall.gateway.peers.group_digest import sum_uses
 from marjoramfall.gateway.peers.peer_state import ServerUse
@@ -129,6 +130,14 @@
         self.memory.keep_only(set())
         self.assertEqual(self.memory.held_tokens(self.load), 0)
 
+    def test_plain_requests(self):
+        """Guards against a failure over reports of requests that hold nothing."""
+        for source in ('entry-2', 'entry-3'):
+            self.memory.replace(source, [ServerUse('s1', 1, 0, 0)])
+        self.memory.replace('entry-2', [])
+        self.memory.replace('entry-3', [ServerUse('s1', 1, 0, 5)])
+        self.assertEqual(self.memory.held_tokens(self.load), 5)
+
     def test_report_without_memory(self):
         """Guards against taking the requests of an older version for nothing."""
         self.memory.replace('entry-2', [ServerUse('s1', 2, 0)])
@@ -162,3 +171,16 @@
         unknown = make_state('entry-3', uses=[ServerUse('s1', 1, 0)])
         self.assertEqual(sum_uses([known, known])[0].held_tokens, 1400)
         self.assertIsNone(sum_uses([known, unknown])[0].held_tokens)
+
+
+class TestOwnMemory(unittest.TestCase):
+    """What an entry holds of bodies fits into the memory of its VM."""
+
+    def test_small_vm(self):
+        """Guards against bodies that take all memory of a small VM."""
+        self.assertLess(3 * max_held_bytes(60), 60_000_000)
+
+    def test_usual_vms(self):
+        """Guards against less room than before where memory suffices."""
+        for memory_mb in (0, 202, 552):
+            self.assertEqual(max_held_bytes(memory_mb), MAX_HELD_BYTES)
