--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+from gevent import spawn
+
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
@@ -15,6 +17,8 @@
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.retry_gate import RetryGate
 from marjoramfall.gateway.servers.assign_timer import AssignTimer
+from marjoramfall.gateway.servers.backend_connection import NotReachedError
+from marjoramfall.gateway.servers.cold_servers import ColdRule, ColdServers
 from marjoramfall.gateway.servers.connection_pool import (
     ConnectionPool,
     max_idle_connections,
@@ -25,6 +29,7 @@
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_memory import MemoryRule, ServerMemory
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.service_queue import (
     Assignment,
@@ -77,7 +82,11 @@
         self._peers = peers
         self._pool = pool
         self._moves = moves
-        self._rules = rules or PlacementRules()
+        self.cold = ColdServers(clock, is_chosen=peers.is_user_of)
+        self.memory = ServerMemory()
+        self._rules = (rules or PlacementRules()).extended(
+            MemoryRule(self.memory), ColdRule(self.cold)
+        )
         self._unanswered_results = UnansweredResults(clock)
         self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
@@ -102,7 +111,10 @@
         self.retries = RetryGate(clock, peers, retry_budgets, self.queue, notify_peers)
         self.server_limits = ServerLimits(clock, limits, notify_peers=notify_peers)
         self.server_notices = ServerNotices(
-            clock, self._load_by_id.get, entry_count=peers.entry_count
+            clock,
+            self._load_by_id.get,
+            entry_count=peers.entry_count,
+            on_cold=self.cold.on_answer,
         )
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
@@ -113,15 +125,20 @@
         """Replace the services by those of a configuration."""
         self._sharing_basis = None
         self._service_by_id = config.service_by_id
+        self.cold.use_services(config.service_by_id)
+        self.memory.use_services(config.service_by_id)
 
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replace the registered servers; known ones keep their load and speeds."""
+        self.cold.on_servers(servers)
+        self.memory.use_servers(servers)
         by_id = {server.server_id: server for server in servers}
         for server_id in tuple(self._load_by_id):
             if server_id not in by_id:
                 self._remove(server_id)
         for server in servers:
             self._add(server)
+        self._mark_cold()
         self._share_servers()
         self.assign()
 
@@ -231,6 +248,7 @@
         """Replace the load of a peer or group and assign waiting requests."""
         self.server_limits.merge(report.server_limits, self._load_by_id.get)
         self._peer_loads.replace(report, self._clock.monotonic_ms())
+        self.memory.replace(report.source, report.uses)
         self._assign_soon()
 
     def drop_silent_peers(self) -> None:
@@ -243,15 +261,34 @@
         sources = {peer.state.vm for peer in self._peers.live_peers()}
         sources |= self._peers.outside.live_sources()
         self._peer_loads.keep_only(sources)
+        self.memory.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
+        self._mark_cold()
+        for server in self.cold.take_due_probes(self._load_by_id.values()):
+            spawn(self._probe_cold, server)
         self.assign()
 
     def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
         server = assignment.load.server
         if not outcome.is_answered:
             self.paths.on_failure(server)
+            if assignment.load.consecutive_failures:
+                self.cold.on_unreached(server)
         elif outcome.ending is not Ending.NOT_RUN or outcome.response is not None:
             self.paths.on_response(server, assignment.request.started_ms)
+            self.cold.on_reached(server)
+
+    def _mark_cold(self) -> None:
+        for load in self._load_by_id.values():
+            load.speeds.cold_until_ms = self.cold.end_ms(load.server)
+
+    def _probe_cold(self, server: BackendServer) -> None:
+        try:
+            self._pool.open_kept(server.server_id, server.address)
+        except NotReachedError:
+            self.cold.on_unreached(server)
+        else:
+            self.cold.on_reached(server)
 
     def _assign_soon(self) -> None:
         if self._peers.is_large:
@@ -292,6 +329,7 @@
             return
         self._sharing_basis = basis
         owned_ids = self._owned_server_ids()
+        self.memory.owned_ids = frozenset(owned_ids)
         for load in self._load_by_id.values():
             self._apply_locality(load, is_owned=load.server.server_id in owned_ids)
             self._set_idle_limit(load, entry_count)
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -42,6 +42,7 @@
     deadline_ms: float
     prompt_tokens: int = 0
     output_tokens: int = 0
+    max_output_tokens: int = 0
     excluded_server_ids: set[str] = field(default_factory=set)
     version: VersionChoice = ANY_VERSION
     has_run: bool = False
@@ -50,6 +51,11 @@
     last_failed_server_id: str = ''
     home_regions: frozenset[str] = frozenset()
 
+    @property
+    def held_tokens(self) -> int:
+        """Return the most memory that a model server needs for the request."""
+        return self.prompt_tokens + max(self.output_tokens, self.max_output_tokens)
+
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
         if server.is_leaving or server.server_id in self.excluded_server_ids:
@@ -86,6 +92,7 @@
         deadline_ms=call.deadline_ms,
         prompt_tokens=call.fields.prompt_tokens,
         output_tokens=call.fields.likely_output_tokens,
+        max_output_tokens=call.fields.output_tokens,
         excluded_server_ids=call.excluded_server_ids,
         version=version,
         has_run=call.has_run,
--- a/marjoramfall/gateway/servers/placement_rules.py
+++ b/marjoramfall/gateway/servers/placement_rules.py
@@ -28,6 +28,19 @@
         """Return whether a place that is assigned must not be used any more."""
         return False
 
+    def concerns(self, demand: Demand) -> bool:
+        """Return whether the rule could exclude any server for a request."""
+        return self.is_active
+
+    def passes(self, load: ServerLoad, demand: Demand) -> bool:
+        """Return whether an excluded server may get the request a little later."""
+        return False
+
+    def on_assigned(  # noqa: B027
+        self, load: ServerLoad, demand: Demand, now_ms: float
+    ) -> None:
+        """Count a request that goes to a server; most rules count none."""
+
 
 class PlacementRules:
     """Hold the rules of an entry in the order in which they are asked."""
@@ -35,25 +48,44 @@
     def __init__(self, rules: Iterable[PlacementRule] = ()) -> None:
         self._rules = tuple(rules)
 
+    def extended(self, *rules: PlacementRule) -> 'PlacementRules':
+        """Return these rules and others that are asked after them."""
+        return PlacementRules((*self._rules, *rules))
+
     def allowed(
         self, loads: list[ServerLoad], demand: Demand, now_ms: float
     ) -> list[ServerLoad]:
         """Return the servers that no rule excludes."""
         for rule in self._rules:
-            if rule.is_active:
+            if rule.concerns(demand):
                 loads = [
                     load for load in loads if not rule.excludes(load, demand, now_ms)
                 ]
         return loads
 
+    def on_assigned(self, load: ServerLoad, demand: Demand, now_ms: float) -> None:
+        """Let the rules count a request that goes to a server."""
+        for rule in self._rules:
+            if rule.is_active:
+                rule.on_assigned(load, demand, now_ms)
+
+    def refusal(
+        self, loads: list[ServerLoad], demand: Demand, now_ms: float
+    ) -> str | None:
+        """Return why none of the servers will take a request, None if one may soon."""
+        names: set[str] = set()
+        for load in loads:
+            excluding = self._excluding(load, demand, now_ms)
+            if all(rule.passes(load, demand) for rule in excluding):
+                return None
+            names.add(excluding[0].name)
+        return f'no server: {", ".join(sorted(names))}' if names else 'no server'
+
     def excluded_by(
         self, load: ServerLoad, demand: Demand, now_ms: float
     ) -> str | None:
         """Return the name of the first rule that excludes a server, None if none."""
-        for rule in self._rules:
-            if rule.is_active and rule.excludes(load, demand, now_ms):
-                return rule.name
-        return None
+        return next((rule.name for rule in self._excluding(load, demand, now_ms)), None)
 
     def allows_any(
         self, loads: Iterable[ServerLoad], demand: Demand, now_ms: float
@@ -67,17 +99,18 @@
         ]
         return bool(self.allowed(found, demand, now_ms))
 
-    def refusal(
-        self, loads: Iterable[ServerLoad], demand: Demand, now_ms: float
-    ) -> str:
-        """Return why no server may get a request, with the rules that exclude any."""
-        staying = [load for load in loads if not load.is_leaving]
-        found = {self.excluded_by(load, demand, now_ms) for load in staying}
-        return ': '.join(('no server', *sorted(filter(None, found))))
-
     def revoked_by(self, load: ServerLoad, demand: Demand, now_ms: float) -> str | None:
         """Return the name of the rule that revokes a place, None if none does."""
         for rule in self._rules:
             if rule.is_active and rule.revokes(load, demand, now_ms):
                 return rule.name
         return None
+
+    def _excluding(
+        self, load: ServerLoad, demand: Demand, now_ms: float
+    ) -> list[PlacementRule]:
+        return [
+            rule
+            for rule in self._rules
+            if rule.concerns(demand) and rule.excludes(load, demand, now_ms)
+        ]
