Place by cautious lengths and speeds learned while streams run

Callers of long answers saw their streams end at the deadline on slow servers while fast ones were free: a server was measured only when a stream ended well, an unmeasured one counted as fast, and the hint of the length as exact. Streams now give samples while they run, unmeasured servers are expected to be like the known ones of the service, lengths have a distribution per route and team, and short requests leave scarce fast slots.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -107,7 +107,9 @@
             return False
         call = self._call
         version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
+        demand = build_demand(
+            call, self._clock.monotonic_ms(), version, self._fleet.lengths
+        )
         # The wait costs nothing, as the first server may still go on.
         demand.give_up_ms = call.deadline_ms
         demand.excluded_server_ids = {
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -291,6 +291,7 @@
             self.registry.end_grace_periods()
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
+            self._fleet.expect_speeds()
 
     def _stop(self) -> None:
         self._gateway.stopping = True
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -19,6 +19,7 @@
     ConnectionPool,
     max_idle_connections,
 )
+from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
@@ -26,6 +27,7 @@
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
+from marjoramfall.gateway.servers.speed_prior import expect_speeds
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
@@ -78,7 +80,8 @@
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
-        self._peer_loads = PeerLoads(self._load_by_id, self.queue)
+        self.lengths = LengthEstimates()
+        self.peer_loads = PeerLoads(self._load_by_id, self.queue)
         self.paths = ServicePaths(
             clock,
             pool,
@@ -149,6 +152,7 @@
         """Record what the result of a request says of its server and the path."""
         if outcome.is_broken_off:
             return
+        self._record_length(call, assignment, outcome)
         self._record_path(assignment, outcome)
         if outcome.ending is Ending.NOT_REACHED:
             return
@@ -183,7 +187,7 @@
 
     def live_peer_count(self) -> int:
         """Return the number of peers whose load is counted."""
-        return self._peer_loads.peer_count
+        return self.peer_loads.peer_count
 
     def assign(self) -> None:
         """Assign free slots to the waiting requests of all services."""
@@ -194,7 +198,7 @@
     def on_report(self, report: LoadReport) -> None:
         """Replace the load of a peer or group and assign waiting requests."""
         self.server_limits.merge(report.server_limits, self._load_by_id.get)
-        self._peer_loads.replace(report, self._clock.monotonic_ms())
+        self.peer_loads.replace(report, self._clock.monotonic_ms())
         self._assign_soon()
 
     def drop_silent_peers(self) -> None:
@@ -206,10 +210,34 @@
         self._share_servers()
         sources = {peer.state.vm for peer in self._peers.live_peers()}
         sources |= self._peers.outside.live_sources()
-        self._peer_loads.keep_only(sources)
+        self.peer_loads.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
+    def expect_speeds(self) -> None:
+        """Compare the speeds of the servers of each model service."""
+        for service_id, queue in self._queue_by_service.items():
+            if self._is_model(service_id):
+                loads = queue.load_by_id.values()
+                expect_speeds(loads)
+                queue.fast_slots.update(loads)
+
+    def _record_length(
+        self, call: Call, assignment: Assignment, outcome: Outcome
+    ) -> None:
+        """Compare a response with its hint, unless it is the rest of one."""
+        event_count = assignment.request.event_count
+        is_rest = call.sends > 1 or call.fields.last_event_id is not None
+        if not event_count or is_rest or not assignment.load.is_model:
+            return
+        self.lengths.record(
+            call.route.name,
+            call.fields.likely_output_tokens,
+            event_count / assignment.load.events_per_token,
+            team=call.team.name if call.team else '',
+            is_whole=outcome.ending is Ending.DELIVERED,
+        )
+
     def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
         server = assignment.load.server
         if not outcome.is_answered:
@@ -243,7 +271,7 @@
             remote_cost_ms=0,
         )
         self._load_by_id[server.server_id] = load
-        self._peer_loads.apply_to_new_server(load)
+        self.peer_loads.apply_to_new_server(load)
         self.server_notices.apply_to_new_server(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -42,7 +42,9 @@
 
     def _build_demand(self, call: Call) -> Demand:
         version = self._fleet.choose_version(call.service_id)
-        demand = build_demand(call, self._clock.monotonic_ms(), version)
+        demand = build_demand(
+            call, self._clock.monotonic_ms(), version, self._fleet.lengths
+        )
         demand.may_return = demand.has_run
         demand.give_up_ms = give_up_ms(call)
         return demand
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -4,6 +4,7 @@
 
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.model import BackendServer
+from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION, VersionChoice
 
 # Added to the rank of a request past its target: it goes after the requests of
@@ -29,8 +30,10 @@
     caller stops waiting for it; the whole response is due at `deadline_ms`. Only
     `give_up_ms` ends the wait of a request that may have run (`has_run`), not an
     estimate: it can't be refused as not run any more. The caller has the beginning
-    of a stream that `is_begun`. A request that `may_return` uses excluded servers
-    where no other takes it, the one that failed it last only after all others.
+    of a stream that `is_begun`. Few responses exceed `cautious_output_tokens`; one
+    that pauses for longer than `max_gap_ms` is late, 0 for no such limit. A request
+    that `may_return` uses excluded servers where no other takes it, the one that
+    failed it last only after all others.
     """
 
     service_id: str
@@ -41,6 +44,8 @@
     deadline_ms: float
     prompt_tokens: int = 0
     output_tokens: int = 0
+    cautious_output_tokens: int = 0
+    max_gap_ms: float = 0.0
     excluded_server_ids: set[str] = field(default_factory=set)
     version: VersionChoice = ANY_VERSION
     has_run: bool = False
@@ -48,6 +53,12 @@
     may_return: bool = False
     last_failed_server_id: str = ''
 
+    def __post_init__(self) -> None:
+        """Take the likely length for the cautious one where that is not known."""
+        self.cautious_output_tokens = max(
+            self.cautious_output_tokens, self.output_tokens
+        )
+
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
         if server.is_leaving or server.server_id in self.excluded_server_ids:
@@ -67,7 +78,12 @@
         return self.priority
 
 
-def build_demand(call: Call, now_ms: float, version: VersionChoice) -> Demand:
+def build_demand(
+    call: Call,
+    now_ms: float,
+    version: VersionChoice,
+    lengths: LengthEstimates | None = None,
+) -> Demand:
     """Return the requirements of a call for its next attempt.
 
     In a resumed stream, the target and the wait of the caller count from now,
@@ -84,6 +100,8 @@
         deadline_ms=call.deadline_ms,
         prompt_tokens=call.fields.prompt_tokens,
         output_tokens=call.fields.likely_output_tokens,
+        cautious_output_tokens=_cautious_tokens(call, lengths),
+        max_gap_ms=call.route.max_gap_ms if call.route.is_stream else 0,
         excluded_server_ids=call.excluded_server_ids,
         version=version,
         has_run=call.has_run,
@@ -102,6 +120,18 @@
     return min(call.deadline_ms, call.received_ms + _max_wait_ms(call))
 
 
+def _cautious_tokens(call: Call, lengths: LengthEstimates | None) -> int:
+    fields = call.fields
+    if lengths is None:
+        return fields.likely_output_tokens
+    return lengths.cautious_tokens(
+        call.route.name,
+        fields.likely_output_tokens,
+        fields.output_tokens,
+        team=call.team.name if call.team else '',
+    )
+
+
 def _max_wait_ms(call: Call) -> float:
     route = call.route
     if not route.is_stream:
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -32,7 +32,6 @@
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 CONTENT_TYPE = b'content-type'
-MIN_GAPS_TO_LEARN = 3
 # A server that dies of a response may have sent its first event.
 RESPONSE_START_MS = 250.0
 
@@ -102,6 +101,7 @@
                 is_connection_lost=is_lost,
             )
         finally:
+            self._record_gap(self._timing.take_sample())
             if self._connection is not None:
                 self._connection.close()
 
@@ -230,7 +230,7 @@
         else:
             writer.begin(response.status, response.headers, response.reason, remainder)
         writer.finish()
-        self._record_stream_end()
+        self._load.on_success(self._clock.monotonic_ms())
         self._release(response)
         return Outcome(Ending.DELIVERED)
 
@@ -260,8 +260,10 @@
             return
         now_ms = self._clock.monotonic_ms()
         self._load.last_response_ms = now_ms
-        self._timing.record_events(now_ms, splitter.event_count - previous_count)
-        self._assignment.request.is_prefilling = False
+        event_count = splitter.event_count - previous_count
+        self._timing.record_events(now_ms, event_count)
+        self._record_gap(self._timing.take_due_sample())
+        self._assignment.request.on_events(event_count)
         self._call.last_event_id = splitter.last_id or self._call.last_event_id
         if writer.has_begun:
             writer.send_part(events)
@@ -289,11 +291,6 @@
             self._load.speeds.add_token_sample(prompt_ms / tokens * US_PER_MS)
         self._load.on_success(self._timing.first_event_ms)
 
-    def _record_stream_end(self) -> None:
-        timing = self._timing
-        if timing.first_event_ms is not None and timing.event_count > MIN_GAPS_TO_LEARN:
-            gap_ms = (timing.last_event_ms - timing.first_event_ms) / (
-                timing.event_count - 1
-            )
+    def _record_gap(self, gap_ms: float | None) -> None:
+        if gap_ms is not None:
             self._load.speeds.add_event_sample(gap_ms)
-        self._load.on_success(self._clock.monotonic_ms())
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -29,6 +29,8 @@
 PREFILL_INTERFERENCE_WEIGHT = 0.5
 # Exceeds any other difference in cost between servers.
 MISSED_DEADLINE_COST_MS = 60_000.0
+# For a deadline that only a response of the cautious length misses.
+MAYBE_MISSED_DEADLINE_COST_MS = 6000.0
 
 
 @dataclass(slots=True)
@@ -49,6 +51,12 @@
     demand: Demand
     started_ms: float
     is_prefilling: bool = True
+    event_count: int = 0
+
+    def on_events(self, count: int) -> None:
+        """Count events of the response; the first ends the prefill."""
+        self.is_prefilling = False
+        self.event_count += count
 
 
 class ServerLoad:
@@ -176,15 +184,25 @@
     def cost(self, demand: Demand, now_ms: float) -> float:
         """Return the cost that the choice of a server minimises, in milliseconds."""
         first_response_ms = self.first_response_ms(demand)
-        total_ms = first_response_ms + self._remaining_ms(demand)
-        cost = total_ms + self.remote_cost_ms
+        total_ms = first_response_ms
+        cautious_ms = first_response_ms
+        cost = self.remote_cost_ms
         if self.is_model:
-            prefill_ms = demand.prompt_tokens * self.speeds.token_ms
+            speeds = self.speeds
+            event_ms = self.events_per_token * speeds.cautious_event_ms
+            total_ms += demand.output_tokens * event_ms
+            cautious_ms += demand.cautious_output_tokens * event_ms
+            prefill_ms = demand.prompt_tokens * speeds.token_ms
             cost += PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
+            if 0 < demand.max_gap_ms < speeds.event_ms:
+                cost += total_ms
+        cost += total_ms
         if now_ms + first_response_ms > demand.target_ms:
             cost += first_response_ms
         if now_ms + total_ms > demand.deadline_ms:
             cost += MISSED_DEADLINE_COST_MS
+        elif now_ms + cautious_ms > demand.deadline_ms:
+            cost += MAYBE_MISSED_DEADLINE_COST_MS
         if (
             self.unreachable_report_count
             and now_ms - self.last_response_ms > OWN_RESPONSE_VALID_MS
@@ -194,10 +212,18 @@
         return cost / (reliability * reliability)
 
     def meets_deadline(self, demand: Demand, now_ms: float) -> bool:
-        """Return whether the whole response is expected in time."""
-        total_ms = self.first_response_ms(demand) + self._remaining_ms(demand)
+        """Return whether the whole response ends in time by its cautious length."""
+        total_ms = self.response_ms(demand, demand.cautious_output_tokens)
         return now_ms + total_ms <= demand.deadline_ms
 
+    def response_ms(self, demand: Demand, output_tokens: int) -> float:
+        """Return the expected time of a response of this length."""
+        first_response_ms = self.first_response_ms(demand)
+        if not self.is_model:
+            return first_response_ms
+        events = output_tokens * self.events_per_token
+        return first_response_ms + events * self.speeds.cautious_event_ms
+
     def begin(self, demand: Demand, now_ms: float) -> RunningRequest:
         """Add a request that is sent to the server to its load."""
         request = RunningRequest(demand, now_ms)
@@ -249,9 +275,3 @@
         if self.is_limited:
             allowed = max(0, math.ceil(self._shared_limit.available))
             self.free_slots = min(self.free_slots, allowed)
-
-    def _remaining_ms(self, demand: Demand) -> float:
-        """Return the expected time from the first response to the last."""
-        if not self.is_model:
-            return 0
-        return demand.output_tokens * self.events_per_token * self.speeds.event_ms
--- a/marjoramfall/gateway/servers/server_speeds.py
+++ b/marjoramfall/gateway/servers/server_speeds.py
@@ -45,6 +45,23 @@
         self.weighted_event_ms += sign * speed.event_ms * speed.samples
         self.weighted_token_us += sign * speed.token_us * speed.samples
         self.samples += sign * speed.samples
+        if not self.samples:
+            # Leaves no remainder of subtracting.
+            self.weighted_event_ms = 0.0
+            self.weighted_token_us = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedPrior:
+    """Say what to expect of a server that no entry has measured.
+
+    Short answers are placed by `event_ms`; `cautious_event_ms` keeps long ones away
+    while a known server is free.
+    """
+
+    event_ms: float
+    cautious_event_ms: float
+    token_us: float
 
 
 class ServerSpeeds:
@@ -52,14 +69,29 @@
 
     `event_ms` is the time between events, or of a plain call, and `token_ms`
     the prefill time per prompt token. Both are stored, as each assignment
-    reads them for every server while only a measurement changes them.
+    reads them for every server while only a measurement changes them. The last mean
+    stays when those who measured it are gone. `cautious_event_ms` is longer than
+    `event_ms` until the server is measured.
     """
 
     def __init__(self, event_ms: float) -> None:
         self.own = Speed(event_ms, INITIAL_TOKEN_US)
         self.peers = PeerSpeeds()
         self.event_ms = event_ms
+        self.cautious_event_ms = event_ms
         self.token_ms = INITIAL_TOKEN_US / US_PER_MS
+        self.is_known = False
+        self._has_token_sample = False
+
+    def expect(self, prior: SpeedPrior) -> None:
+        """Expect this of the server until it is measured."""
+        if self.is_known:
+            return
+        self.own.event_ms = prior.event_ms
+        if not self._has_token_sample:
+            self.own.token_us = prior.token_us
+        self._update()
+        self.cautious_event_ms = prior.cautious_event_ms
 
     def add_event_sample(self, event_ms: float) -> None:
         """Add this entry's time between two events, or of a plain call."""
@@ -69,6 +101,7 @@
     def add_token_sample(self, token_us: float) -> None:
         """Add this entry's prefill time per prompt token."""
         self.own.add_token_sample(token_us)
+        self._has_token_sample = True
         self._update()
 
     def add_peer_speed(self, speed: Speed, sign: int) -> None:
@@ -79,8 +112,14 @@
     def _update(self) -> None:
         own = self.own
         peers = self.peers
+        if own.samples or peers.samples:
+            self.is_known = True
+        elif self.is_known:
+            return
         weight = own.samples + PRIOR_SAMPLES
         samples = weight + peers.samples
         self.event_ms = (own.event_ms * weight + peers.weighted_event_ms) / samples
+        if self.is_known:
+            self.cautious_event_ms = self.event_ms
         token_us = (own.token_us * weight + peers.weighted_token_us) / samples
         self.token_ms = token_us / US_PER_MS
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -7,6 +7,7 @@
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.fast_slots import FastSlots
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
 from marjoramfall.gateway.servers.usable_servers import (
@@ -107,6 +108,7 @@
         # choose the same server, the one with the lowest cost.
         self.randomizes_choice = False
         self.load_by_id: dict[str, ServerLoad] = {}
+        self.fast_slots = FastSlots()
         self.waiters: list[Waiter] = []
         self.peer_waiters_by_source: dict[str, list[PeerWaiter]] = {}
 
@@ -217,6 +219,8 @@
         if not free_servers:
             return None
         load = self._choose_server(free_servers, demand, now_ms)
+        if self.fast_slots.is_fast(load):
+            load = self.fast_slots.spare(load, usable, demand, now_ms)
         if self._should_wait_for_faster(demand, load, usable, now_ms):
             return None
         return Assignment(load, load.begin(demand, now_ms))
@@ -233,10 +237,17 @@
     def _should_wait_for_faster(
         self, demand: Demand, load: ServerLoad, usable: list[ServerLoad], now_ms: float
     ) -> bool:
-        """Return whether only a server without a free slot meets the deadline."""
-        if load.meets_deadline(demand, now_ms) or now_ms >= demand.target_ms:
+        """Return whether only a server without a free slot meets the deadline.
+
+        A late request waits on only if it is likely to be lost otherwise.
+        """
+        if load.meets_deadline(demand, now_ms):
+            return False
+        if now_ms < demand.target_ms:
+            return any(other.meets_deadline(demand, now_ms) for other in usable)
+        if demand.has_run or _is_likely_in_time(load, demand, now_ms):
             return False
-        return any(other.meets_deadline(demand, now_ms) for other in usable)
+        return any(_is_likely_in_time(other, demand, now_ms) for other in usable)
 
     def _usable_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the servers that take requests and are not ejected.
@@ -353,5 +364,10 @@
     return max(MIN_RETRY_AFTER_MS, wait_ms)
 
 
+def _is_likely_in_time(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
+    end_ms = now_ms + load.response_ms(demand, demand.output_tokens)
+    return end_ms <= demand.deadline_ms
+
+
 def _sort_key(demand: Demand, now_ms: float) -> tuple[float, float]:
     return demand.rank(now_ms), demand.arrived_ms
