Tell other groups the speeds of model servers in full digests

Entries use servers of other groups when their own are full, and knew nothing of their speeds: digests held none. Measurements that grow old weigh less beside those of peers.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -121,7 +121,12 @@
             needs_state=self._needs_state,
         )
         self._digests = DigestBuilder(
-            clock, self.peers, self._limits, self.moves, self._retry_budgets
+            clock,
+            self.peers,
+            self._limits,
+            self.moves,
+            self._retry_budgets,
+            model_speeds=self._fleet.model_speeds,
         )
         self._exchange = PeerExchange(
             peer_address, self.peers, self.registry, self, clock, own_vm=settings.vm
@@ -291,7 +296,7 @@
             self.registry.end_grace_periods()
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
-            self._fleet.expect_speeds()
+            self._fleet.compare_speeds()
 
     def _stop(self) -> None:
         self._gateway.stopping = True
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -10,6 +10,7 @@
 from marjoramfall.gateway.delegation.delegates import Delegates
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
+from marjoramfall.gateway.peers.group_digest import Scope
 from marjoramfall.gateway.peers.own_load import OwnLoad
 from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peers.peer_table import PeerTable
@@ -26,8 +27,9 @@
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
+from marjoramfall.gateway.servers.server_speeds import Speed
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
-from marjoramfall.gateway.servers.speed_prior import expect_speeds
+from marjoramfall.gateway.servers.speed_prior import expect_speeds, fade_speeds
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
@@ -43,6 +45,8 @@
 OTHER_GROUP_COST_MS = 200.0
 OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
+# A speed that was not measured for this long weighs half beside those of peers.
+SPEED_FADE_INTERVAL_MS = 5000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +84,9 @@
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
+        self._faded_ms = clock.monotonic_ms()
         self.lengths = LengthEstimates()
-        self.peer_loads = PeerLoads(self._load_by_id, self.queue)
+        self._peer_loads = PeerLoads(self._load_by_id, self.queue)
         self.paths = ServicePaths(
             clock,
             pool,
@@ -187,7 +192,7 @@
 
     def live_peer_count(self) -> int:
         """Return the number of peers whose load is counted."""
-        return self.peer_loads.peer_count
+        return self._peer_loads.peer_count
 
     def assign(self) -> None:
         """Assign free slots to the waiting requests of all services."""
@@ -198,7 +203,7 @@
     def on_report(self, report: LoadReport) -> None:
         """Replace the load of a peer or group and assign waiting requests."""
         self.server_limits.merge(report.server_limits, self._load_by_id.get)
-        self.peer_loads.replace(report, self._clock.monotonic_ms())
+        self._peer_loads.replace(report, self._clock.monotonic_ms())
         self._assign_soon()
 
     def drop_silent_peers(self) -> None:
@@ -210,18 +215,34 @@
         self._share_servers()
         sources = {peer.state.vm for peer in self._peers.live_peers()}
         sources |= self._peers.outside.live_sources()
-        self.peer_loads.keep_only(sources)
+        self._peer_loads.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
-    def expect_speeds(self) -> None:
+    def compare_speeds(self) -> None:
         """Compare the speeds of the servers of each model service."""
+        now_ms = self._clock.monotonic_ms()
+        is_fading = now_ms - self._faded_ms >= SPEED_FADE_INTERVAL_MS
+        if is_fading:
+            self._faded_ms = now_ms
         for service_id, queue in self._queue_by_service.items():
             if self._is_model(service_id):
                 loads = queue.load_by_id.values()
+                if is_fading:
+                    fade_speeds(loads)
                 expect_speeds(loads)
                 queue.fast_slots.update(loads)
 
+    def model_speeds(self, scope: Scope) -> dict[str, Speed]:
+        """Return the speeds that a digest of this scope sums up."""
+        if scope is Scope.OTHER_GROUPS:
+            return self._peer_loads.model_speeds_of(self._peers.outside.live_sources())
+        sources = {peer.state.vm for peer in self._peers.live_peers()}
+        own = {
+            server_id: load.speeds.own for server_id, load in self._load_by_id.items()
+        }
+        return self._peer_loads.model_speeds_of(sources, own)
+
     def _record_length(
         self, call: Call, assignment: Assignment, outcome: Outcome
     ) -> None:
@@ -271,7 +292,7 @@
             remote_cost_ms=0,
         )
         self._load_by_id[server.server_id] = load
-        self.peer_loads.apply_to_new_server(load)
+        self._peer_loads.apply_to_new_server(load)
         self.server_notices.apply_to_new_server(load)
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
--- a/marjoramfall/gateway/peers/digest_builder.py
+++ b/marjoramfall/gateway/peers/digest_builder.py
@@ -1,10 +1,11 @@
 """Sum up what an entry knows of its group, or of all others, in a digest."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.delegation.delegates import offers_of
 from marjoramfall.gateway.delegation.offers import DelegateOffer, draw_offers
+from marjoramfall.gateway.peers.digest_speeds import DigestSpeeds
 from marjoramfall.gateway.peers.group_digest import (
     DIGEST_FORM,
     GroupDigest,
@@ -15,9 +16,14 @@
     unreachable_servers,
 )
 from marjoramfall.gateway.peers.outside_groups import source_of
-from marjoramfall.gateway.peers.peer_state import PeerState, WaitingCall
+from marjoramfall.gateway.peers.peer_state import (
+    DigestSpeed,
+    PeerState,
+    WaitingCall,
+)
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
+from marjoramfall.gateway.servers.server_speeds import Speed
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
@@ -32,12 +38,15 @@
         limits: SharedLimits,
         moves: VersionMoves,
         retry_budgets: RetryBudgets,
+        model_speeds: Callable[[Scope], Mapping[str, Speed]] | None = None,
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._limits = limits
         self._moves = moves
         self._retry_budgets = retry_budgets
+        self._model_speeds = model_speeds
+        self._speeds_by_scope = {scope: DigestSpeeds(clock) for scope in Scope}
 
     def build(
         self, scope: Scope, own_state: PeerState, *, with_all_limits: bool
@@ -78,8 +87,14 @@
             retry_uses=self._retry_budgets.digest_uses(scope, now_ms),
             retry_reporters=self._retry_budgets.digest_reporters(scope, now_ms),
             limit_bases=self._limits.bases(scope, peers.groups.own_group, now_ms),
+            speeds=self._speeds(scope) if with_all_limits else [],
         )
 
+    def _speeds(self, scope: Scope) -> list[DigestSpeed]:
+        if self._model_speeds is None:
+            return []
+        return self._speeds_by_scope[scope].take_due(self._model_speeds(scope))
+
     def _group_states(self, own_state: PeerState) -> list[PeerState]:
         return [own_state, *(peer.state for peer in self._peers.live_peers())]
 
--- a/marjoramfall/gateway/peers/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -9,6 +9,7 @@
 from marjoramfall.gateway.crashes.crash_report import EvidenceReport
 from marjoramfall.gateway.delegation.offers import DelegateOffer
 from marjoramfall.gateway.peers.peer_state import (
+    DigestSpeed,
     LimitUse,
     MoveReport,
     PeerState,
@@ -90,6 +91,8 @@
     retry_reporters: int = 0
     # Absent unless a relay was replaced lately.
     limit_bases: list[LimitBase] = []
+    # Those that changed; absent in most digests, and what was told before stays valid.
+    speeds: list[DigestSpeed] = []
 
 
 class UnknownFormError(Exception):
--- a/marjoramfall/gateway/peers/peer_loads.py
+++ b/marjoramfall/gateway/peers/peer_loads.py
@@ -1,8 +1,10 @@
 """Add the load reported by peers to the servers and queues of this entry."""
 
-from collections.abc import Callable, Mapping
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from marjoramfall.gateway.peers.digest_speeds import decoded
 from marjoramfall.gateway.peers.group_digest import GroupDigest
 from marjoramfall.gateway.peers.outside_groups import source_of
 from marjoramfall.gateway.peers.peer_state import (
@@ -13,7 +15,7 @@
     WaitingCall,
 )
 from marjoramfall.gateway.servers.server_load import ServerLoad
-from marjoramfall.gateway.servers.server_speeds import Speed
+from marjoramfall.gateway.servers.server_speeds import PeerSpeeds, Speed
 from marjoramfall.gateway.servers.service_queue import PeerWaiter, ServiceQueue
 
 
@@ -21,14 +23,16 @@
 class LoadReport:
     """Hold the load that a peer, or a group of them, reported.
 
-    `speeds` is None if the report does not change them.
+    `speed_by_server` replaces all speeds of the source and is None if it holds none;
+    `changed_speed_by_server` replaces only those of its servers.
     """
 
     source: str
     uses: list[ServerUse]
     waiting: list[WaitingCall]
     unreachable_server_ids: list[str]
-    speeds: list[ServerSpeed] | None = None
+    speed_by_server: dict[str, Speed] | None = None
+    changed_speed_by_server: dict[str, Speed] = field(default_factory=dict)
     server_limits: list[ServerLimitReport] = field(default_factory=list)
 
 
@@ -39,7 +43,7 @@
         uses=state.uses,
         waiting=state.waiting,
         unreachable_server_ids=state.unreachable_server_ids,
-        speeds=state.speeds,
+        speed_by_server=_speed_by_server(state.speeds),
         server_limits=state.server_limits,
     )
 
@@ -51,6 +55,9 @@
         uses=digest.uses,
         waiting=digest.waiting,
         unreachable_server_ids=digest.unreachable_server_ids,
+        changed_speed_by_server={
+            speed.server_id: decoded(speed) for speed in digest.speeds
+        },
         server_limits=digest.server_limits,
     )
 
@@ -60,7 +67,7 @@
     """Hold the load that is counted at servers and queues for one peer."""
 
     uses: list[ServerUse] = field(default_factory=list)
-    speeds: list[ServerSpeed] = field(default_factory=list)
+    speed_by_server: dict[str, Speed] = field(default_factory=dict)
     unreachable_server_ids: list[str] = field(default_factory=list)
     waiting_services: set[str] = field(default_factory=set)
 
@@ -93,10 +100,15 @@
         self._count_unreachable_reports(contribution.unreachable_server_ids, -1)
         contribution.unreachable_server_ids = report.unreachable_server_ids
         self._count_unreachable_reports(contribution.unreachable_server_ids, 1)
-        if report.speeds is not None:
-            self._count_speeds(contribution.speeds, -1)
-            contribution.speeds = report.speeds
-            self._count_speeds(contribution.speeds, 1)
+        if report.speed_by_server is not None:
+            self._count_speeds(contribution.speed_by_server, -1)
+            contribution.speed_by_server = report.speed_by_server
+            self._count_speeds(contribution.speed_by_server, 1)
+        for server_id, speed in report.changed_speed_by_server.items():
+            known = contribution.speed_by_server.get(server_id)
+            self._count_speed(server_id, known, -1)
+            contribution.speed_by_server[server_id] = speed
+            self._count_speed(server_id, speed, 1)
         self._replace_waiting(report, contribution, received_ms)
 
     def keep_only(self, sources: set[str]) -> None:
@@ -105,24 +117,45 @@
             if source not in sources:
                 contribution = self._contribution_by_source.pop(source)
                 self._count_uses(contribution.uses, -1)
-                self._count_speeds(contribution.speeds, -1)
+                self._count_speeds(contribution.speed_by_server, -1)
                 self._count_unreachable_reports(contribution.unreachable_server_ids, -1)
                 self._drop_waiting(source, contribution)
 
+    def model_speeds_of(
+        self, sources: Iterable[str], own: Mapping[str, Speed] | None = None
+    ) -> dict[str, Speed]:
+        """Return the mean speed of each model server as some sources measured it."""
+        sum_by_server: defaultdict[str, PeerSpeeds] = defaultdict(PeerSpeeds)
+        measured = [
+            self._contribution_by_source[source].speed_by_server
+            for source in sources
+            if source in self._contribution_by_source
+        ]
+        for speed_by_server in (*measured, own or {}):
+            for server_id, speed in speed_by_server.items():
+                sum_by_server[server_id].add(speed, 1)
+        return {
+            name: total.mean()
+            for name, total in sum_by_server.items()
+            if total.samples and self._is_model(name)
+        }
+
     def apply_to_new_server(self, load: ServerLoad) -> None:
         """Add to a new server the load that peers reported before it was known."""
         server_id = load.server.server_id
         for contribution in self._contribution_by_source.values():
             uses = [use for use in contribution.uses if use.server_id == server_id]
-            speeds = [
-                speed for speed in contribution.speeds if speed.server_id == server_id
-            ]
             self._count_uses(uses, 1)
-            self._count_speeds(speeds, 1)
+            speed = contribution.speed_by_server.get(server_id)
+            self._count_speed(server_id, speed, 1)
             load.unreachable_report_count += contribution.unreachable_server_ids.count(
                 server_id
             )
 
+    def _is_model(self, server_id: str) -> bool:
+        load = self._load_by_id.get(server_id)
+        return load is not None and load.is_model
+
     def _count_uses(self, uses: list[ServerUse], sign: int) -> None:
         for use in uses:
             load = self._load_by_id.get(use.server_id)
@@ -137,12 +170,14 @@
             if load is not None:
                 load.unreachable_report_count += sign
 
-    def _count_speeds(self, speeds: list[ServerSpeed], sign: int) -> None:
-        for speed in speeds:
-            load = self._load_by_id.get(speed.server_id)
-            if load is not None:
-                measured = Speed(speed.event_ms, speed.token_us, speed.samples)
-                load.speeds.add_peer_speed(measured, sign)
+    def _count_speeds(self, speed_by_server: Mapping[str, Speed], sign: int) -> None:
+        for server_id, speed in speed_by_server.items():
+            self._count_speed(server_id, speed, sign)
+
+    def _count_speed(self, server_id: str, speed: Speed | None, sign: int) -> None:
+        load = self._load_by_id.get(server_id)
+        if load is not None and speed is not None:
+            load.speeds.add_peer_speed(speed, sign)
 
     def _replace_waiting(
         self, report: LoadReport, contribution: PeerContribution, received_ms: float
@@ -158,3 +193,12 @@
         for service_id in contribution.waiting_services:
             self._find_queue(service_id).peer_waiters_by_source.pop(source, None)
         contribution.waiting_services.clear()
+
+
+def _speed_by_server(speeds: list[ServerSpeed] | None) -> dict[str, Speed] | None:
+    if speeds is None:
+        return None
+    return {
+        speed.server_id: Speed(speed.event_ms, speed.token_us, speed.samples)
+        for speed in speeds
+    }
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -26,6 +26,15 @@
     samples: int
 
 
+class DigestSpeed(msgspec.Struct, array_like=True, frozen=True):
+    """Report the speed of a model server as measured by a group of entries."""
+
+    server_id: str
+    event_us: int
+    token_us: int
+    samples: int
+
+
 class WaitingCall(msgspec.Struct, array_like=True, frozen=True):
     """Describe the queue position of a waiting request."""
 
--- a/marjoramfall/gateway/servers/server_speeds.py
+++ b/marjoramfall/gateway/servers/server_speeds.py
@@ -50,6 +50,14 @@
             self.weighted_event_ms = 0.0
             self.weighted_token_us = 0.0
 
+    def mean(self) -> Speed:
+        """Return the mean of the measurements, of which there must be some."""
+        return Speed(
+            self.weighted_event_ms / self.samples,
+            self.weighted_token_us / self.samples,
+            self.samples,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class SpeedPrior:
@@ -82,6 +90,7 @@
         self.token_ms = INITIAL_TOKEN_US / US_PER_MS
         self.is_known = False
         self._has_token_sample = False
+        self._is_measured_lately = False
 
     def expect(self, prior: SpeedPrior) -> None:
         """Expect this of the server until it is measured."""
@@ -95,9 +104,18 @@
 
     def add_event_sample(self, event_ms: float) -> None:
         """Add this entry's time between two events, or of a plain call."""
+        self._is_measured_lately = True
         self.own.add_event_sample(event_ms)
         self._update()
 
+    def fade(self) -> None:
+        """Let what was not measured since the last call weigh less beside peers."""
+        if self._is_measured_lately:
+            self._is_measured_lately = False
+        elif self.own.samples > 1:
+            self.own.samples //= 2
+            self._update()
+
     def add_token_sample(self, token_us: float) -> None:
         """Add this entry's prefill time per prompt token."""
         self.own.add_token_sample(token_us)
