Test uneven servers, log learned speeds and let short requests explore

Operators could not see what an entry believes of the speed of a server. A line tells each speed that is new or changed by half, two gauges count servers nobody has measured and fast slots left to longer requests.

--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -102,6 +102,16 @@
             clock, self._on_config, self._on_servers, self.moves.begin
         )
         self._metrics = GatewayMetrics(vm=settings.vm)
+        self._metrics.add_gauge(
+            'marjoramfall_gateway_unmeasured_servers',
+            'Model servers whose speed no entry has measured.',
+            self._fleet.speeds.unmeasured_count,
+        )
+        self._metrics.add_gauge(
+            'marjoramfall_gateway_spared_fast_slots',
+            'Requests since the start that left a fast slot to longer ones.',
+            self._fleet.speeds.spared_count,
+        )
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
         forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
         self._gateway = Gateway(
@@ -126,7 +136,7 @@
             self._limits,
             self.moves,
             self._retry_budgets,
-            model_speeds=self._fleet.model_speeds,
+            model_speeds=self._fleet.speeds.for_digest,
         )
         self._exchange = PeerExchange(
             peer_address, self.peers, self.registry, self, clock, own_vm=settings.vm
@@ -296,7 +306,7 @@
             self.registry.end_grace_periods()
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
-            self._fleet.compare_speeds()
+            self._fleet.speeds.compare()
 
     def _stop(self) -> None:
         self._gateway.stopping = True
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -9,8 +9,8 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
+from marjoramfall.gateway.fleet_speeds import FleetSpeeds
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
-from marjoramfall.gateway.peers.group_digest import Scope
 from marjoramfall.gateway.peers.own_load import OwnLoad
 from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peers.peer_table import PeerTable
@@ -27,9 +27,7 @@
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
-from marjoramfall.gateway.servers.server_speeds import Speed
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
-from marjoramfall.gateway.servers.speed_prior import expect_speeds, fade_speeds
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
@@ -45,8 +43,6 @@
 OTHER_GROUP_COST_MS = 200.0
 OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
-# A speed that was not measured for this long weighs half beside those of peers.
-SPEED_FADE_INTERVAL_MS = 5000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +80,15 @@
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
-        self._faded_ms = clock.monotonic_ms()
         self.lengths = LengthEstimates()
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
+        self.speeds = FleetSpeeds(
+            clock,
+            peers,
+            self._peer_loads,
+            load_by_id=self._load_by_id,
+            queue_by_service=self._queue_by_service,
+        )
         self.paths = ServicePaths(
             clock,
             pool,
@@ -219,30 +221,6 @@
         self.server_limits.refill(self._peers.unresponsive_share())
         self.assign()
 
-    def compare_speeds(self) -> None:
-        """Compare the speeds of the servers of each model service."""
-        now_ms = self._clock.monotonic_ms()
-        is_fading = now_ms - self._faded_ms >= SPEED_FADE_INTERVAL_MS
-        if is_fading:
-            self._faded_ms = now_ms
-        for service_id, queue in self._queue_by_service.items():
-            if self._is_model(service_id):
-                loads = queue.load_by_id.values()
-                if is_fading:
-                    fade_speeds(loads)
-                expect_speeds(loads)
-                queue.fast_slots.update(loads)
-
-    def model_speeds(self, scope: Scope) -> dict[str, Speed]:
-        """Return the speeds that a digest of this scope sums up."""
-        if scope is Scope.OTHER_GROUPS:
-            return self._peer_loads.model_speeds_of(self._peers.outside.live_sources())
-        sources = {peer.state.vm for peer in self._peers.live_peers()}
-        own = {
-            server_id: load.speeds.own for server_id, load in self._load_by_id.items()
-        }
-        return self._peer_loads.model_speeds_of(sources, own)
-
     def _record_length(
         self, call: Call, assignment: Assignment, outcome: Outcome
     ) -> None:
@@ -344,6 +322,7 @@
         self.queue(load.server.service_id).load_by_id.pop(server_id, None)
         self._pool.remove(server_id)
         self.server_limits.remove(load.server)
+        self.speeds.remove(server_id)
 
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
--- a/marjoramfall/gateway/servers/fast_slots.py
+++ b/marjoramfall/gateway/servers/fast_slots.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         # 0 while the servers are even.
         self._max_event_ms = 0.0
+        self.spared_count = 0
 
     def update(self, loads: Iterable[ServerLoad]) -> None:
         """Find out whether the servers are uneven, and which of them are fast."""
@@ -30,8 +31,8 @@
         self._max_event_ms = FAST_FACTOR * fastest_ms if is_uneven else 0.0
 
     def is_fast(self, load: ServerLoad) -> bool:
-        """Return whether a server is much faster than others of its service."""
-        return load.speeds.event_ms <= self._max_event_ms
+        """Return whether a server is known to be faster than others by far."""
+        return load.speeds.cautious_event_ms <= self._max_event_ms
 
     def spare(
         self,
@@ -42,7 +43,8 @@
     ) -> ServerLoad:
         """Return a slower server that serves the request well, or else the fast one.
 
-        It is no farther than the fast one, which keeps the request while many slots
+        A server that nobody has measured is among them, and is measured so. It is no
+        farther than the fast one, which keeps the request while many slots
         like its own are free.
         """
         near = [load for load in usable if load.remote_cost_ms <= fast.remote_cost_ms]
@@ -52,11 +54,13 @@
             load
             for load in near
             if load.free_slots
-            and load.speeds.is_known
             and not self.is_fast(load)
             and _serves_well(load, demand, now_ms)
         ]
-        return min(slower, key=lambda load: load.cost(demand, now_ms), default=fast)
+        if not slower:
+            return fast
+        self.spared_count += 1
+        return min(slower, key=lambda load: load.cost(demand, now_ms))
 
     def _is_scarce(self, loads: list[ServerLoad]) -> bool:
         fast = [load for load in loads if self.is_fast(load)]
@@ -70,7 +74,7 @@
     if first_response_ms > MARGIN_SHARE * (demand.target_ms - now_ms):
         return False
     max_gap_ms = demand.max_gap_ms
-    if max_gap_ms and load.speeds.event_ms > MARGIN_SHARE * max_gap_ms:
+    if max_gap_ms and load.speeds.cautious_event_ms > MARGIN_SHARE * max_gap_ms:
         return False
     total_ms = load.response_ms(demand, demand.cautious_output_tokens)
     return total_ms <= MARGIN_SHARE * (demand.deadline_ms - now_ms)
--- a/marjoramfall/gateway/servers/speed_prior.py
+++ b/marjoramfall/gateway/servers/speed_prior.py
@@ -22,12 +22,6 @@
             load.speeds.expect(prior)
 
 
-def fade_speeds(loads: Collection[ServerLoad]) -> None:
-    """Let old measurements of this entry weigh less."""
-    for load in loads:
-        load.speeds.fade()
-
-
 def speed_prior(known: list[ServerLoad]) -> SpeedPrior | None:
     """Return what measured servers let expect of others, None if they are few."""
     if len(known) < MIN_KNOWN_SERVERS:
