Wait for a fast slot by caution only while the first response is in time

Most likely cause, not traced: long answers waited out their whole target for a fast slot on the chance that a slow server would miss their deadline, and were late for certain. They now wait by caution until the slow server would be late, and on only if it is likely to miss the deadline.

--- a/marjoramfall/gateway/servers/fast_slots.py
+++ b/marjoramfall/gateway/servers/fast_slots.py
@@ -10,9 +10,11 @@
 # Servers up to this multiple of the fastest's time are fast.
 FAST_FACTOR = 1.5
 # Slots of fast servers are scarce if no more than this share of them is free.
-SCARCE_SHARE = 0.4
+SCARCE_SHARE = 0.3
 # A slower server that is to get a request keeps this part of each limit free.
 MARGIN_SHARE = 0.5
+# One with more errors is left to the choice by cost.
+MAX_ERROR_SHARE = 0.05
 
 
 class FastSlots:
@@ -47,25 +49,28 @@
         farther than the fast one, which keeps the request while many slots
         like its own are free.
         """
-        near = [load for load in usable if load.remote_cost_ms <= fast.remote_cost_ms]
-        if not self._is_scarce(near):
+        free_count = 0
+        slot_count = 0
+        slower: list[ServerLoad] = []
+        for load in usable:
+            if load.remote_cost_ms > fast.remote_cost_ms:
+                continue
+            if load.speeds.cautious_event_ms <= self._max_event_ms:
+                free_count += load.free_slots
+                slot_count += load.server.slots
+            elif load.free_slots and _is_reliable(load):
+                slower.append(load)
+        if not slower or free_count > SCARCE_SHARE * slot_count:
             return fast
-        slower = [
-            load
-            for load in near
-            if load.free_slots
-            and not self.is_fast(load)
-            and _serves_well(load, demand, now_ms)
-        ]
-        if not slower:
+        first = min(slower, key=lambda other: other.first_response_ms(demand))
+        if not _serves_well(first, demand, now_ms):
             return fast
         self.spared_count += 1
-        return min(slower, key=lambda load: load.cost(demand, now_ms))
+        return first
 
-    def _is_scarce(self, loads: list[ServerLoad]) -> bool:
-        fast = [load for load in loads if self.is_fast(load)]
-        slots = sum(load.server.slots for load in fast)
-        return sum(load.free_slots for load in fast) <= SCARCE_SHARE * slots
+
+def _is_reliable(load: ServerLoad) -> bool:
+    return not load.unreachable_report_count and load.error_share <= MAX_ERROR_SHARE
 
 
 def _serves_well(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -106,7 +106,8 @@
 
     def pause_ms(self, now_ms: float) -> float:
         """Return how long the server wants nothing from this entry; 0 if it does."""
-        return max(0, self._heard.resumed_ms - now_ms)
+        resumed_ms = self._heard.resumed_ms
+        return resumed_ms - now_ms if resumed_ms > now_ms else 0
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
@@ -177,37 +178,41 @@
         if not self.is_model:
             load_factor = 1 + self.running / self.server.slots
             return self.speeds.event_ms * load_factor
-        tokens = self.pending_prefill_tokens + demand.prompt_tokens
+        pending_tokens = self.peer_pending_prefill_tokens
+        if self.own_requests:
+            pending_tokens = self.pending_prefill_tokens
+        tokens = pending_tokens + demand.prompt_tokens
         speeds = self.speeds
         return BASE_FIRST_RESPONSE_MS + tokens * speeds.token_ms + speeds.event_ms
 
     def cost(self, demand: Demand, now_ms: float) -> float:
         """Return the cost that the choice of a server minimises, in milliseconds."""
         first_response_ms = self.first_response_ms(demand)
-        total_ms = first_response_ms
-        cautious_ms = first_response_ms
-        cost = self.remote_cost_ms
+        cost = first_response_ms + self.remote_cost_ms
+        left_ms = demand.deadline_ms - now_ms - first_response_ms
         if self.is_model:
             speeds = self.speeds
             event_ms = self.events_per_token * speeds.cautious_event_ms
-            total_ms += demand.output_tokens * event_ms
-            cautious_ms += demand.cautious_output_tokens * event_ms
+            events_ms = demand.output_tokens * event_ms
             prefill_ms = demand.prompt_tokens * speeds.token_ms
-            cost += PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
+            cost += events_ms + PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
+            if events_ms > left_ms:
+                cost += MISSED_DEADLINE_COST_MS
+            elif demand.cautious_output_tokens * event_ms > left_ms:
+                cost += MAYBE_MISSED_DEADLINE_COST_MS
             if 0 < demand.max_gap_ms < speeds.event_ms:
-                cost += total_ms
-        cost += total_ms
+                cost += first_response_ms + events_ms
+        elif left_ms < 0:
+            cost += MISSED_DEADLINE_COST_MS
         if now_ms + first_response_ms > demand.target_ms:
             cost += first_response_ms
-        if now_ms + total_ms > demand.deadline_ms:
-            cost += MISSED_DEADLINE_COST_MS
-        elif now_ms + cautious_ms > demand.deadline_ms:
-            cost += MAYBE_MISSED_DEADLINE_COST_MS
         if (
             self.unreachable_report_count
             and now_ms - self.last_response_ms > OWN_RESPONSE_VALID_MS
         ):
             cost += UNREACHABLE_COST_MS
+        if not self.error_share:
+            return cost
         reliability = max(0.1, 1 - self.error_share)
         return cost / (reliability * reliability)
 
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -239,11 +239,12 @@
     ) -> bool:
         """Return whether only a server without a free slot meets the deadline.
 
-        A late request waits on only if it is likely to be lost otherwise.
+        A request that would get its first response late for that waits only if it is
+        likely to be lost otherwise.
         """
         if load.meets_deadline(demand, now_ms):
             return False
-        if now_ms < demand.target_ms:
+        if now_ms + load.first_response_ms(demand) < demand.target_ms:
             return any(other.meets_deadline(demand, now_ms) for other in usable)
         if demand.has_run or _is_likely_in_time(load, demand, now_ms):
             return False
