--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -11,6 +11,7 @@
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.delegation.delegates import Delegates
 from marjoramfall.gateway.delegation.service_paths import ServicePaths
+from marjoramfall.gateway.fleet_speeds import FleetSpeeds
 from marjoramfall.gateway.model import BackendServer, Configuration, Service
 from marjoramfall.gateway.peers.own_load import OwnLoad
 from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
@@ -24,6 +25,7 @@
     max_idle_connections,
 )
 from marjoramfall.gateway.servers.demand import Demand, build_demand
+from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
@@ -92,7 +94,15 @@
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
+        self.lengths = LengthEstimates()
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
+        self.speeds = FleetSpeeds(
+            clock,
+            peers,
+            self._peer_loads,
+            load_by_id=self._load_by_id,
+            queue_by_service=self._queue_by_service,
+        )
         self.paths = ServicePaths(
             clock,
             pool,
@@ -172,7 +182,7 @@
         """
         version = self.choose_version(call.service_id)
         now_ms = self._clock.monotonic_ms()
-        demand = build_demand(call, now_ms, version)
+        demand = build_demand(call, now_ms, version, self.lengths)
         loads = self.queue(call.service_id).load_by_id.values()
         if version.only and not self._rules.allows_any(loads, demand, now_ms):
             demand.version = VersionChoice(excluded=version.only)
@@ -184,6 +194,7 @@
         """Record what the result of a request says of its server and the path."""
         if outcome.is_broken_off:
             return
+        self._record_length(call, assignment, outcome)
         self._record_path(assignment, outcome)
         if outcome.ending is Ending.NOT_REACHED:
             return
@@ -268,6 +279,22 @@
             spawn(self._probe_cold, server)
         self.assign()
 
+    def _record_length(
+        self, call: Call, assignment: Assignment, outcome: Outcome
+    ) -> None:
+        """Compare a response with its hint, unless it is the rest of one."""
+        event_count = assignment.request.event_count
+        is_rest = call.sends > 1 or call.fields.last_event_id is not None
+        if not event_count or is_rest or not assignment.load.is_model:
+            return
+        self.lengths.record(
+            call.route.name,
+            call.fields.likely_output_tokens,
+            event_count / assignment.load.events_per_token,
+            team=call.team.name if call.team else '',
+            is_whole=outcome.ending is Ending.DELIVERED,
+        )
+
     def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
         server = assignment.load.server
         if not outcome.is_answered:
@@ -369,6 +396,7 @@
         self.queue(load.server.service_id).load_by_id.pop(server_id, None)
         self._pool.remove(server_id)
         self.server_limits.remove(load.server)
+        self.speeds.remove(server_id)
 
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -31,6 +31,8 @@
 COLD_COST_MS = 250.0
 # Exceeds any other difference in cost between servers.
 MISSED_DEADLINE_COST_MS = 60_000.0
+# For a deadline that only a response of the cautious length misses.
+MAYBE_MISSED_DEADLINE_COST_MS = 6000.0
 
 
 @dataclass(slots=True)
@@ -51,6 +53,12 @@
     demand: Demand
     started_ms: float
     is_prefilling: bool = True
+    event_count: int = 0
+
+    def on_events(self, count: int) -> None:
+        """Count events of the response; the first ends the prefill."""
+        self.is_prefilling = False
+        self.event_count += count
 
 
 class ServerLoad:
@@ -100,7 +108,8 @@
 
     def pause_ms(self, now_ms: float) -> float:
         """Return how long the server wants nothing from this entry; 0 if it does."""
-        return max(0, self._heard.resumed_ms - now_ms)
+        resumed_ms = self._heard.resumed_ms
+        return resumed_ms - now_ms if resumed_ms > now_ms else 0
 
     def update_server(self, server: BackendServer) -> None:
         """Replace the registration by a newer one of the same incarnation."""
@@ -171,22 +180,34 @@
         if not self.is_model:
             load_factor = 1 + self.running / self.server.slots
             return self.speeds.event_ms * load_factor
-        tokens = self.pending_prefill_tokens + demand.prompt_tokens
+        pending_tokens = self.peer_pending_prefill_tokens
+        if self.own_requests:
+            pending_tokens = self.pending_prefill_tokens
+        tokens = pending_tokens + demand.prompt_tokens
         speeds = self.speeds
         return BASE_FIRST_RESPONSE_MS + tokens * speeds.token_ms + speeds.event_ms
 
     def cost(self, demand: Demand, now_ms: float) -> float:
         """Return the cost that the choice of a server minimises, in milliseconds."""
         first_response_ms = self.first_response_ms(demand)
-        total_ms = first_response_ms + self._remaining_ms(demand)
-        cost = total_ms + self.remote_cost_ms
+        cost = first_response_ms + self.remote_cost_ms
+        left_ms = demand.deadline_ms - now_ms - first_response_ms
         if self.is_model:
-            prefill_ms = demand.prompt_tokens * self.speeds.token_ms
-            cost += PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
+            speeds = self.speeds
+            event_ms = self.events_per_token * speeds.cautious_event_ms
+            events_ms = demand.output_tokens * event_ms
+            prefill_ms = demand.prompt_tokens * speeds.token_ms
+            cost += events_ms + PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
+            if events_ms > left_ms:
+                cost += MISSED_DEADLINE_COST_MS
+            elif demand.cautious_output_tokens * event_ms > left_ms:
+                cost += MAYBE_MISSED_DEADLINE_COST_MS
+            if 0 < demand.max_gap_ms < speeds.event_ms:
+                cost += first_response_ms + events_ms
+        elif left_ms < 0:
+            cost += MISSED_DEADLINE_COST_MS
         if now_ms + first_response_ms > demand.target_ms:
             cost += first_response_ms
-        if now_ms + total_ms > demand.deadline_ms:
-            cost += MISSED_DEADLINE_COST_MS
         if now_ms < self.speeds.cold_until_ms:
             cost += COLD_COST_MS
         if (
@@ -194,14 +215,24 @@
             and now_ms - self.last_response_ms > OWN_RESPONSE_VALID_MS
         ):
             cost += UNREACHABLE_COST_MS
+        if not self.error_share:
+            return cost
         reliability = max(0.1, 1 - self.error_share)
         return cost / (reliability * reliability)
 
     def meets_deadline(self, demand: Demand, now_ms: float) -> bool:
-        """Return whether the whole response is expected in time."""
-        total_ms = self.first_response_ms(demand) + self._remaining_ms(demand)
+        """Return whether the whole response ends in time by its cautious length."""
+        total_ms = self.response_ms(demand, demand.cautious_output_tokens)
         return now_ms + total_ms <= demand.deadline_ms
 
+    def response_ms(self, demand: Demand, output_tokens: int) -> float:
+        """Return the expected time of a response of this length."""
+        first_response_ms = self.first_response_ms(demand)
+        if not self.is_model:
+            return first_response_ms
+        events = output_tokens * self.events_per_token
+        return first_response_ms + events * self.speeds.cautious_event_ms
+
     def begin(self, demand: Demand, now_ms: float) -> RunningRequest:
         """Add a request that is sent to the server to its load."""
         request = RunningRequest(demand, now_ms)
@@ -253,9 +284,3 @@
         if self.is_limited:
             allowed = max(0, math.ceil(self._shared_limit.available))
             self.free_slots = min(self.free_slots, allowed)
-
-    def _remaining_ms(self, demand: Demand) -> float:
-        """Return the expected time from the first response to the last."""
-        if not self.is_model:
-            return 0
-        return demand.output_tokens * self.events_per_token * self.speeds.event_ms
