--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -63,6 +63,12 @@
         self._reserved = None
         return reserved
 
+    def hold(self, place: Assignment) -> None:
+        """Go on at a place that was reserved otherwise."""
+        self.cancel()
+        self._reserved = place
+        self._is_moving = True
+
     @property
     def is_allowed(self) -> bool:
         """Return whether the route lets the request run once more."""
--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -90,6 +90,9 @@
     # The media type of a stream that has begun.
     stream_type: bytes | None = None
     unreached_servers: int = 0
+    # How often the stream was to move, and the copy from which it goes on next.
+    moves: int = 0
+    resume_from: str = ''
     # Set if a peer has accepted the request from its caller.
     delegation: Delegation | None = None
     tried_delegates: set[str] = field(default_factory=set)
--- a/marjoramfall/gateway/dialect.py
+++ b/marjoramfall/gateway/dialect.py
@@ -6,6 +6,7 @@
 from marjoramfall.gateway.http_messages import Header, RequestHead, Response
 from marjoramfall.gateway.model import BackendServer, ServerNotice
 from marjoramfall.gateway.servers.backend_connection import ExpectedHeader
+from marjoramfall.gateway.servers.copy_messages import CopyOrder, CopyResult
 
 
 class Dialect(ABC):
@@ -50,3 +51,15 @@
         self, attempt_id: str, retry_after_ms: float | None
     ) -> list[Header]:
         """Return the headers of the gateway's own error responses."""
+
+    @abstractmethod
+    def encode_copy(self, order: CopyOrder) -> bytes:
+        """Encode a call that copies a run to another server."""
+
+    @abstractmethod
+    def encode_copy_drop(self, source: BackendServer, handle: str) -> bytes:
+        """Encode a call that frees a copy."""
+
+    @abstractmethod
+    def read_copy_result(self, response: Response, body: bytes) -> CopyResult:
+        """Return what a server answered to a call about a copy."""
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -31,6 +31,7 @@
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
+from marjoramfall.gateway.stream_moves import StreamMoves
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
@@ -103,7 +104,17 @@
         )
         self._metrics = GatewayMetrics(vm=settings.vm)
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
-        forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
+        self._stream_moves = StreamMoves(
+            self._fleet, self._pool, dialect, clock, self._metrics
+        )
+        forwarder = Forwarder(
+            self._fleet,
+            self._pool,
+            self.quarantine,
+            self._stream_moves,
+            dialect,
+            clock,
+        )
         self._gateway = Gateway(
             self.registry,
             self._limits,
@@ -291,6 +302,7 @@
             self.registry.end_grace_periods()
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
+            self._stream_moves.look()
 
     def _stop(self) -> None:
         self._gateway.stopping = True
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -120,6 +120,10 @@
         self._share_servers()
         self.assign()
 
+    def find_service(self, service_id: str) -> Service | None:
+        """Return what the configuration says of a service, None if nothing."""
+        return self._service_by_id.get(service_id)
+
     def queue(self, service_id: str) -> ServiceQueue:
         """Return the queue of a service, created on first use."""
         queue = self._queue_by_service.get(service_id)
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -32,6 +32,7 @@
     PathLostError,
     ServiceQueue,
 )
+from marjoramfall.gateway.stream_moves import StreamMoves
 
 # A request that servers reject without running it is sent at most this many times
 # more than the route's `max_attempts`.
@@ -57,12 +58,14 @@
         fleet: Fleet,
         pool: ConnectionPool,
         quarantine: CrashQuarantine,
+        moves: StreamMoves,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._quarantine = quarantine
+        self._moves = moves
         self._delegates = fleet.delegates
         self._retry_wait = RetryWait(fleet.retries, clock)
         self._dialect = dialect
@@ -81,6 +84,7 @@
         splitter = EventSplitter() if is_stream else None
         failover = CallFailover(call, self._fleet, self._delegates, self._clock)
         with ExitStack() as stack:
+            stack.callback(self._moves.end, call)
             stack.callback(failover.cancel)
             return self._forward(call, writer, splitter, failover)
 
@@ -120,6 +124,9 @@
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
+        self._moves.try_go_on(call, outcome, failover)
+        if outcome.is_moved:
+            return outcome
         self._lost_runs.on_outcome(call, assignment.load, outcome)
         self._log_failure(call, assignment, outcome)
         self._record_crash(call, assignment, outcome)
@@ -207,7 +214,8 @@
             self._clock,
         )
         releasing = self._fleet.releasing(assignment)
-        with releasing, self._running.including(call, exchange):
+        moving = self._moves.including(call, exchange, splitter)
+        with releasing, moving, self._running.including(call, exchange):
             outcome = exchange.run(writer, splitter)
         if outcome.ending is Ending.NOT_REACHED:
             call.unreached_servers += 1
@@ -294,6 +302,9 @@
         now_ms = self._clock.monotonic_ms()
         if call.remaining_ms(now_ms) <= 0:
             return False
+        if call.is_begun_stream and not call.may_repeat:
+            # What has not run is only the rest of a stream that has.
+            return False
         if outcome.ending is Ending.NOT_REACHED:
             # No server received it, so it counts neither as a run nor as a retry.
             return True
--- a/marjoramfall/gateway/metrics.py
+++ b/marjoramfall/gateway/metrics.py
@@ -5,6 +5,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from marjoramfall.clock import MS_PER_SECOND
+
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.06, 0.125, 0.25, 0.5, 0.8, 1.2, 2, 4, 8, 16)
 
 
@@ -28,6 +30,19 @@
             registry=self._registry,
             buckets=list(LATENCY_BUCKETS_S),
         )
+        self._moves = Counter(
+            'marjoramfall_gateway_stream_moves_total',
+            'Moves of running streams by ending.',
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+        self._move_pause_seconds = Histogram(
+            'marjoramfall_gateway_stream_move_pause_seconds',
+            'Seconds between the last event before a move and the first one after.',
+            const_labels=self._labels,
+            registry=self._registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
 
     def count_request(
         self, *, route: str, status: int, ending: str, seconds: float
@@ -36,6 +51,14 @@
         self._requests.inc({'route': route, 'status': str(status), 'ending': ending})
         self._duration_seconds.observe({'route': route}, seconds)
 
+    def count_move(self, ending: str) -> None:
+        """Count how the move of a running stream ended."""
+        self._moves.inc({'ending': ending})
+
+    def observe_move_pause(self, pause_ms: float) -> None:
+        """Observe the pause that a caller saw as its stream moved."""
+        self._move_pause_seconds.observe({}, pause_ms / MS_PER_SECOND)
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge that calls `read` at each scrape."""
         gauge = Gauge(
--- a/marjoramfall/gateway/model.py
+++ b/marjoramfall/gateway/model.py
@@ -63,7 +63,9 @@
     A server that has just started is cold for `cold_start_ms` and takes
     `cold_rate_per_s` requests per second meanwhile, no limit if 0. `memory_tokens`
     bounds the tokens of the requests that a model server holds, no limit if 0.
-    Its running requests can be moved between servers if `moves_runs`.
+    Its running requests can be moved between servers if `moves_runs`: each token takes
+    `token_bytes` over links of `link_mbps`, 0 where that isn't known, and a copy that
+    isn't used is kept for `copy_kept_ms`.
     """
 
     service_id: str
@@ -74,6 +76,9 @@
     cold_rate_per_s: float = 0
     memory_tokens: int = 0
     moves_runs: bool = False
+    token_bytes: float = 0
+    link_mbps: float = 0
+    copy_kept_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -22,6 +22,7 @@
 from marjoramfall.gateway.servers.failover import Failover
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from marjoramfall.gateway.servers.response_watch import ResponseWatch
+from marjoramfall.gateway.servers.run_handover import RunHandover
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.server_speeds import US_PER_MS
@@ -53,7 +54,7 @@
     ) -> None:
         self._call = call
         self._assignment = assignment
-        self._load = assignment.load
+        self.load = assignment.load
         self._server = assignment.load.server
         self._pool = pool
         self._server_limits = server_limits
@@ -63,11 +64,16 @@
         self._connection: BackendConnection | None = None
         self._is_answered = False
         self._is_broken_off = False
-        self._timing = StreamTiming(clock.monotonic_ms())
+        self.timing = StreamTiming(clock.monotonic_ms())
         self._failover = failover
         self._watch = ResponseWatch(
-            call, assignment, self._timing, pool, failover, clock
+            call, assignment, self.timing, pool, failover, clock
         )
+        # Set while the run is to move, and on the exchange with which it goes on.
+        self.handover: RunHandover | None = None
+        self.resumed: RunHandover | None = None
+        # A run that goes on from a copy is the same run.
+        self._added_runs = 0 if call.resume_from else 1
 
     def run(self, writer: ResponseWriter, splitter: EventSplitter | None) -> Outcome:
         """Return how the exchange ended.
@@ -75,12 +81,12 @@
         A slow or failing server is left early if the call has another place.
         """
         # Counted before it is known to have run, and taken back where it has not.
-        self._call.runs += 1
+        self._call.runs += self._added_runs
         try:
             return self._run(writer, splitter)
         except NotReachedError as error:
-            self._call.runs -= 1
-            self._load.on_unreachable(self._clock.monotonic_ms())
+            self._call.runs -= self._added_runs
+            self.load.on_unreachable(self._clock.monotonic_ms())
             return Outcome(Ending.NOT_REACHED, str(error))
         except ServerTimeoutError as error:
             return Outcome(
@@ -92,7 +98,12 @@
         except BrokenExchangeError as error:
             if self._is_broken_off:
                 return Outcome(Ending.UNKNOWN, 'broken off', is_broken_off=True)
-            self._load.on_error()
+            if self._has_stopped_to_move():
+                self._record_stream_end()
+                return Outcome(
+                    Ending.UNKNOWN, 'moved', is_broken_off=True, is_moved=True
+                )
+            self.load.on_error()
             is_lost = isinstance(error, ConnectionLostError)
             return Outcome(
                 Ending.UNKNOWN,
@@ -107,17 +118,22 @@
 
     def break_off(self) -> bool:
         """End an exchange without a response yet; return whether it was such a one."""
-        is_answered = self._is_answered or self._timing.first_event_ms is not None
+        is_answered = self._is_answered or self.timing.first_event_ms is not None
         if self._connection is None or is_answered:
             return False
         self._is_broken_off = True
         self._connection.close()
         return True
 
+    def stop_reading(self) -> None:
+        """End the exchange of a run that has stopped to move."""
+        if self._connection is not None:
+            self._connection.close()
+
     def _run(self, writer: ResponseWriter, splitter: EventSplitter | None) -> Outcome:
         if self._call.remaining_ms(self._clock.monotonic_ms()) <= 0:
             # The process may have been paused since the request was assigned.
-            self._call.runs -= 1
+            self._call.runs -= self._added_runs
             return Outcome(Ending.NOT_RUN, 'the deadline passed before it was sent')
         self._send()
         expected = self._dialect.expected_header(self._call)
@@ -125,16 +141,18 @@
             self._connection,
             partial(self._connection.read_response, expected=expected),
         )
-        self._load.last_response_ms = self._clock.monotonic_ms()
+        self.load.last_response_ms = self._clock.monotonic_ms()
         self._read_notices(response)
         if self._dialect.was_rejected(response):
-            self._call.runs -= 1
+            self._call.runs -= self._added_runs
             return self._read_rejection(response)
         if writer.has_begun and not self._is_rest_of_stream(response):
-            self._load.on_error()
+            self.load.on_error()
             return Outcome(
                 Ending.FAILED, f'answered {response.status} instead of the rest'
             )
+        if self.resumed is not None:
+            self.resumed.is_used = True
         if response.status != OK or splitter is None:
             return self._deliver_buffered(response, writer)
         return self._deliver_stream(response, writer, splitter)
@@ -142,12 +160,12 @@
     def _read_notices(self, response: Response) -> None:
         attempt_id = self._call.fields.attempt_id
         self._server_limits.on_response(
-            self._load,
+            self.load,
             self._dialect.read_rate_limit(response),
             attempt_id=attempt_id,
         )
         self._server_notices.on_response(
-            self._load,
+            self.load,
             self._dialect.read_notice(response),
             attempt_id=attempt_id,
         )
@@ -156,8 +174,13 @@
         media_type = find_header(response.headers, CONTENT_TYPE)
         return response.status == OK and media_type == self._call.stream_type
 
+    def _has_stopped_to_move(self) -> bool:
+        if self.handover is None:
+            return False
+        return self.handover.await_stop(self.timing.last_event_ms)
+
     def _is_at_start(self) -> bool:
-        first_event_ms = self._timing.first_event_ms
+        first_event_ms = self.timing.first_event_ms
         if first_event_ms is None:
             return True
         return self._clock.monotonic_ms() - first_event_ms < RESPONSE_START_MS
@@ -168,7 +191,7 @@
             self._call, self._server, self._call.remaining_ms(now_ms)
         )
         expects_body = self._call.head.method != HEAD_METHOD
-        self._timing.pending_prefill_tokens = self._load.pending_prefill_tokens
+        self.timing.pending_prefill_tokens = self.load.pending_prefill_tokens
         self._connection = self._acquire()
         try:
             self._connection.send(message, expects_body=expects_body)
@@ -179,7 +202,7 @@
             self._pool.close_idle(self._server.server_id)
             self._connection = self._acquire()
             self._connection.send(message, expects_body=expects_body)
-        self._timing.sent_ms = self._clock.monotonic_ms()
+        self.timing.sent_ms = self._clock.monotonic_ms()
 
     def _acquire(self) -> BackendConnection:
         return self._pool.acquire(self._server.server_id, self._server.address)
@@ -188,7 +211,7 @@
         body = self._connection.read_all(response, self._watch.deadline_timeout_ms())
         self._release(response)
         if self._dialect.is_other_server(response):
-            self._load.on_unreachable(self._clock.monotonic_ms())
+            self.load.on_unreachable(self._clock.monotonic_ms())
         return Outcome(
             Ending.NOT_RUN, f'rejected with {response.status}', response, body
         )
@@ -199,16 +222,16 @@
         now_ms = self._clock.monotonic_ms()
         self._release(response)
         if response.status >= FIRST_SERVER_ERROR_STATUS:
-            self._load.on_error()
+            self.load.on_error()
             if self._failover.is_possible():
                 return Outcome(
                     Ending.FAILED, f'answered {response.status}', response, body
                 )
         else:
-            self._load.on_success(now_ms)
-            if not self._load.is_model:
+            self.load.on_success(now_ms)
+            if not self.load.is_model:
                 # Without a model, the speed of a server is its response time.
-                self._load.speeds.add_event_sample(now_ms - self._timing.sent_ms)
+                self.load.speeds.add_event_sample(now_ms - self.timing.sent_ms)
         self._call.first_byte_ms = now_ms
         writer.send_response(response.status, response.headers, body, response.reason)
         return Outcome(Ending.DELIVERED)
@@ -241,8 +264,10 @@
         """
         if remainder:
             raise ConnectionLostError('the connection ended within an event')
-        if self._timing.event_count == 0 and self._call.last_event_id is None:
+        if self.timing.event_count == 0 and self._call.last_event_id is None:
             raise ConnectionLostError('the connection ended before the first event')
+        if self._has_stopped_to_move():
+            raise ConnectionLostError('the connection ended as the run has stopped')
 
     def _forward_part(
         self,
@@ -259,10 +284,12 @@
         if not events:
             return
         now_ms = self._clock.monotonic_ms()
-        self._load.last_response_ms = now_ms
-        self._timing.record_events(now_ms, splitter.event_count - previous_count)
+        self.load.last_response_ms = now_ms
+        self.timing.record_events(now_ms, splitter.event_count - previous_count)
         self._assignment.request.is_prefilling = False
         self._call.last_event_id = splitter.last_id or self._call.last_event_id
+        if self.resumed is not None:
+            self.resumed.on_event(now_ms)
         if writer.has_begun:
             writer.send_part(events)
             return
@@ -279,21 +306,21 @@
 
     def _record_first_event(self) -> None:
         demand = self._assignment.request.demand
-        tokens = demand.prompt_tokens + self._timing.pending_prefill_tokens
+        tokens = demand.prompt_tokens + self.timing.pending_prefill_tokens
         prompt_ms = (
-            self._timing.first_event_ms
-            - self._timing.sent_ms
-            - self._load.speeds.own.event_ms
+            self.timing.first_event_ms
+            - self.timing.sent_ms
+            - self.load.speeds.own.event_ms
         )
         if tokens > 0 and prompt_ms > 0:
-            self._load.speeds.add_token_sample(prompt_ms / tokens * US_PER_MS)
-        self._load.on_success(self._timing.first_event_ms)
+            self.load.speeds.add_token_sample(prompt_ms / tokens * US_PER_MS)
+        self.load.on_success(self.timing.first_event_ms)
 
     def _record_stream_end(self) -> None:
-        timing = self._timing
+        timing = self.timing
         if timing.first_event_ms is not None and timing.event_count > MIN_GAPS_TO_LEARN:
             gap_ms = (timing.last_event_ms - timing.first_event_ms) / (
                 timing.event_count - 1
             )
-            self._load.speeds.add_event_sample(gap_ms)
-        self._load.on_success(self._clock.monotonic_ms())
+            self.load.speeds.add_event_sample(gap_ms)
+        self.load.on_success(self._clock.monotonic_ms())
--- a/marjoramfall/gateway/servers/outcome.py
+++ b/marjoramfall/gateway/servers/outcome.py
@@ -32,7 +32,8 @@
     `response` and `body` are the backend server's own error response, which may
     still be delivered. `lost_at_start` is true if the connection ended before more
     than the beginning of a response had arrived; `is_connection_lost` if it ended
-    before the whole response had.
+    before the whole response had. One that `is_moved` has stopped at its server to go
+    on at another one.
     """
 
     ending: Ending
@@ -44,6 +45,7 @@
     is_timeout: bool = False
     is_broken_off: bool = False
     is_connection_lost: bool = False
+    is_moved: bool = False
 
     @property
     def is_answered(self) -> bool:
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -162,6 +162,23 @@
             for load in self._open_loads(assignment.request.demand, now_ms)
         )
 
+    def spare_loads(self, demand: Demand) -> list[ServerLoad]:
+        """Return the usable servers with free slots that no waiting request needs."""
+        if self.waiters:
+            return []
+        usable = self._usable_loads(demand, self._clock.monotonic_ms())
+        usable = [load for load in usable if load.free_slots]
+        waiting = sum(map(len, self.peer_waiters_by_source.values()))
+        return usable if sum(load.free_slots for load in usable) > waiting else []
+
+    def is_eligible(self, load: ServerLoad, demand: Demand) -> bool:
+        """Return whether a request may go to a server, busy or not."""
+        return load in self._eligible_loads(demand)
+
+    def reserve(self, load: ServerLoad, demand: Demand) -> Assignment:
+        """Take a place at a server out of turn."""
+        return Assignment(load, load.begin(demand, self._clock.monotonic_ms()))
+
     def occupancy(self) -> float:
         """Return the share of all slots in use, or 1 if there are no slots."""
         slots = sum(load.server.slots for load in self.load_by_id.values())
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -16,6 +16,12 @@
 )
 from marjoramfall.gateway.model import BackendServer, ServerNotice
 from marjoramfall.gateway.servers.backend_connection import ExpectedHeader
+from marjoramfall.gateway.servers.copy_messages import CopyOrder, CopyResult
+from marjoramfall.platform.run_copies import (
+    encode_copy,
+    encode_copy_drop,
+    read_copy_result,
+)
 
 ATTEMPT_ID = b'marjoramfall-attempt-id'
 DEADLINE = b'marjoramfall-deadline-ms'
@@ -37,6 +43,8 @@
 # The parts of the prompt in order, as ID:TOKENS; requests share all but the last.
 PROMPT_PARTS = b'marjoramfall-prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# Where the memory of a run is that goes on, as IP:PORT/HANDLE.
+COPY_SOURCE = b'kv-from'
 AUTHORIZATION = b'authorization'
 BEARER = b'bearer '
 RETRY_AFTER = b'retry-after'
@@ -62,7 +70,7 @@
         b'marjoramfall-hold',
         b'marjoramfall-pin-ms',
         b'marjoramfall-kv-backup',
-        b'kv-from',
+        COPY_SOURCE,
         b'kv-fetch',
     )
 )
@@ -115,6 +123,8 @@
             headers.append((TEAM, call.team.name.encode()))
         if call.last_event_id is not None:
             headers.append((LAST_EVENT_ID, call.last_event_id))
+        if call.resume_from:
+            headers.append((COPY_SOURCE, call.resume_from.encode()))
         if call.body or call.head.method not in {b'GET', b'DELETE'}:
             headers.append((b'content-length', str(len(call.body)).encode()))
         first_line = call.head.method + b' ' + call.head.target + b' HTTP/1.1'
@@ -175,6 +185,18 @@
             headers.append((RETRY_AFTER, seconds.encode()))
         return headers
 
+    def encode_copy(self, order: CopyOrder) -> bytes:
+        """Encode a call that copies a run to another server."""
+        return encode_copy(order)
+
+    def encode_copy_drop(self, source: BackendServer, handle: str) -> bytes:
+        """Encode a call that frees a copy."""
+        return encode_copy_drop(source, handle)
+
+    def read_copy_result(self, response: Response, body: bytes) -> CopyResult:
+        """Return what a server answered to a call about a copy."""
+        return read_copy_result(response.status, body)
+
 
 def _read_target(head: RequestHead, host: bytes) -> tuple[str, str]:
     target = head.target
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -133,6 +133,10 @@
         cold_rate_per_s=read_amount(wire.cold_per_s, f'{wire.name}.coldPerS'),
         memory_tokens=int(read_amount(engine.kv_capacity, f'{wire.name}.kvCapacity')),
         moves_runs=engine.moves is True,
+        token_bytes=read_amount(engine.kv_token_bytes, f'{wire.name}.kvTokenBytes'),
+        link_mbps=read_amount(engine.link_mbps, f'{wire.name}.linkMbps'),
+        copy_kept_ms=MS_PER_SECOND
+        * read_amount(engine.handle_s, f'{wire.name}.handleS'),
     )
 
 
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -45,6 +45,9 @@
     # Read leniently, as all that later pages have added.
     kv_capacity: Any = None
     moves: Any = None
+    kv_token_bytes: Any = None
+    link_mbps: Any = None
+    handle_s: Any = None
 
 
 class WireService(msgspec.Struct, rename='camel'):
