--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -31,7 +31,6 @@
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
-from marjoramfall.gateway.stream_moves import StreamMoves
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
@@ -104,17 +103,15 @@
         )
         self._metrics = GatewayMetrics(vm=settings.vm)
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
-        self._stream_moves = StreamMoves(
-            self._fleet, self._pool, dialect, clock, self._metrics
-        )
         forwarder = Forwarder(
             self._fleet,
             self._pool,
             self.quarantine,
-            self._stream_moves,
             dialect,
             clock,
+            metrics=self._metrics,
         )
+        self._stream_moves = forwarder.moves
         self._gateway = Gateway(
             self.registry,
             self._limits,
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.http_messages import HEAD_METHOD
 from marjoramfall.gateway.lost_runs import LostRuns
+from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.place_finder import PlaceFinder
 from marjoramfall.gateway.retry_wait import RetryWait
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
@@ -58,14 +59,15 @@
         fleet: Fleet,
         pool: ConnectionPool,
         quarantine: CrashQuarantine,
-        moves: StreamMoves,
         dialect: Dialect,
         clock: Clock,
+        *,
+        metrics: GatewayMetrics | None = None,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._quarantine = quarantine
-        self._moves = moves
+        self.moves = StreamMoves(fleet, pool, dialect, clock, metrics)
         self._delegates = fleet.delegates
         self._retry_wait = RetryWait(fleet.retries, clock)
         self._dialect = dialect
@@ -84,7 +86,7 @@
         splitter = EventSplitter() if is_stream else None
         failover = CallFailover(call, self._fleet, self._delegates, self._clock)
         with ExitStack() as stack:
-            stack.callback(self._moves.end, call)
+            stack.callback(self.moves.end, call)
             stack.callback(failover.cancel)
             return self._forward(call, writer, splitter, failover)
 
@@ -124,7 +126,7 @@
         if outcome.ending is Ending.DELIVERED:
             self._record_served(call, writer)
             return outcome
-        self._moves.try_go_on(call, outcome, failover)
+        self.moves.try_go_on(call, outcome, failover)
         if outcome.is_moved:
             return outcome
         self._lost_runs.on_outcome(call, assignment.load, outcome)
@@ -214,7 +216,7 @@
             self._clock,
         )
         releasing = self._fleet.releasing(assignment)
-        moving = self._moves.including(call, exchange, splitter)
+        moving = self.moves.including(call, exchange, splitter)
         with releasing, moving, self._running.including(call, exchange):
             outcome = exchange.run(writer, splitter)
         if outcome.ending is Ending.NOT_REACHED:
--- a/marjoramfall/gateway/running_streams.py
+++ b/marjoramfall/gateway/running_streams.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
@@ -20,6 +20,9 @@
     RunningStream,
 )
 
+# Destinations without room that a stream may ask before each counts as a move.
+MAX_REFUSALS = 3
+
 
 @dataclass(slots=True, eq=False)
 class TrackedStream:
@@ -32,6 +35,8 @@
     seen_ms: float = 0.0
     paused_until_ms: float = 0.0
     view: RunningStream | None = None
+    # Destinations without room for it.
+    refused_ids: set[str] = field(default_factory=set)
 
     @property
     def can_resume(self) -> bool:
@@ -44,6 +49,12 @@
         """Leave the stream where it is until then."""
         self.paused_until_ms = until_ms
 
+    def refuse(self, server_id: str) -> None:
+        """Count a move that found no room as none, and try other servers only."""
+        self.refused_ids.add(server_id)
+        if len(self.refused_ids) <= MAX_REFUSALS:
+            self.call.moves -= 1
+
     def is_movable(self, service: Service, now_ms: float) -> bool:
         """Return whether the stream could move at all now."""
         handover = self.exchange.handover
--- a/marjoramfall/gateway/servers/run_copies.py
+++ b/marjoramfall/gateway/servers/run_copies.py
@@ -1,5 +1,7 @@
 """Ask a backend server to copy a run to another server, or to drop a copy."""
 
+from contextlib import closing
+
 from loguru import logger
 
 from marjoramfall.gateway.dialect import Dialect
@@ -59,10 +61,8 @@
         connection = BackendConnection(
             server.address, connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
-        try:
+        with closing(connection):
             connection.send(message)
             response = connection.read_response(timeout_ms)
             body = connection.read_all(response, timeout_ms)
-        finally:
-            connection.close()
         return self._dialect.read_copy_result(response, body)
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -117,8 +117,8 @@
         """
         now_ms = self._clock.monotonic_ms()
         self._refill_limits(now_ms)
-        usable = self._usable_loads(waiter.demand, now_ms)
-        if not usable and not self._eligible_loads(waiter.demand):
+        usable = self.usable_loads(waiter.demand, now_ms)
+        if not usable and not self.eligible_loads(waiter.demand):
             raise NoServerError('no server', retry_after_ms=self._service_time_ms)
         if usable:
             wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
@@ -162,22 +162,24 @@
             for load in self._open_loads(assignment.request.demand, now_ms)
         )
 
-    def spare_loads(self, demand: Demand) -> list[ServerLoad]:
-        """Return the usable servers with free slots that no waiting request needs."""
-        if self.waiters:
-            return []
-        usable = self._usable_loads(demand, self._clock.monotonic_ms())
-        usable = [load for load in usable if load.free_slots]
-        waiting = sum(map(len, self.peer_waiters_by_source.values()))
-        return usable if sum(load.free_slots for load in usable) > waiting else []
+    def usable_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
+        """Return the servers that take requests and are not ejected.
 
-    def is_eligible(self, load: ServerLoad, demand: Demand) -> bool:
-        """Return whether a request may go to a server, busy or not."""
-        return load in self._eligible_loads(demand)
+        Those that have failed the request are among them if it may return and no
+        other server takes requests.
+        """
+        usable = healthy_loads(self._open_loads(demand, now_ms), now_ms)
+        if usable or not demand.may_return:
+            return usable
+        allowed = self._rules.allowed(list(self.load_by_id.values()), demand, now_ms)
+        return returnable_loads(allowed, demand, now_ms)
 
-    def reserve(self, load: ServerLoad, demand: Demand) -> Assignment:
-        """Take a place at a server out of turn."""
-        return Assignment(load, load.begin(demand, self._clock.monotonic_ms()))
+    def eligible_loads(self, demand: Demand) -> list[ServerLoad]:
+        """Return the servers that may get a request, busy or not."""
+        eligible = [load for load in self.load_by_id.values() if not load.is_leaving]
+        if demand.version is not ANY_VERSION or demand.excluded_server_ids:
+            eligible = [load for load in eligible if demand.allows(load.server)]
+        return self._rules.allowed(eligible, demand, self._clock.monotonic_ms())
 
     def occupancy(self) -> float:
         """Return the share of all slots in use, or 1 if there are no slots."""
@@ -223,7 +225,7 @@
     def _try_assign(
         self, demand: Demand, peers_ahead: int, now_ms: float
     ) -> Assignment | None:
-        usable = self._usable_loads(demand, now_ms)
+        usable = self.usable_loads(demand, now_ms)
         free_servers = [load for load in usable if load.free_slots]
         # Each of these servers has at least one free slot; the sum is computed
         # only if their number does not suffice.
@@ -255,30 +257,12 @@
             return False
         return any(other.meets_deadline(demand, now_ms) for other in usable)
 
-    def _usable_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
-        """Return the servers that take requests and are not ejected.
-
-        Those that have failed the request are among them if it may return and no
-        other server takes requests.
-        """
-        usable = healthy_loads(self._open_loads(demand, now_ms), now_ms)
-        if usable or not demand.may_return:
-            return usable
-        allowed = self._rules.allowed(list(self.load_by_id.values()), demand, now_ms)
-        return returnable_loads(allowed, demand, now_ms)
-
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
         return [
-            load for load in self._eligible_loads(demand) if not load.pause_ms(now_ms)
+            load for load in self.eligible_loads(demand) if not load.pause_ms(now_ms)
         ]
 
-    def _eligible_loads(self, demand: Demand) -> list[ServerLoad]:
-        eligible = [load for load in self.load_by_id.values() if not load.is_leaving]
-        if demand.version is not ANY_VERSION or demand.excluded_server_ids:
-            eligible = [load for load in eligible if demand.allows(load.server)]
-        return self._rules.allowed(eligible, demand, self._clock.monotonic_ms())
-
     def _peer_sort_keys(self) -> list[tuple[float, float]]:
         return sorted(
             (waiter.rank, waiter.arrived_ms)
@@ -305,7 +289,7 @@
         """Raise `OverloadError` if all servers want nothing for too long."""
         if demand.has_run:
             return
-        pause_ms = min(load.pause_ms(now_ms) for load in self._eligible_loads(demand))
+        pause_ms = min(load.pause_ms(now_ms) for load in self.eligible_loads(demand))
         if pause_ms and now_ms + pause_ms > demand.give_up_ms:
             raise OverloadError('no server takes requests yet', retry_after_ms=pause_ms)
 
@@ -332,7 +316,7 @@
         """Return whether no slot is expected to become free before `give_up_ms`."""
         if demand.has_run:
             return False
-        usable = self._usable_loads(demand, now_ms)
+        usable = self.usable_loads(demand, now_ms)
         if not usable:
             return False
         wait_ms = self._expected_wait_ms(demand, usable, now_ms)
@@ -344,7 +328,7 @@
             # An earlier rejection cuts the wait short, and its length would
             # underestimate the full wait.
             self._update_wait_ratio(waiter, now_ms)
-        usable = self._usable_loads(waiter.demand, now_ms)
+        usable = self.usable_loads(waiter.demand, now_ms)
         wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
         retry_after_ms = _retry_after(wait_ms)
         waiter.on_reject(OverloadError(reason, retry_after_ms=retry_after_ms))
--- a/marjoramfall/gateway/stream_moves.py
+++ b/marjoramfall/gateway/stream_moves.py
@@ -33,6 +33,8 @@
     RunningStream,
 )
 from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.service_queue import Assignment
+from marjoramfall.gateway.servers.spare_servers import reserve, spare_loads
 
 LOOK_INTERVAL_MS = 500.0
 # A stopped run has sent all events; its stream is waited for no longer than this.
@@ -157,11 +159,13 @@
         demand = self._build_demand(tracked.call)
         demand.excluded_server_ids = {
             *tracked.call.excluded_server_ids,
+            *tracked.refused_ids,
             source.server_id,
         }
+        queue = self._fleet.queue(demand.service_id)
         return [
             load
-            for load in self._fleet.queue(demand.service_id).spare_loads(demand)
+            for load in spare_loads(queue, demand, self._clock.monotonic_ms())
             if load.server.version == source.version
         ]
 
@@ -175,8 +179,7 @@
         if not self._fleet.retries.try_retry(call, is_running=True):
             tracked.pause(self._clock.monotonic_ms() + self._fleet.retries.pause_ms)
             return
-        queue = self._fleet.queue(call.service_id)
-        place = queue.reserve(move.destination, self._build_demand(call))
+        place = self._reserve(call, move.destination)
         self._fleet.notify_peers()
         handover = RunHandover(move, place, on_resumed=self._on_resumed)
         call.moves += 1
@@ -195,13 +198,13 @@
         handover.handle = result.handle
         _log_copy(handover, result, self._clock.monotonic_ms(), stops_run=False)
         if result.ending is not CopyEnding.COPIED or not handover.begin_stop():
-            self._stay(handover, result)
+            self._stay(tracked, handover, result)
             return
         result = self._stop(handover)
         handover.handle = result.handle or handover.handle
         has_copy = result.ending in {CopyEnding.COPIED, CopyEnding.NO_ROOM}
         if not has_copy or not result.handle:
-            self._stay(handover, result)
+            self._stay(tracked, handover, result)
             return
         if result.ending is CopyEnding.NO_ROOM:
             self._free_place(handover)
@@ -221,10 +224,16 @@
             self._clock.sleep_ms(STOP_PAUSE_MS)
         return result
 
-    def _stay(self, handover: RunHandover, result: CopyResult) -> None:
+    def _stay(
+        self, tracked: TrackedStream, handover: RunHandover, result: CopyResult
+    ) -> None:
+        """Leave a stream at its source, or to its end if it has ended meanwhile."""
+        has_ended = handover.phase is Phase.ENDED
         handover.end()
         self._release(handover)
-        self._count(f'stayed_{result.ending}')
+        self._count('ended' if has_ended else f'stayed_{result.ending}')
+        if result.ending is CopyEnding.NO_ROOM:
+            tracked.refuse(handover.move.destination.server.server_id)
 
     def _release(self, handover: RunHandover) -> None:
         self._free_place(handover)
@@ -238,8 +247,13 @@
             handover.place = None
 
     def _is_eligible(self, call: Call, load: ServerLoad) -> bool:
-        queue = self._fleet.queue(call.service_id)
-        return queue.is_eligible(load, self._build_demand(call))
+        demand = self._build_demand(call)
+        demand.excluded_server_ids = set()
+        return load in self._fleet.queue(call.service_id).eligible_loads(demand)
+
+    def _reserve(self, call: Call, load: ServerLoad) -> Assignment:
+        demand = self._build_demand(call)
+        return reserve(load, demand, self._clock.monotonic_ms())
 
     def _is_unused(self, handover: RunHandover, outcome: Outcome) -> bool:
         """Return whether nothing works on a stream that its destination has failed.
@@ -257,15 +271,14 @@
         self, call: Call, handover: RunHandover, failover: CallFailover
     ) -> bool:
         """Return whether the stream goes on at its source, which keeps its memory."""
+        if not handover.handle:
+            return False
         handover.has_returned = True
         load = handover.move.stream.source
         service = self._fleet.find_service(call.service_id)
         age_ms = self._clock.monotonic_ms() - handover.stopped_ms
         is_kept = service is not None and age_ms < (service.copy_kept_ms or age_ms + 1)
-        demand = self._build_demand(call)
-        demand.excluded_server_ids = set()
-        queue = self._fleet.queue(call.service_id)
-        is_possible = is_kept and queue.is_eligible(load, demand)
+        is_possible = is_kept and self._is_eligible(call, load)
         logger.bind(
             request=call.fields.attempt_id,
             source=load.server.server_id,
@@ -278,7 +291,7 @@
             return False
         handover.is_used = False
         call.resume_from = handover.copy_address
-        failover.hold(queue.reserve(load, demand))
+        failover.hold(self._reserve(call, load))
         return True
 
     def _on_resumed(self, handover: RunHandover, pause_ms: float) -> None:
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -19,7 +19,6 @@
 from marjoramfall.gateway.servers.retry_budget import RetryBounds
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
-from marjoramfall.gateway.stream_moves import StreamMoves
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_fakes import PLAIN, make_config, make_server
@@ -77,19 +76,14 @@
         self.registry = Registry(
             self.clock, self.use_config, self.use_servers, lambda order: None
         )
-        self.moves = StreamMoves(self.fleet, self.pool, PlatformDialect(), self.clock)
+        self.forwarder = Forwarder(
+            self.fleet, self.pool, self.quarantine, PlatformDialect(), self.clock
+        )
         self.gateway = Gateway(
             self.registry,
             self.limits,
             self.peers,
-            Forwarder(
-                self.fleet,
-                self.pool,
-                self.quarantine,
-                self.moves,
-                PlatformDialect(),
-                self.clock,
-            ),
+            self.forwarder,
             PlatformDialect(),
             GatewayMetrics(vm='entry-1'),
             self.clock,
