--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -3,6 +3,7 @@
 import unittest
 
 from marjoramfall.gateway.http_messages import RequestHead, Response
+from marjoramfall.gateway.servers.copy_messages import CopyEnding, CopyOrder
 from marjoramfall.platform.dialect import MAX_PART_ID_CHARS, PlatformDialect
 from tests.gateway_fakes import make_server
 
@@ -45,6 +46,32 @@
         self.assertEqual((fields.prompt_tokens, fields.output_tokens), (1460, 80))
         self.assertEqual(fields.likely_output_tokens, 80)
 
+    def test_copy_of_run(self):
+        """Guards against calls that move a run which servers don't understand."""
+        source = make_server(address='10.0.0.1:80')
+        order = CopyOrder('a-1', source, make_server(address='10.0.0.2:80'), True)
+        head, _, body = self.dialect.encode_copy(order).partition(b'\r\n\r\n')
+        self.assertTrue(head.startswith(b'POST /-/kv-move HTTP/1.1\r\n'))
+        self.assertEqual(body, b'{"id":"a-1","to":"10.0.0.2:80","last":true}')
+        drop = self.dialect.encode_copy_drop(source, 'h-1')
+        self.assertTrue(drop.startswith(b'DELETE /-/kv-handle/h-1 HTTP/1.1\r\n'))
+
+    def test_copy_answers(self):
+        """Guards against an answer that is taken for a copy, or fails the entry."""
+        for status, body, ending, handle in (
+            (200, b'{"handle":"h1","createRevision":3}', CopyEnding.COPIED, 'h1'),
+            (200, b'{"handle":7}', CopyEnding.COPIED, '7'),
+            (200, b'{"handle":"a/../b"}', CopyEnding.LOST, ''),
+            (200, b'\xff', CopyEnding.LOST, ''),
+            (404, b'{}', CopyEnding.NO_RUN, ''),
+            (409, b'[]', CopyEnding.BUSY, ''),
+            (503, b'{"handle":"h1"}', CopyEnding.NO_ROOM, 'h1'),
+            (500, b'', CopyEnding.REFUSED, ''),
+        ):
+            with self.subTest(status=status, body=body):
+                result = self.dialect.read_copy_result(Response(status), body)
+                self.assertEqual((result.ending, result.handle), (ending, handle))
+
     def test_prompt_parts(self):
         """The last part of a prompt is its own, the others may be shared."""
         fields = self.read((b'marjoramfall-prompt-prefix', b'5c1e:800, 91bd:410,e4:25'))
