Test a copy that has lapsed, servers that leave and invalid move fields

What callers would see: a stream sent to a server that stops, or a configuration refused for an optional field. Cause: not covered by tests. Change: tests only. Evidence: tests.test_stream_moves, tests.test_platform_adapter pass.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -311,6 +311,16 @@
         self.assertEqual(config.team_by_key['key-a'].name, 'hule930')
         self.assertIsNone(config.find_route('ficu95.example', '/lohu930'))
 
+    def test_invalid_move_fields(self):
+        """Guards against a configuration refused for what moves of runs need."""
+        for found, expected in ((5.0, 5.0), ('5', 0), (-1, 0), (None, 0)):
+            engine = {'moves': True, 'kvTokenBytes': found, 'linkMbps': found}
+            service = {'name': 'tutor', 'engine': engine}
+            encoded = msgspec.json.encode({**CONFIG, 'services': [service]})
+            decoded = decode_configuration(encoded).service_by_id['tutor']
+            self.assertTrue(decoded.moves_runs)
+            self.assertEqual((decoded.token_bytes, decoded.link_mbps), (expected,) * 2)
+
     def test_longest_prefix(self):
         """Guards against a route that takes precedence over a more specific one."""
         routes = [
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from marjoramfall.gateway.model import RepeatRule, Service, WeightedService
+from marjoramfall.gateway.servers.server_load import HeardNotices
 from tests.gateway_case import GatewayCase, answer, read_attempt, start_events
 from tests.gateway_fakes import MODEL, make_config, make_route
 
@@ -83,19 +84,22 @@
 
     def setUp(self):
         super().setUp()
+        self.use_service(revision=2)
+        self.has_stopped = Event()
+        self.ends_whole = False
+
+    def use_service(self, revision, **changes):
+        """Use a service whose runs can be moved."""
         config = make_config(
-            2,
+            revision,
             routes=(
                 stream_route('long', self.repeat_rule, max_attempts=self.max_attempts),
             ),
         )
-        service = Service(
-            MODEL, 100, is_model=True, tokens_per_event=1, moves_runs=True
+        config.service_by_id[MODEL] = Service(
+            MODEL, 100, is_model=True, tokens_per_event=1, moves_runs=True, **changes
         )
-        config.service_by_id[MODEL] = service
-        self.registry.put_config(config, 2)
-        self.has_stopped = Event()
-        self.ends_whole = False
+        self.registry.put_config(config, revision)
 
     def begin(self, exchange):
         """Send events slowly until the run stops, then end without an end."""
@@ -259,6 +263,16 @@
         self.has_stopped.set()
         return False
 
+    def refuse_late(self, exchange):
+        """Refuse a request as its source has begun to leave."""
+        self.load('slow').use_notices(HeardNotices(is_leaving=True))
+        refuse(exchange)
+
+    def copy_late(self, exchange):
+        """Answer a call as the destination has begun to leave."""
+        self.load('fast').use_notices(HeardNotices(is_leaving=True))
+        answer_copy(exchange)
+
     def die(self, exchange):
         """End the destination as it gets the stream."""
         self.destination.stop()
@@ -311,6 +325,26 @@
         self.assertEqual(len(self.streams_of(self.source)), 2)
         self.assertEqual(len(self.streams_of(self.destination)), 1)
 
+    def test_copy_lapsed(self):
+        """Guards against a request for a copy that its source has dropped."""
+        self.use_service(revision=3, copy_kept_ms=0.001)
+        connection = self.start(answer_copy, self.stop, destination=refuse)
+        self.check_broken(connection)
+        self.assertEqual(len(self.streams_of(self.source)), 1)
+
+    def test_source_leaves(self):
+        """Guards against a request to a server that is about to stop."""
+        connection = self.start(answer_copy, self.stop, destination=self.refuse_late)
+        self.check_broken(connection)
+        self.assertEqual(len(self.streams_of(self.source)), 1)
+
+    def test_destination_leaves(self):
+        """Guards against a request to a destination that leaves during the copy."""
+        connection = self.start(self.copy_late, self.stop, send_rest)
+        self.check_whole(connection)
+        self.assertEqual(self.streams_of(self.destination), [])
+        self.check_goes_on(self.streams_of(self.source)[1])
+
     def test_destination_dies(self):
         """Guards against a stream cut as its destination dies after the stop."""
         connection = self.start(answer_copy, self.stop, send_rest, destination=self.die)
