Leave most of the retry budget to requests that have failed

What callers would see: failed requests refused a retry as moves for speed have spent the budget. Cause: a move asked like any retry of a begun stream. Change: a move may use four tenths of the bound; a refused one stays where it is. Evidence: tests.test_shared_retry_budget.

--- a/marjoramfall/gateway/retry_gate.py
+++ b/marjoramfall/gateway/retry_gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 from loguru import logger
 
@@ -56,13 +57,12 @@
         that others know to wait for the budget.
         """
         ask = self._build_ask(call, asking=int(not is_running), has_waited=has_waited)
-        budget = self._budgets.find(call.service_id)
-        decision = budget.decide(self._clock.monotonic_ms(), ask)
-        if decision.is_allowed:
-            self._notify_peers()
-        else:
-            _log_refusal(call, ask, decision)
-        return decision.is_allowed
+        return self._decide(call, ask)
+
+    def try_move(self, call: Call) -> bool:
+        """Count and allow that a running request moves to another server."""
+        ask = self._build_ask(call, asking=0, has_waited=False)
+        return self._decide(call, replace(ask, is_move=True))
 
     @contextmanager
     def waiting(self, call: Call) -> Iterator[None]:
@@ -71,6 +71,15 @@
             self._notify_peers()
             yield
 
+    def _decide(self, call: Call, ask: RetryAsk) -> bool:
+        budget = self._budgets.find(call.service_id)
+        decision = budget.decide(self._clock.monotonic_ms(), ask)
+        if decision.is_allowed:
+            self._notify_peers()
+        else:
+            _log_refusal(call, ask, decision)
+        return decision.is_allowed
+
     def _build_ask(self, call: Call, *, asking: int, has_waited: bool) -> RetryAsk:
         service_id = call.service_id
         now_ms = self._clock.monotonic_ms()
@@ -108,4 +117,5 @@
         attempts_left=call.attempts_left,
         is_begun=ask.is_begun,
         has_waited=ask.has_waited,
+        is_move=ask.is_move,
     ).warning('retry refused: shared retry budget spent')
--- a/marjoramfall/gateway/servers/retry_budget.py
+++ b/marjoramfall/gateway/servers/retry_budget.py
@@ -19,6 +19,8 @@
 # that arrive late. The last part is kept for streams that have begun at their callers.
 SAFETY_FACTOR = 0.75
 BEGUN_SAFETY_FACTOR = 0.85
+# A stream that moves for speed leaves the rest to requests that have failed.
+MOVE_SAFETY_FACTOR = 0.4
 # How far a chance sum may lie above its mean, in standard deviations. More than chance
 # requires, as a cut may hide from both sides what was spent just before it.
 MAX_DEVIATIONS = 6.0
@@ -45,7 +47,7 @@
     here, with the one that asks; reports of others may be `delay_ms` old.
     `known_share` is the part of the window that this entry knows, less than 1 after
     a start. A request that `has_waited` for a reporting delay knows of all others that
-    failed together with it.
+    failed together with it. One that `is_move` goes on at its server if it is refused.
     """
 
     entry_count: int = 1
@@ -56,6 +58,14 @@
     known_share: float = 1.0
     is_begun: bool = False
     has_waited: bool = False
+    is_move: bool = False
+
+    @property
+    def safety_factor(self) -> float:
+        """Return the part of the bound that the retry may use."""
+        if self.is_move:
+            return MOVE_SAFETY_FACTOR
+        return BEGUN_SAFETY_FACTOR if self.is_begun else SAFETY_FACTOR
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,8 +132,7 @@
         requests = len(self._requests) + ask.others.requests
         retries = len(self._retries) + ask.others.retries
         bound = self._bound(requests, ask)
-        safety_factor = BEGUN_SAFETY_FACTOR if ask.is_begun else SAFETY_FACTOR
-        left = safety_factor * bound - retries
+        left = ask.safety_factor * bound - retries
         contenders = self._contenders(requests, ask)
         part = self._part(left, bound - retries, contenders)
         is_allowed = self._chances.try_take(part, now_ms, ask.delay_ms)
--- a/marjoramfall/gateway/stream_moves.py
+++ b/marjoramfall/gateway/stream_moves.py
@@ -176,7 +176,7 @@
     def _begin(self, tracked: TrackedStream, move: RunMove) -> None:
         call = tracked.call
         # An arrival at the destination counts for the budget.
-        if not self._fleet.retries.try_retry(call, is_running=True):
+        if not self._fleet.retries.try_move(call):
             tracked.pause(self._clock.monotonic_ms() + self._fleet.retries.pause_ms)
             return
         place = self._reserve(call, move.destination)
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -21,6 +21,8 @@
 # A system with one group.
 FEW_ENTRIES = 20
 WAVES = 5
+# More than the bound of the budget.
+MANY_MOVES = 60
 USE = RetryUse(MODEL, 10, 4)
 MEMBER = SharedRetryUse(10, 4, reporters=1, entries=1)
 
@@ -127,6 +129,14 @@
                 budget.decide(0, ask)
             self.assertEqual(budget.use(MODEL, 0).retries, allowed)
 
+    def test_move_last(self):
+        """Guards against moves for speed that leave nothing to what has failed."""
+        budget = RetryBudget(RETRY_BOUNDS)
+        ask = RetryAsk(is_begun=True, is_move=True)
+        moves = [budget.decide(0, ask).is_allowed for _ in range(MANY_MOVES)]
+        self.assertFalse(all(moves))
+        self.assertTrue(budget.decide(0, RetryAsk()).is_allowed)
+
     def test_chance(self):
         """Guards against a rest allowed for sure that others may ask for as well."""
         for draw, is_allowed in ((0.3, True), (0.4, False)):
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -370,7 +370,7 @@
 
     def test_budget_spent(self):
         """Guards against moves beyond the budget that all entries share."""
-        self.fleet.retries.try_retry = lambda call, **options: False
+        self.fleet.retries.try_move = lambda call: False
         connection = self.start()
         self.ends_whole = True
         self.has_stopped.set()
