--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -125,7 +125,15 @@
             self._fleet.speeds.spared_count,
         )
         self.quarantine = CrashQuarantine(clock, notify_peers=self._notify_peers)
-        forwarder = Forwarder(self._fleet, self._pool, self.quarantine, dialect, clock)
+        forwarder = Forwarder(
+            self._fleet,
+            self._pool,
+            self.quarantine,
+            dialect,
+            clock,
+            metrics=self._metrics,
+        )
+        self._stream_moves = forwarder.moves
         self._gateway = Gateway(
             self.registry,
             self._limits,
@@ -331,6 +339,7 @@
             self._pool.close_expired()
             self._fleet.drop_silent_peers()
             self._fleet.speeds.compare()
+            self._stream_moves.look()
 
     def _stop(self) -> None:
         self._gateway.stopping = True
--- a/marjoramfall/gateway/servers/length_estimate.py
+++ b/marjoramfall/gateway/servers/length_estimate.py
@@ -21,8 +21,6 @@
 MAX_DISTRIBUTIONS = 1000
 LIKELY_QUANTILE = 0.5
 CAUTIOUS_QUANTILE = 0.9
-# Bounds the memory that callers of many teams take.
-MAX_DISTRIBUTIONS = 1000
 
 Key = TypeVar('Key')
 
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -93,17 +93,14 @@
             evacuations=self.evacuations,
             on_evacuation=self.fleet.use_changed_rules,
         )
+        self.forwarder = Forwarder(
+            self.fleet, self.pool, self.quarantine, PlatformDialect(), self.clock
+        )
         self.gateway = Gateway(
             self.registry,
             self.limits,
             self.peers,
-            Forwarder(
-                self.fleet,
-                self.pool,
-                self.quarantine,
-                PlatformDialect(),
-                self.clock,
-            ),
+            self.forwarder,
             PlatformDialect(),
             GatewayMetrics(vm='entry-1'),
             self.clock,
