Keep calls in the data centre unless their callers gain by leaving it

Cause: a plain service is chosen at random by weight over all servers, where 5 ms of extra cost hardly tell near from far; model requests left their data centre for any speed, needed or not. Change: DataCentreExit. A share of plain calls leaves, adapted every 250 ms until both sides take equally long but for the price of leaving; none leaves without news of the other groups. A model request stays where a free server here serves it on time. Off in systems of one group, where the load of all servers is exact.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -19,11 +19,12 @@
     ConnectionPool,
     max_idle_connections,
 )
+from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
-from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_load import Distance, ServerLoad
 from marjoramfall.gateway.servers.server_notices import ServerNotices
 from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
 from marjoramfall.gateway.shared_limits import SharedLimits
@@ -129,6 +130,7 @@
                 is_model=self._is_model(service_id),
                 schedule_assign=self._limit_timer.schedule,
                 rules=self._rules,
+                data_centre_exit=DataCentreExit(service_id),
             )
             self._queue_by_service[service_id] = queue
         return queue
@@ -208,6 +210,7 @@
         sources |= self._peers.outside.live_sources()
         self._peer_loads.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
+        self._update_exits()
         self.assign()
 
     def _record_path(self, assignment: Assignment, outcome: Outcome) -> None:
@@ -240,7 +243,6 @@
             server,
             is_model=self._is_model(server.service_id),
             events_per_token=1 / tokens_per_event,
-            remote_cost_ms=0,
         )
         self._load_by_id[server.server_id] = load
         self._peer_loads.apply_to_new_server(load)
@@ -274,12 +276,20 @@
 
     def _apply_locality(self, load: ServerLoad, *, is_owned: bool) -> None:
         is_local = load.server.data_centre == self._data_centre
-        load.remote_cost_ms = 0 if is_local else REMOTE_COST_MS
-        if not is_owned:
-            load.remote_cost_ms = OTHER_GROUP_COST_MS
+        cost_ms = 0 if is_local else REMOTE_COST_MS
+        load.distance = Distance(is_local, cost_ms if is_owned else OTHER_GROUP_COST_MS)
         load.reserve_slots(0 if is_owned else OTHER_GROUP_RESERVED_SLOTS)
         queue = self.queue(load.server.service_id)
         queue.randomizes_choice = self._peers.is_large and not load.is_model
+        queue.data_centre_exit.is_active = self._peers.is_large
+
+    def _update_exits(self) -> None:
+        is_informed = bool(self._peers.outside.live_sources())
+        for service_id, queue in self._queue_by_service.items():
+            if not self._is_model(service_id):
+                queue.data_centre_exit.update(
+                    queue.load_by_id.values(), is_informed=is_informed
+                )
 
     def _set_idle_limit(self, load: ServerLoad, entry_count: int) -> None:
         service = self._service_by_id.get(load.server.service_id)
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -82,6 +82,7 @@
             running=load.running,
             running_at_peers=load.peer_running,
             slots=load.server.slots,
+            is_local=load.distance.is_local,
             has_failed_before=load.server.server_id in call.excluded_server_ids,
             peers_heard=self._fleet.live_peer_count(),
         ).info('request assigned')
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -42,6 +42,18 @@
     resumed_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Distance:
+    """Say whether a server is in the data centre of this entry, and what it costs.
+
+    `cost_ms` is the time that a request must gain to use a server that is farther
+    away or belongs to another group of entries.
+    """
+
+    is_local: bool = True
+    cost_ms: float = 0
+
+
 @dataclass(slots=True)
 class RunningRequest:
     """Hold a request of this entry that is running at a server."""
@@ -60,7 +72,6 @@
         *,
         is_model: bool,
         events_per_token: float,
-        remote_cost_ms: float,
     ) -> None:
         self.server = server
         # Stored rather than computed, as each assignment reads them for every
@@ -69,7 +80,7 @@
         self.free_slots = server.slots
         self.is_model = is_model
         self.events_per_token = events_per_token
-        self.remote_cost_ms = remote_cost_ms
+        self.distance = Distance()
         self._reserved_slots = 0
         event_ms = INITIAL_EVENT_MS if is_model else INITIAL_CALL_MS
         self.speeds = ServerSpeeds(event_ms)
@@ -177,7 +188,7 @@
         """Return the cost that the choice of a server minimises, in milliseconds."""
         first_response_ms = self.first_response_ms(demand)
         total_ms = first_response_ms + self._remaining_ms(demand)
-        cost = total_ms + self.remote_cost_ms
+        cost = total_ms + self.distance.cost_ms
         if self.is_model:
             prefill_ms = demand.prompt_tokens * self.speeds.token_ms
             cost += PREFILL_INTERFERENCE_WEIGHT * prefill_ms * self.running
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.demand import Demand
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
@@ -89,6 +90,7 @@
         is_model: bool,
         schedule_assign: Callable[[float], None] = _ignore_delay,
         rules: PlacementRules | None = None,
+        data_centre_exit: DataCentreExit | None = None,
     ) -> None:
         """Create an empty queue.
 
@@ -98,6 +100,7 @@
         """
         self._clock = clock
         self._rules = rules or PlacementRules()
+        self.data_centre_exit = data_centre_exit or DataCentreExit('')
         self._schedule_assign = schedule_assign
         self._service_time_ms = (
             INITIAL_MODEL_SERVICE_TIME_MS if is_model else INITIAL_PLAIN_SERVICE_TIME_MS
@@ -216,7 +219,8 @@
             return None
         if not free_servers:
             return None
-        load = self._choose_server(free_servers, demand, now_ms)
+        candidates = self.data_centre_exit.candidates(free_servers, demand, now_ms)
+        load = self._choose_server(candidates, demand, now_ms)
         if self._should_wait_for_faster(demand, load, usable, now_ms):
             return None
         return Assignment(load, load.begin(demand, now_ms))
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -44,7 +44,6 @@
         make_server(server_id, **changes),
         is_model=is_model,
         events_per_token=0.5,
-        remote_cost_ms=0,
     )
 
 
