Share the set-up of the member directory among its tests

Callers see no change. Cause: three test modules built the same directory of entries in the same eleven lines. Change: MembersCase in tests/store_case.py; no test or assertion changed. Evidence: the 41 tests of the three modules pass. Measured: nothing to measure.

--- a/tests/test_incomplete_members.py
+++ b/tests/test_incomplete_members.py
@@ -11,11 +11,11 @@
 from gevent import spawn
 
 from marjoramfall.clock import MS_PER_SECOND
-from marjoramfall.gateway.peers.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import Member
 from marjoramfall.platform import members as members_module
-from marjoramfall.platform.members import MAX_READ_INTERVAL_MS, MemberDirectory
+from marjoramfall.platform.members import MAX_READ_INTERVAL_MS
 from tests.group_simulation import Network
-from tests.store_case import StoreCase
+from tests.store_case import MembersCase
 from tests.watch_case import wait_until
 
 ENTRIES = 65
@@ -73,7 +73,7 @@
         self.assertFalse(peers.is_incomplete)
 
 
-class TestReads(StoreCase):
+class TestReads(MembersCase):
     """The table of entries is read again while members may be missing."""
 
     def setUp(self):
@@ -83,16 +83,6 @@
         )
         patched.start()
         self.addCleanup(patched.stop)
-        self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
-        self.directory = MemberDirectory(
-            self.client,
-            self.peers,
-            self.clock,
-            vm='entry-1',
-            address='10.0.0.1:7',
-            data_centre='dc-a',
-            store_era=lambda: self.store.era,
-        )
 
     def run_directory(self):
         """Run the directory until its own row is in the store."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,12 +10,11 @@
 
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.model import RepeatRule
-from marjoramfall.gateway.peers.peer_table import Member, PeerTable
+from marjoramfall.gateway.peers.peer_table import Member
 from marjoramfall.gateway.peers.watch_duty import REFUSAL_MEMORY_MS
 from marjoramfall.gateway.registry import LAPSE_DETECTION_MS
 from marjoramfall.gateway.revision import make_revision
 from marjoramfall.platform import watch as watch_module
-from marjoramfall.platform.members import MemberDirectory
 from marjoramfall.platform.records import (
     InvalidRecordError,
     decode_configuration,
@@ -29,7 +28,7 @@
 )
 from marjoramfall_standins.store import MAX_ROWS
 from tests.platform_records import CONFIG, SERVER
-from tests.store_case import StoreCase
+from tests.store_case import MembersCase, StoreCase
 from tests.watch_case import LONG_POLL_MS, POLL_MS, WatchCase, wait_until
 
 
@@ -258,22 +257,9 @@
         self.assertTrue(self.reaches_version(9))
 
 
-class TestMembers(StoreCase):
+class TestMembers(MembersCase):
     """Entries discover each other through the store."""
 
-    def setUp(self):
-        super().setUp()
-        self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
-        self.directory = MemberDirectory(
-            self.client,
-            self.peers,
-            self.clock,
-            vm='entry-1',
-            address='10.0.0.1:7',
-            data_centre='dc-a',
-            store_era=lambda: self.store.era,
-        )
-
     def test_restored_store(self):
         """Guards against an entry whose row was lost and that later ones don't find."""
         copy = self.store.copy()
--- a/tests/test_start_order.py
+++ b/tests/test_start_order.py
@@ -14,14 +14,13 @@
 import msgspec
 from gevent import Timeout, sleep, socket, spawn
 
-from marjoramfall.gateway.peers.peer_table import Member, PeerTable
-from marjoramfall.platform.members import MemberDirectory
+from marjoramfall.gateway.peers.peer_table import Member
 from marjoramfall_standins.loopback import free_address
 from tests.platform_records import CONFIG, SERVER
 from tests.process_harness import System
 from tests.resolver_fakes import late_resolver
 from tests.soak.entries import EntryProcess
-from tests.store_case import StoreCase
+from tests.store_case import MembersCase, StoreCase
 from tests.watch_case import wait_until
 
 TIMEOUT_S = 5
@@ -131,22 +130,9 @@
         self.wait_ready()
 
 
-class TestKnownMembers(StoreCase):
+class TestKnownMembers(MembersCase):
     """Other entries are known from the store, or from what they send."""
 
-    def setUp(self):
-        super().setUp()
-        self.peers = PeerTable(self.clock, own_vm='entry-1', data_centre='dc-a')
-        self.directory = MemberDirectory(
-            self.client,
-            self.peers,
-            self.clock,
-            vm='entry-1',
-            address='10.0.0.1:7',
-            data_centre='dc-a',
-            store_era=lambda: self.store.era,
-        )
-
     def test_store_down(self):
         """Guards against an entry that waits for the store until an outage ends."""
         self.peers.add_member('entry-2', Member('10.0.0.2:7', 'dc-a'))
