Count the attempts that leave the data centre and describe them to operators

What operators saw: no figure told how much traffic crosses between data centres. Cause: the placement was logged without the side of the server.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -62,11 +62,11 @@
 class Call:
     """Hold the state of a request from admission to the end of its response.
 
-    `sends` counts the attempts that reached a backend server, `runs` those of
-    them that it did not reject, among them any that ended without a complete
-    response, because the request may have run. `lost_runs` of these ended with their
-    servers and take no attempt. `unreached_servers` counts the attempts that reached
-    none.
+    `sends` counts the attempts that reached a backend server, `sends_away` those of
+    them in another data centre, and `runs` those that it did not reject, among them
+    any that ended without a complete response, because the request may have run.
+    `lost_runs` of these ended with their servers and take no attempt.
+    `unreached_servers` counts the attempts that reached none.
     """
 
     head: RequestHead
@@ -85,6 +85,7 @@
     runs: int = 0
     lost_runs: int = 0
     sends: int = 0
+    sends_away: int = 0
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
     # The media type of a stream that has begun.
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -212,15 +212,16 @@
         if outcome.ending is Ending.NOT_REACHED:
             call.unreached_servers += 1
         else:
-            self._count_send(call)
+            self._count_send(call, assignment)
         self._fleet.on_outcome(call, assignment, outcome, status=writer.status)
         return outcome
 
-    def _count_send(self, call: Call) -> None:
+    def _count_send(self, call: Call, assignment: Assignment) -> None:
         if not call.sends:
             # The entry whose servers get the request counts it for their budget.
             self._fleet.retries.on_request(call)
         call.sends += 1
+        call.sends_away += not assignment.load.distance.is_local
 
     def _record_served(self, call: Call, writer: ResponseWriter) -> None:
         if writer.status < FIRST_ERROR_STATUS:
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -294,6 +294,10 @@
             ending=str(ending),
             seconds=total_ms / 1000,
         )
+        if call is not None and call.sends:
+            self._metrics.count_sends(
+                call.service_id, home=call.sends - call.sends_away, away=call.sends_away
+            )
 
 
 def _find_team(config: Configuration, route: Route, fields: CallFields) -> Team | None:
--- a/marjoramfall/gateway/metrics.py
+++ b/marjoramfall/gateway/metrics.py
@@ -21,6 +21,12 @@
             const_labels=self._labels,
             registry=self._registry,
         )
+        self._sends = Counter(
+            'marjoramfall_gateway_sends_total',
+            'Attempts that reached a server, by service and side of the data centre.',
+            const_labels=self._labels,
+            registry=self._registry,
+        )
         self._duration_seconds = Histogram(
             'marjoramfall_gateway_request_seconds',
             'Seconds until the end of the response, by route.',
@@ -29,6 +35,11 @@
             buckets=list(LATENCY_BUCKETS_S),
         )
 
+    def count_sends(self, service_id: str, *, home: int, away: int) -> None:
+        """Count the attempts of a request in this data centre and in others."""
+        self._sends.add({'service': service_id, 'side': 'home'}, home)
+        self._sends.add({'service': service_id, 'side': 'away'}, away)
+
     def count_request(
         self, *, route: str, status: int, ending: str, seconds: float
     ) -> None:
--- a/tests/test_data_centre_exit.py
+++ b/tests/test_data_centre_exit.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.server_load import Distance
 from marjoramfall.gateway.servers.server_speeds import Speed
@@ -149,3 +150,16 @@
         """Guards against a change where one group knows the load of all servers."""
         self.exit.is_active = False
         self.assertEqual(self.choose(), self.loads)
+
+
+class TestSends(unittest.TestCase):
+    """An operator reads how many attempts left the data centre."""
+
+    def test_sides(self):
+        """Guards against attempts counted on the wrong side."""
+        metrics = GatewayMetrics(vm='entry-1')
+        metrics.count_sends(PLAIN, home=2, away=1)
+        metrics.count_sends(PLAIN, home=0, away=1)
+        rendered = metrics.render().decode()
+        self.assertIn('side="home",vm="entry-1"} 2', rendered)
+        self.assertIn('side="away",vm="entry-1"} 2', rendered)
