Keep only calls at home that a sound server there can end in time

Cause: candidates passed over the terms of the cost for unreachable and failing servers; a share grew by servers that were excluded, ejected or unreachable and only looked idle, and by differences small beside the time of a call; an entry that is no relay took an empty sum of the other groups for news; a plain call waited for its share although its server at home could not end it in time. Change: home keeps a request only at a sound server that meets its deadline (half of the time left for a first response); the share counts usable servers only, measured or as slow as home, and asks for a gain of 10 ms and a quarter; over a quarter of silent entries elsewhere counts as no news.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -42,6 +42,8 @@
 OTHER_GROUP_COST_MS = 200.0
 OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
+# Servers look idle where more of the entries of other groups are not heard.
+MAX_SILENT_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,12 +286,12 @@
         queue.data_centre_exit.is_active = self._peers.is_large
 
     def _update_exits(self) -> None:
-        is_informed = bool(self._peers.outside.live_sources())
+        outside = self._peers.outside
+        silent_share = outside.silent_count() / max(1, outside.entry_count())
+        is_informed = outside.is_live and silent_share <= MAX_SILENT_SHARE
         for service_id, queue in self._queue_by_service.items():
             if not self._is_model(service_id):
-                queue.data_centre_exit.update(
-                    queue.load_by_id.values(), is_informed=is_informed
-                )
+                queue.update_exit(is_informed=is_informed)
 
     def _set_idle_limit(self, load: ServerLoad, entry_count: int) -> None:
         service = self._service_by_id.get(load.server.service_id)
--- a/marjoramfall/gateway/peers/outside_groups.py
+++ b/marjoramfall/gateway/peers/outside_groups.py
@@ -70,6 +70,11 @@
             if now_ms - received.received_ms <= timeout_ms:
                 yield received
 
+    @property
+    def is_live(self) -> bool:
+        """Return whether any source was heard within its silence timeout."""
+        return next(self.live(), None) is not None
+
     def live_sources(self) -> set[str]:
         """Return the names of the sources heard within the silence timeout."""
         return {source_of(received.digest) for received in self.live()}
--- a/marjoramfall/gateway/servers/data_centre_exit.py
+++ b/marjoramfall/gateway/servers/data_centre_exit.py
@@ -9,9 +9,11 @@
 from marjoramfall.gateway.servers.demand import Demand
 from marjoramfall.gateway.servers.server_load import ServerLoad
 
-# What a plain call must gain before the traffic between data centres is worth its
-# price; the time of the link is part of the times that entries measure.
+# What a plain call must gain before it leaves: shorter times are lost in the
+# differences between two calls at the same server.
 MIN_GAIN_MS = 10.0
+# The same as a part of the time at home, for services whose calls take long.
+MIN_GAIN_SHARE = 0.25
 # Added to it while all calls stay, so that a short peak sends none away.
 START_GAIN_MS = 5.0
 # Part of the relative gain by which the share changes at each update. Reports of
@@ -21,6 +23,11 @@
 SMOOTHING = 0.4
 # A change of the share by as much is logged.
 LOGGED_CHANGE = 0.1
+# A first response at home is on time if it takes at most this part of the time left,
+# as the load that is known may be 0.6 s old.
+ON_TIME_SHARE = 0.5
+# A server that fails a larger part of its requests keeps none at home.
+MAX_ERROR_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,17 +65,18 @@
         self.is_active = False
 
     def update(self, loads: Iterable[ServerLoad], *, is_informed: bool) -> None:
-        """Adapt the share of plain calls to what is known of the servers.
+        """Adapt the share of plain calls to what is known of the usable servers.
 
         Without news of the other groups of entries (`is_informed`) the servers of
         other data centres only look idle, and calls stay.
         """
-        home, away = _split([load for load in loads if not load.is_leaving])
+        home, away = _split(list(loads))
         if not self.is_active or not home or not away or not is_informed:
             self._times = None
             self._set_share(0)
             return
-        newer = SideTimes(_expected_ms(home), _expected_ms(away))
+        usual_ms = _mean_call_ms(home)
+        newer = SideTimes(_expected_ms(home, usual_ms), _expected_ms(away, usual_ms))
         self._times = newer if self._times is None else self._times.toward(newer)
         self._set_share(min(self._next_share(), _room_share(home, away)))
 
@@ -82,13 +90,16 @@
         if not home or not away:
             return free
         if home[0].is_model:
-            on_time = [load for load in home if _serves_on_time(load, demand, now_ms)]
-            return on_time or free
-        return away if self._draw() < self.share else home
+            return [load for load in home if _keeps(load, demand, now_ms)] or free
+        if self._draw() < self.share:
+            return away
+        staying = [load for load in home if _keeps_call(load, demand, now_ms)]
+        return staying or free
 
     def _next_share(self) -> float:
         times = self._times
-        gain_ms = times.home_ms - times.away_ms - MIN_GAIN_MS
+        price_ms = max(MIN_GAIN_MS, MIN_GAIN_SHARE * times.home_ms)
+        gain_ms = times.home_ms - times.away_ms - price_ms
         if not self.share and gain_ms < START_GAIN_MS:
             return 0
         return max(0, self.share + SHARE_STEP * gain_ms / times.home_ms)
@@ -115,15 +126,37 @@
     return home, [load for load in loads if not load.distance.is_local]
 
 
-def _serves_on_time(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
-    first_ms = now_ms + load.first_response_ms(demand)
-    return first_ms <= demand.target_ms and load.meets_deadline(demand, now_ms)
+def _keeps(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
+    """Return whether a server at home serves a model request on time.
 
+    One that is late already stays wherever it ends in time.
+    """
+    if not _keeps_call(load, demand, now_ms):
+        return False
+    left_ms = demand.target_ms - now_ms
+    is_late = left_ms <= 0
+    return is_late or load.first_response_ms(demand) <= ON_TIME_SHARE * left_ms
+
+
+def _keeps_call(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
+    is_sound = not load.unreachable_report_count and load.error_share < MAX_ERROR_SHARE
+    return is_sound and load.meets_deadline(demand, now_ms)
 
-def _expected_ms(loads: list[ServerLoad]) -> float:
-    """Return the mean time of a call, weighted by the slots of the servers."""
+
+def _mean_call_ms(loads: list[ServerLoad]) -> float:
+    total_ms = sum(load.speeds.event_ms * load.server.slots for load in loads)
+    return total_ms / _slots(loads)
+
+
+def _expected_ms(loads: list[ServerLoad], usual_ms: float) -> float:
+    """Return the mean time of a call, weighted by the slots of the servers.
+
+    One that nobody has measured counts with the usual time of a call at home.
+    """
     total_ms = sum(
-        load.speeds.event_ms * (load.server.slots + load.running) for load in loads
+        (load.speeds.event_ms if load.speeds.is_measured else usual_ms)
+        * (load.server.slots + load.running)
+        for load in loads
     )
     return total_ms / _slots(loads)
 
--- a/marjoramfall/gateway/servers/server_speeds.py
+++ b/marjoramfall/gateway/servers/server_speeds.py
@@ -61,6 +61,11 @@
         self.event_ms = event_ms
         self.token_ms = INITIAL_TOKEN_US / US_PER_MS
 
+    @property
+    def is_measured(self) -> bool:
+        """Return whether any entry has measured the server."""
+        return self.own.samples + self.peers.samples > 0
+
     def add_event_sample(self, event_ms: float) -> None:
         """Add this entry's time between two events, or of a plain call."""
         self.own.add_event_sample(event_ms)
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -165,6 +165,17 @@
             for load in self._open_loads(assignment.request.demand, now_ms)
         )
 
+    def update_exit(self, *, is_informed: bool) -> None:
+        """Adapt which calls leave the data centre to the servers that any may use."""
+        now_ms = self._clock.monotonic_ms()
+        any_call = Demand('', 0, now_ms, now_ms, now_ms, now_ms)
+        usable = [
+            load
+            for load in self._open_loads(any_call, now_ms)
+            if not load.is_ejected(now_ms) and not load.unreachable_report_count
+        ]
+        self.data_centre_exit.update(usable, is_informed=is_informed)
+
     def occupancy(self) -> float:
         """Return the share of all slots in use, or 1 if there are no slots."""
         slots = sum(load.server.slots for load in self.load_by_id.values())
--- a/tests/test_data_centre_exit.py
+++ b/tests/test_data_centre_exit.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.metrics import GatewayMetrics
 from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.server_load import Distance
 from marjoramfall.gateway.servers.server_speeds import Speed
+from marjoramfall.gateway.servers.service_queue import ServiceQueue, Waiter
 from tests.gateway_fakes import PLAIN, make_demand, make_load
 
 SLOTS = 6
@@ -123,6 +125,88 @@
         self.assertEqual(self.update(is_informed=False), 0)
 
 
+class TestHarmedHome(ExitCase):
+    """The servers at home can't serve what stays."""
+
+    def choose(self):
+        """Return the servers among which a call chooses."""
+        return self.exit.candidates(self.loads, make_demand(), 0)
+
+    def test_unreachable(self):
+        """Guards against calls kept at a server that peers can't reach."""
+        self.home.unreachable_report_count = 5
+        self.assertEqual(self.choose(), self.loads)
+
+    def test_failing(self):
+        """Guards against calls kept at a server that fails most of them."""
+        self.home.error_share = 0.9
+        self.assertEqual(self.choose(), self.loads)
+
+    def test_too_slow(self):
+        """Guards against a call that waits at home for a server past its deadline."""
+        self.home.speeds.add_peer_speed(Speed(100_000, 20, 30), 1)
+        self.assertEqual(self.choose(), self.loads)
+
+    def test_slow_service(self):
+        """Guards against a share that grows by differences small beside the time.
+
+        The calls take 500 ms, and one more runs at home than elsewhere.
+        """
+        for load in self.loads:
+            load.speeds.add_peer_speed(Speed(970, 20, 30), 1)
+            self.occupy(load, 1)
+        self.occupy(self.home, 2)
+        self.assertEqual(self.update(UPDATES_IN_A_BURST), 0)
+
+    def test_unmeasured_others(self):
+        """Guards against servers that count as fast as nobody has measured them."""
+        self.home.speeds.add_peer_speed(Speed(400, 20, 300), 1)
+        self.away = [make_load(name, is_model=False, slots=SLOTS) for name in 'bc']
+        for load in self.away:
+            load.distance = Distance(is_local=False)
+        self.loads = [self.home, *self.away]
+        self.assertEqual(self.update(UPDATES_IN_A_BURST), 0)
+
+
+class TestQueue(ExitCase):
+    """The queue of a service asks which servers a request may use."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = PausedClock()
+        self.queue = ServiceQueue(
+            self.clock, is_model=False, data_centre_exit=self.exit
+        )
+        self.queue.load_by_id = {load.server.server_id: load for load in self.loads}
+        self.assigned = []
+
+    def submit(self):
+        """Submit a call and return the server that it got."""
+        waiter = Waiter(make_demand(), self.assigned.append, self.fail)
+        self.queue.submit(waiter)
+        return self.assigned[-1].load
+
+    def test_stays(self):
+        """Guards against a queue that doesn't ask, and spreads calls over all."""
+        chosen = {self.submit().server.server_id for _ in range(SLOTS)}
+        self.assertEqual(chosen, {'home'})
+
+    def test_home_full(self):
+        """Guards against calls that wait at home while others have a free slot."""
+        for _ in range(SLOTS):
+            self.submit()
+        self.assertIn(self.submit(), self.away)
+
+    def test_share_without_lost_servers(self):
+        """Guards against counting servers that take no calls as idle room."""
+        self.occupy(self.home, SLOTS)
+        self.occupy(self.away[0], SLOTS)
+        self.away[1].unreachable_report_count = 3
+        for _ in range(UPDATES_IN_A_BURST):
+            self.queue.update_exit(is_informed=True)
+        self.assertEqual(self.exit.share, 0)
+
+
 class TestModelRequests(ExitCase):
     """Model servers of unequal speed stand in all data centres."""
 
@@ -146,6 +230,11 @@
         self.home.add_peer_load(1, 60_000)
         self.assertEqual(self.choose(), self.loads)
 
+    def test_past_its_target(self):
+        """Guards against full data centres that exchange their late requests."""
+        late = make_demand(target_ms=-1)
+        self.assertEqual(self.exit.candidates(self.loads, late, 0), [self.home])
+
     def test_small_system(self):
         """Guards against a change where one group knows the load of all servers."""
         self.exit.is_active = False
