--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -1,11 +1,7 @@
 """Manage the backend servers, the service queues and the retry budgets."""
 
-import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
-
-from gevent import spawn
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
@@ -17,13 +13,13 @@
 from marjoramfall.gateway.peers.peer_loads import LoadReport, PeerLoads
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.retry_gate import RetryGate
+from marjoramfall.gateway.server_sharing import ServerSharing
 from marjoramfall.gateway.servers.assign_timer import AssignTimer
-from marjoramfall.gateway.servers.backend_connection import NotReachedError
-from marjoramfall.gateway.servers.cold_servers import ColdRule, ColdServers
+from marjoramfall.gateway.servers.cold_probes import ColdProbes
 from marjoramfall.gateway.servers.connection_pool import (
     ConnectionPool,
-    max_idle_connections,
 )
+from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
@@ -46,24 +42,9 @@
     VersionMoves,
 )
 
-# Additional cost of a server in another data centre.
-REMOTE_COST_MS = 5.0
-# The load that other groups put on a server is known late. Their servers are used
-# only when the own ones are full, and one slot of each is left to its own group.
-OTHER_GROUP_COST_MS = 200.0
-OTHER_GROUP_RESERVED_SLOTS = 1
 ASSIGN_INTERVAL_MS = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class SharingBasis:
-    """Hold what the division of servers and connections among entries depends on."""
-
-    entry_count: int
-    groups_revision: int
-    server_ids: frozenset[str]
-
-
 class Fleet:
     """Hold a queue for each service and the load of each server."""
 
@@ -84,13 +65,13 @@
         self._peers = peers
         self._pool = pool
         self._moves = moves
-        self.cold = ColdServers(clock, is_chosen=peers.is_user_of)
+        self._cold_probes = ColdProbes(clock, pool, is_chosen=peers.is_user_of)
+        self.cold = self._cold_probes.servers
         self.memory = ServerMemory()
         self._rules = (rules or PlacementRules()).extended(
-            MemoryRule(self.memory), ColdRule(self.cold)
+            MemoryRule(self.memory), self._cold_probes.rule
         )
         self._unanswered_results = UnansweredResults(clock)
-        self._data_centre = data_centre
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
@@ -128,12 +109,19 @@
         )
         self._report_timer = AssignTimer(self.assign)
         self._limit_timer = AssignTimer(self.assign)
-        self._sharing_basis: SharingBasis | None = None
+        self._sharing = ServerSharing(
+            peers,
+            pool,
+            data_centre=data_centre,
+            load_by_id=self._load_by_id,
+            find_queue=self.queue,
+            find_service=self.find_service,
+        )
         self.notify_peers = notify_peers
 
     def set_config(self, config: Configuration) -> None:
         """Replace the services by those of a configuration."""
-        self._sharing_basis = None
+        self._sharing.reset()
         self._service_by_id = config.service_by_id
         self.cold.use_services(config.service_by_id)
         self.memory.use_services(config.service_by_id)
@@ -148,7 +136,7 @@
                 self._remove(server_id)
         for server in servers:
             self._add(server)
-        self._mark_cold()
+        self._cold_probes.mark(self._load_by_id.values())
         self._share_servers()
         self.assign()
 
@@ -165,6 +153,7 @@
                 is_model=self._is_model(service_id),
                 schedule_assign=self._limit_timer.schedule,
                 rules=self._rules,
+                data_centre_exit=DataCentreExit(service_id),
             )
             self._queue_by_service[service_id] = queue
         return queue
@@ -278,9 +267,9 @@
         self._peer_loads.keep_only(sources)
         self.memory.keep_only(sources)
         self.server_limits.refill(self._peers.unresponsive_share())
-        self._mark_cold()
-        for server in self.cold.take_due_probes(self._load_by_id.values()):
-            spawn(self._probe_cold, server)
+        self._cold_probes.mark(self._load_by_id.values())
+        self._cold_probes.probe(self._load_by_id.values())
+        self._sharing.update_exits(self._queue_by_service, self._clock.monotonic_ms())
         self.assign()
 
     def _record_length(
@@ -309,18 +298,6 @@
             self.paths.on_response(server, assignment.request.started_ms)
             self.cold.on_reached(server)
 
-    def _mark_cold(self) -> None:
-        for load in self._load_by_id.values():
-            load.speeds.cold_until_ms = self.cold.end_ms(load.server)
-
-    def _probe_cold(self, server: BackendServer) -> None:
-        try:
-            self._pool.open_kept(server.server_id, server.address)
-        except NotReachedError:
-            self.cold.on_unreached(server)
-        else:
-            self.cold.on_reached(server)
-
     def _assign_soon(self) -> None:
         if self._peers.is_large:
             # Hundreds of datagrams arrive per second; one run serves many of them.
@@ -337,14 +314,13 @@
             return
         if known is not None:
             self._remove(server.server_id)
-        self._sharing_basis = None
+        self._sharing.reset()
         service = self._service_by_id.get(server.service_id)
         tokens_per_event = service.tokens_per_event if service else 1
         load = ServerLoad(
             server,
             is_model=self._is_model(server.service_id),
             events_per_token=1 / tokens_per_event,
-            remote_cost_ms=0,
         )
         self._load_by_id[server.server_id] = load
         self._peer_loads.apply_to_new_server(load)
@@ -352,48 +328,8 @@
         self.queue(server.service_id).load_by_id[server.server_id] = load
 
     def _share_servers(self) -> None:
-        entry_count = self._peers.entry_count()
-        basis = SharingBasis(
-            entry_count, self._peers.groups.revision, frozenset(self._load_by_id)
-        )
-        if basis == self._sharing_basis:
-            return
-        self._sharing_basis = basis
-        owned_ids = self._owned_server_ids()
-        self.memory.owned_ids = frozenset(owned_ids)
-        for load in self._load_by_id.values():
-            self._apply_locality(load, is_owned=load.server.server_id in owned_ids)
-            self._set_idle_limit(load, entry_count)
-
-    def _owned_server_ids(self) -> set[str]:
-        """Return the servers that the group of this entry uses first.
-
-        A plain service has few servers, which all groups share.
-        """
-        servers = [load.server for load in self._load_by_id.values()]
-        models = [server for server in servers if self._is_model(server.service_id)]
-        plain = [server for server in servers if not self._is_model(server.service_id)]
-        owned = self._peers.groups.own_servers(models)
-        owned.update(server.server_id for server in plain)
-        return owned
-
-    def _apply_locality(self, load: ServerLoad, *, is_owned: bool) -> None:
-        is_local = load.server.data_centre == self._data_centre
-        load.remote_cost_ms = 0 if is_local else REMOTE_COST_MS
-        if not is_owned:
-            load.remote_cost_ms = OTHER_GROUP_COST_MS
-        load.reserve_slots(0 if is_owned else OTHER_GROUP_RESERVED_SLOTS)
-        queue = self.queue(load.server.service_id)
-        queue.randomizes_choice = self._peers.is_large and not load.is_model
-
-    def _set_idle_limit(self, load: ServerLoad, entry_count: int) -> None:
-        service = self._service_by_id.get(load.server.service_id)
-        limit = max_idle_connections(
-            service.max_connections if service else 0,
-            slots=load.server.slots,
-            entry_count=entry_count,
-        )
-        self._pool.set_max_idle(load.server.server_id, limit)
+        if self._sharing.update():
+            self.memory.owned_ids = self._sharing.owned_ids
 
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
@@ -405,8 +341,3 @@
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
         return service is not None and service.is_model
-
-
-def pick_weighted(weights: list[float]) -> int:
-    """Return a random index, chosen in proportion to the weights."""
-    return random.choices(range(len(weights)), weights)[0]
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -13,7 +13,6 @@
 )
 from marjoramfall.gateway.delegation.messages import failure_headers
 from marjoramfall.gateway.dialect import Dialect
-from marjoramfall.gateway.fleet import pick_weighted
 from marjoramfall.gateway.forwarder import Forwarder
 from marjoramfall.gateway.homes import Homes
 from marjoramfall.gateway.http_messages import BadMessageError, RequestHead
@@ -24,6 +23,7 @@
 from marjoramfall.gateway.servers.outcome import GatewayFailureError
 from marjoramfall.gateway.shared_limit import SharedLimit
 from marjoramfall.gateway.shared_limits import SharedLimits
+from marjoramfall.gateway.weighted_choice import pick_weighted
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
@@ -299,6 +299,10 @@
             ending=str(ending),
             seconds=total_ms / 1000,
         )
+        if call is not None and call.sends:
+            self._metrics.count_sends(
+                call.service_id, home=call.sends - call.sends_away, away=call.sends_away
+            )
 
 
 def _find_team(config: Configuration, route: Route, fields: CallFields) -> Team | None:
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -98,7 +98,7 @@
             if self._is_broken_off:
                 return Outcome(Ending.UNKNOWN, 'broken off', is_broken_off=True)
             if self._has_stopped_to_move():
-                self._record_stream_end()
+                self.load.on_success(self._clock.monotonic_ms())
                 return Outcome(
                     Ending.UNKNOWN, 'moved', is_broken_off=True, is_moved=True
                 )
--- a/marjoramfall/gateway/servers/fast_slots.py
+++ b/marjoramfall/gateway/servers/fast_slots.py
@@ -53,7 +53,7 @@
         slot_count = 0
         slower: list[ServerLoad] = []
         for load in usable:
-            if load.remote_cost_ms > fast.remote_cost_ms:
+            if _is_farther(load, fast):
                 continue
             if load.speeds.cautious_event_ms <= self._max_event_ms:
                 free_count += load.free_slots
@@ -69,6 +69,12 @@
         return first
 
 
+def _is_farther(load: ServerLoad, other: ServerLoad) -> bool:
+    if other.distance.is_local and not load.distance.is_local:
+        return True
+    return load.distance.cost_ms > other.distance.cost_ms
+
+
 def _is_reliable(load: ServerLoad) -> bool:
     return not load.unreachable_report_count and load.error_share <= MAX_ERROR_SHARE
 
--- a/marjoramfall/gateway/servers/server_load.py
+++ b/marjoramfall/gateway/servers/server_load.py
@@ -46,6 +46,18 @@
     resumed_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Distance:
+    """Say whether a server is in the data centre of this entry, and what it costs.
+
+    `cost_ms` is the time that a request must gain to use a server that is farther
+    away or belongs to another group of entries.
+    """
+
+    is_local: bool = True
+    cost_ms: float = 0
+
+
 @dataclass(slots=True)
 class RunningRequest:
     """Hold a request of this entry that is running at a server."""
@@ -70,7 +82,6 @@
         *,
         is_model: bool,
         events_per_token: float,
-        remote_cost_ms: float,
     ) -> None:
         self.server = server
         # Stored rather than computed, as each assignment reads them for every
@@ -79,7 +90,7 @@
         self.free_slots = server.slots
         self.is_model = is_model
         self.events_per_token = events_per_token
-        self.remote_cost_ms = remote_cost_ms
+        self.distance = Distance()
         self._reserved_slots = 0
         event_ms = INITIAL_EVENT_MS if is_model else INITIAL_CALL_MS
         self.speeds = ServerSpeeds(event_ms)
@@ -190,7 +201,7 @@
     def cost(self, demand: Demand, now_ms: float) -> float:
         """Return the cost that the choice of a server minimises, in milliseconds."""
         first_response_ms = self.first_response_ms(demand)
-        cost = first_response_ms + self.remote_cost_ms
+        cost = first_response_ms + self.distance.cost_ms
         left_ms = demand.deadline_ms - now_ms - first_response_ms
         if self.is_model:
             speeds = self.speeds
--- a/marjoramfall/gateway/servers/server_speeds.py
+++ b/marjoramfall/gateway/servers/server_speeds.py
@@ -104,6 +104,11 @@
         self._update()
         self.cautious_event_ms = prior.cautious_event_ms
 
+    @property
+    def is_measured(self) -> bool:
+        """Return whether any entry has measured the server."""
+        return self.own.samples + self.peers.samples > 0
+
     def add_event_sample(self, event_ms: float) -> None:
         """Add this entry's time between two events, or of a plain call."""
         self._is_measured_lately = True
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -23,6 +23,8 @@
 END_OF_CHUNKS = b'0\r\n\r\n'
 SLOW_GAP_S = 0.02
 FAST_GAP_MS = 0.1
+# A destination counts as fast only once it is well measured.
+KNOWN_SAMPLES = 10
 FIRST_EVENTS = 5
 REST = FIRST_EVENTS + 1
 USAGE = 'Marjoramfall-Token-Usage: 10,1000'
@@ -154,7 +156,8 @@
             destination or send_rest, service_id=MODEL, server_id='fast'
         )
         load = self.load('fast')
-        load.speeds.add_event_sample(FAST_GAP_MS)
+        for _ in range(KNOWN_SAMPLES):
+            load.speeds.add_event_sample(FAST_GAP_MS)
         self.forwarder.moves.look()
         return connection
 
