Decide by slot-time and the own group's order who waits for a place

Cause: requests that wait at other groups counted as ahead for slots that only the own group may take; a peer in a large system lists 6 waiting requests and the rest counted as nothing; the expected wait used one mean time and a ratio that stayed after its burst; a request counted as timely until its target, though its first response takes a part of it. Change: own group's order for the own group's servers; slot-time by request, also of the work that peers don't list; the learnt ratio fades; late is what can't meet its target any more; Retry-After follows a schedule, and who comes back goes before first-comers of its rank; a team waits behind its own requests. Split into waiting_order, wait_estimate, shedding, promised_returns and overload. Tests that wrote to peer_waiters_by_source and _service_time_ms use the new names, with the same bounds.

--- a/marjoramfall/gateway/call_failover.py
+++ b/marjoramfall/gateway/call_failover.py
@@ -9,7 +9,8 @@
 from marjoramfall.gateway.place_search import PlaceSearch
 from marjoramfall.gateway.servers.demand import build_demand
 from marjoramfall.gateway.servers.failover import Failover
-from marjoramfall.gateway.servers.service_queue import Assignment, OverloadError
+from marjoramfall.gateway.servers.overload import OverloadError
+from marjoramfall.gateway.servers.service_queue import Assignment
 
 # After a search without a place.
 SEARCH_PAUSE_MS = 300.0
--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -9,6 +9,11 @@
 
 # Distinct route priorities within each team priority; larger ones are capped.
 ROUTE_RANKS_PER_TEAM_PRIORITY = 8
+# A caller that comes with so much less time than its route allows has lost it
+# elsewhere.
+MIN_RETURN_LEAD_MS = 300.0
+# Bounds what callers gain that always name a short time.
+MAX_LEAD_SHARE = 0.5
 # Enough to tell all requests of some minutes apart.
 FINGERPRINT_BYTES = 8
 
@@ -116,6 +121,21 @@
         """Return whether a peer has accepted the request from its caller."""
         return self.delegation is not None
 
+    @property
+    def lead_ms(self) -> float:
+        """Return the part of the route's time that the caller has spent before.
+
+        A refused caller comes back with what is left of its time, to any entry.
+        """
+        longest_ms = MAX_LEAD_SHARE * self.route.timeout_ms
+        spent_ms = self.received_ms + self.route.timeout_ms - self.deadline_ms
+        return min(max(0, spent_ms), longest_ms)
+
+    @property
+    def has_returned(self) -> bool:
+        """Return whether the caller seems to have been refused before."""
+        return not self.is_delegated and self.lead_ms >= MIN_RETURN_LEAD_MS
+
     @property
     def may_be_given_back(self) -> bool:
         """Return whether the peer that sent the request may choose another entry.
--- a/marjoramfall/gateway/delegation/service_paths.py
+++ b/marjoramfall/gateway/delegation/service_paths.py
@@ -12,8 +12,9 @@
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.servers.backend_connection import NotReachedError
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
+from marjoramfall.gateway.servers.overload import PathLostError
 from marjoramfall.gateway.servers.server_load import ServerLoad
-from marjoramfall.gateway.servers.service_queue import PathLostError, ServiceQueue
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
 
 # Servers crash one by one. Where this many fail in a row without a response of any
 # in between, it is the path to the service that is lost.
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -204,6 +204,7 @@
             reached_service_ids=self._fleet.paths.reached_service_ids(),
             retry_uses=self._retry_budgets.uses(self._clock.monotonic_ms()),
             limit_levels=self._limit_levels() if with_speeds else None,
+            unlisted_work=own.unlisted_work(),
         )
 
     def own_digest(self, scope: Scope, *, with_all_limits: bool) -> GroupDigest:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -129,6 +129,7 @@
                 is_model=self._is_model(service_id),
                 schedule_assign=self._limit_timer.schedule,
                 rules=self._rules,
+                entry_count=self._peers.group_entry_count,
             )
             self._queue_by_service[service_id] = queue
         return queue
@@ -279,6 +280,10 @@
             load.remote_cost_ms = OTHER_GROUP_COST_MS
         load.reserve_slots(0 if is_owned else OTHER_GROUP_RESERVED_SLOTS)
         queue = self.queue(load.server.service_id)
+        if is_owned:
+            queue.other_group_server_ids.discard(load.server.server_id)
+        else:
+            queue.other_group_server_ids.add(load.server.server_id)
         queue.randomizes_choice = self._peers.is_large and not load.is_model
 
     def _set_idle_limit(self, load: ServerLoad, entry_count: int) -> None:
@@ -292,7 +297,9 @@
 
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
-        self.queue(load.server.service_id).load_by_id.pop(server_id, None)
+        queue = self.queue(load.server.service_id)
+        queue.load_by_id.pop(server_id, None)
+        queue.other_group_server_ids.discard(server_id)
         self._pool.remove(server_id)
         self.server_limits.remove(load.server)
 
--- a/marjoramfall/gateway/forwarder.py
+++ b/marjoramfall/gateway/forwarder.py
@@ -24,14 +24,13 @@
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import FIRST_ERROR_STATUS, Exchange
 from marjoramfall.gateway.servers.outcome import Ending, GatewayFailureError, Outcome
-from marjoramfall.gateway.servers.running_exchanges import RunningExchanges
-from marjoramfall.gateway.servers.service_queue import (
-    Assignment,
+from marjoramfall.gateway.servers.overload import (
     NoServerError,
     OverloadError,
     PathLostError,
-    ServiceQueue,
 )
+from marjoramfall.gateway.servers.running_exchanges import RunningExchanges
+from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
 
 # A request that servers reject without running it is sent at most this many times
 # more than the route's `max_attempts`.
@@ -332,11 +331,13 @@
             reason=str(error),
             waiting=len(queue.waiters),
             occupancy=round(queue.occupancy(), 2),
+            expected_wait_ms=round(error.expected_wait_ms),
             retry_after_ms=round(error.retry_after_ms),
             left_ms=round(call.remaining_ms(self._clock.monotonic_ms())),
             attempts_left=call.attempts_left,
             excluded_servers=len(call.excluded_server_ids),
             is_begun=call.is_begun_stream,
+            has_returned=call.has_returned,
             is_delegated=call.is_delegated,
             peers_heard=self._fleet.live_peer_count(),
         ).warning('request not assigned')
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -147,6 +147,10 @@
         delegation: Delegation | None,
         failure: GatewayFailureError,
     ) -> str:
+        if call is not None and failure.status == UNAVAILABLE:
+            self._metrics.count_refusal(
+                route=call.route.name, has_returned=call.has_returned
+            )
         self._send_failure(
             writer,
             fields.attempt_id,
--- a/marjoramfall/gateway/metrics.py
+++ b/marjoramfall/gateway/metrics.py
@@ -21,6 +21,12 @@
             const_labels=self._labels,
             registry=self._registry,
         )
+        self._refusals = Counter(
+            'marjoramfall_gateway_refusals_total',
+            'Requests answered 503, by route and whether they had come back.',
+            const_labels=self._labels,
+            registry=self._registry,
+        )
         self._duration_seconds = Histogram(
             'marjoramfall_gateway_request_seconds',
             'Seconds until the end of the response, by route.',
@@ -36,6 +42,11 @@
         self._requests.inc({'route': route, 'status': str(status), 'ending': ending})
         self._duration_seconds.observe({'route': route}, seconds)
 
+    def count_refusal(self, *, route: str, has_returned: bool) -> None:
+        """Count a request refused for want of room."""
+        returned = 'yes' if has_returned else 'no'
+        self._refusals.inc({'route': route, 'returned': returned})
+
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge that calls `read` at each scrape."""
         gauge = Gauge(
--- a/marjoramfall/gateway/peers/group_digest.py
+++ b/marjoramfall/gateway/peers/group_digest.py
@@ -148,7 +148,7 @@
 def aged(calls: Iterable[WaitingCall], elapsed_ms: float) -> list[WaitingCall]:
     """Return waiting requests with the time added since they were reported."""
     return [
-        WaitingCall(call.service_id, call.rank, int(call.waited_ms + elapsed_ms))
+        msgspec.structs.replace(call, waited_ms=int(call.waited_ms + elapsed_ms))
         for call in calls
     ]
 
--- a/marjoramfall/gateway/peers/own_load.py
+++ b/marjoramfall/gateway/peers/own_load.py
@@ -1,5 +1,6 @@
 """Report the load of this entry to its peers."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from marjoramfall.clock import Clock
@@ -7,6 +8,7 @@
     ServerSpeed,
     ServerUse,
     WaitingCall,
+    WaitingWork,
     waiting_sort_key,
 )
 from marjoramfall.gateway.peers.peer_table import PeerTable
@@ -82,18 +84,33 @@
 
     def waiting(self) -> list[WaitingCall]:
         """Return the waiting requests, at most as many as a datagram may hold."""
+        return self._waiting_in_order()[: self._max_listed]
+
+    def unlisted_work(self) -> list[WaitingWork]:
+        """Return the sums of those that wait behind, by service and rank."""
+        unlisted = self._waiting_in_order()[self._max_listed :]
+        counts = Counter((call.service_id, call.rank) for call in unlisted)
+        slot_ms: Counter[tuple[str, float]] = Counter()
+        for call in unlisted:
+            slot_ms[call.service_id, call.rank] += call.expected_ms
+        return [WaitingWork(*key, counts[key], slot_ms[key]) for key in counts]
+
+    @property
+    def _max_listed(self) -> int:
+        if self._peers.is_large:
+            return LARGE_SYSTEM_MAX_WAITING_REPORTED
+        return MAX_WAITING_REPORTED
+
+    def _waiting_in_order(self) -> list[WaitingCall]:
         now_ms = self._clock.monotonic_ms()
         calls = [
             WaitingCall(
                 service_id,
                 waiter.demand.rank(now_ms),
-                int(now_ms - waiter.demand.arrived_ms),
+                int(now_ms - waiter.demand.turn_ms),
+                int(waiter.slot_ms),
             )
             for service_id, queue in self._queue_by_service.items()
             for waiter in queue.waiters
         ]
-        if self._peers.is_large:
-            return sorted(calls, key=waiting_sort_key)[
-                :LARGE_SYSTEM_MAX_WAITING_REPORTED
-            ]
-        return calls[:MAX_WAITING_REPORTED]
+        return sorted(calls, key=waiting_sort_key)
--- a/marjoramfall/gateway/peers/peer_loads.py
+++ b/marjoramfall/gateway/peers/peer_loads.py
@@ -11,17 +11,20 @@
     ServerSpeed,
     ServerUse,
     WaitingCall,
+    WaitingWork,
 )
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_speeds import Speed
-from marjoramfall.gateway.servers.service_queue import PeerWaiter, ServiceQueue
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
+from marjoramfall.gateway.servers.waiting_order import PeerWaiter, UnlistedWork
 
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Hold the load that a peer, or a group of them, reported.
 
-    `speeds` is None if the report does not change them.
+    `speeds` is None if the report does not change them. That of other groups
+    `is_outside`, and older than that of peers of the own group.
     """
 
     source: str
@@ -30,6 +33,8 @@
     unreachable_server_ids: list[str]
     speeds: list[ServerSpeed] | None = None
     server_limits: list[ServerLimitReport] = field(default_factory=list)
+    is_outside: bool = False
+    unlisted_work: list[WaitingWork] = field(default_factory=list)
 
 
 def report_of_state(state: PeerState) -> LoadReport:
@@ -41,6 +46,7 @@
         unreachable_server_ids=state.unreachable_server_ids,
         speeds=state.speeds,
         server_limits=state.server_limits,
+        unlisted_work=state.unlisted_work,
     )
 
 
@@ -52,6 +58,7 @@
         waiting=digest.waiting,
         unreachable_server_ids=digest.unreachable_server_ids,
         server_limits=digest.server_limits,
+        is_outside=True,
     )
 
 
@@ -149,12 +156,19 @@
     ) -> None:
         self._drop_waiting(report.source, contribution)
         for call in report.waiting:
-            waiter = PeerWaiter(call.rank, received_ms - call.waited_ms)
+            waiter = PeerWaiter(
+                call.rank, received_ms - call.waited_ms, call.expected_ms
+            )
             queue = self._find_queue(call.service_id)
-            queue.peer_waiters_by_source.setdefault(report.source, []).append(waiter)
+            queue.peers.add(report.source, waiter, is_outside=report.is_outside)
             contribution.waiting_services.add(call.service_id)
+        for work in report.unlisted_work:
+            queue = self._find_queue(work.service_id)
+            unlisted = UnlistedWork(work.rank, work.count, work.slot_ms)
+            queue.peers.add_unlisted(report.source, unlisted)
+            contribution.waiting_services.add(work.service_id)
 
     def _drop_waiting(self, source: str, contribution: PeerContribution) -> None:
         for service_id in contribution.waiting_services:
-            self._find_queue(service_id).peer_waiters_by_source.pop(source, None)
+            self._find_queue(service_id).peers.drop(source)
         contribution.waiting_services.clear()
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -32,6 +32,17 @@
     service_id: str
     rank: float
     waited_ms: float
+    # How long it will take a slot; 0 in reports of versions that don't say.
+    expected_ms: float = 0
+
+
+class WaitingWork(msgspec.Struct, array_like=True, frozen=True):
+    """Sum up the requests of a rank that wait behind those that are listed."""
+
+    service_id: str
+    rank: float
+    count: int
+    slot_ms: float
 
 
 def waiting_sort_key(call: WaitingCall) -> tuple[float, float]:
@@ -140,6 +151,8 @@
     retry_uses: list[RetryUse] | None = None
     # Only in states with speeds; absent in those of versions without levels.
     limit_levels: list[LimitLevel] | None = None
+    # Absent in states of versions that don't say, and where all are listed.
+    unlisted_work: list[WaitingWork] = []
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerState)
--- a/marjoramfall/gateway/place_finder.py
+++ b/marjoramfall/gateway/place_finder.py
@@ -9,7 +9,8 @@
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.place_search import PlaceSearch
 from marjoramfall.gateway.servers.demand import Demand, build_demand, give_up_ms
-from marjoramfall.gateway.servers.service_queue import Assignment, NoServerError
+from marjoramfall.gateway.servers.overload import NoServerError
+from marjoramfall.gateway.servers.service_queue import Assignment
 
 # Between two tries of a request that no server takes for the moment.
 RETURN_PAUSE_MS = 100.0
--- a/marjoramfall/gateway/place_search.py
+++ b/marjoramfall/gateway/place_search.py
@@ -5,11 +5,9 @@
 from marjoramfall.clock import MS_PER_SECOND, Clock
 from marjoramfall.gateway.fleet import Fleet
 from marjoramfall.gateway.servers.demand import Demand
-from marjoramfall.gateway.servers.service_queue import (
-    Assignment,
-    OverloadError,
-    Waiter,
-)
+from marjoramfall.gateway.servers.overload import OverloadError
+from marjoramfall.gateway.servers.service_queue import Assignment
+from marjoramfall.gateway.servers.shedding import Waiter
 
 
 class PlaceSearch:
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.callers.call import Call
+from marjoramfall.gateway.callers.call import MIN_RETURN_LEAD_MS, Call
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION, VersionChoice
 
-# Added to the rank of a request past its target: it goes after the requests of
-# its own priority that can still meet their targets, and is ordered by arrival
+# Added to the rank of a request that no longer meets its target: it goes after the
+# requests of its own priority that can still meet theirs, and is ordered by arrival
 # among those of the next lower priority.
 LATE_RANK_PENALTY = 1.0
 # Taken from the rank of a begun stream, whose caller leaves after its longest gap:
@@ -47,6 +47,23 @@
     is_begun: bool = False
     may_return: bool = False
     last_failed_server_id: str = ''
+    team: str = ''
+    # How much earlier than now the caller came for the first time.
+    lead_ms: float = 0.0
+    # How long a server is expected to take for its first response.
+    first_response_ms: float = 0.0
+    # Added while other requests of the team wait at this entry.
+    team_delay_ms: float = 0.0
+
+    @property
+    def turn_ms(self) -> float:
+        """Return the time that orders requests of the same rank."""
+        return self.arrived_ms - self.lead_ms + self.team_delay_ms
+
+    @property
+    def has_returned(self) -> bool:
+        """Return whether the caller seems to have been refused before."""
+        return self.lead_ms >= MIN_RETURN_LEAD_MS
 
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
@@ -62,7 +79,7 @@
         """Return the rank in the queue; the lowest rank is served first."""
         if self.is_begun:
             return self.priority - BEGUN_RANK_LEAD
-        if now_ms > self.target_ms:
+        if now_ms > self.target_ms - self.first_response_ms:
             return self.priority + LATE_RANK_PENALTY
         return self.priority
 
@@ -89,6 +106,8 @@
         has_run=call.has_run,
         is_begun=call.is_begun_stream,
         last_failed_server_id=call.last_failed_server_id,
+        team=call.team.name if call.team else '',
+        lead_ms=call.lead_ms,
     )
 
 
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -1,37 +1,40 @@
 """Order the waiting requests of a service and assign them to backend servers."""
 
+import math
 import random
-from bisect import bisect_left
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.servers.demand import Demand
+from marjoramfall.gateway.servers.overload import NoServerError, OverloadError
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
+from marjoramfall.gateway.servers.shedding import Shedder, Shortage, Waiter
 from marjoramfall.gateway.servers.usable_servers import (
     healthy_loads,
     returnable_loads,
 )
+from marjoramfall.gateway.servers.wait_estimate import Room, WaitEstimate
+from marjoramfall.gateway.servers.waiting_order import (
+    PeerOrders,
+    sort_key_of,
+)
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 
-# Weight of a new sample in the moving average of the service time.
-SERVICE_TIME_SMOOTHING = 0.05
-INITIAL_MODEL_SERVICE_TIME_MS = 500.0
-INITIAL_PLAIN_SERVICE_TIME_MS = 40.0
-MIN_RETRY_AFTER_MS = 100.0
-# Weight of a new sample in the moving average of the wait ratio, and the bounds
-# of a sample. The ratio is that of the actual to the expected wait of a priority.
-WAIT_SMOOTHING = 0.2
-MIN_WAIT_RATIO = 0.25
-MAX_WAIT_RATIO = 10.0
 MIN_ASSIGN_DELAY_MS = 5.0
+# Between two estimates of whether the late requests can still be served.
+LATE_CHECK_INTERVAL_MS = 25.0
 
 
 def _ignore_delay(_delay_ms: float) -> None:
     """Leave it to other events to assign waiting requests."""
 
 
+def _only_entry() -> int:
+    return 1
+
+
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """Pair a request with its server, whose load includes it until it ends."""
@@ -40,38 +43,12 @@
     request: RunningRequest
 
 
-class OverloadError(Exception):
-    """Raised when no slot is expected to become free in time."""
-
-    def __init__(self, reason: str, *, retry_after_ms: float) -> None:
-        super().__init__(reason)
-        self.retry_after_ms = retry_after_ms
-
-
-class NoServerError(OverloadError):
-    """Raised when this entry knows no server that may get the request."""
-
-
-class PathLostError(OverloadError):
-    """Raised when this entry no longer reaches the servers of the service."""
-
-
 @dataclass(frozen=True, slots=True)
-class PeerWaiter:
-    """Hold the sort key of a request that waits at a peer."""
-
-    rank: float
-    arrived_ms: float
-
+class PeersAhead:
+    """Count the requests of peers that go first, in the own group and anywhere."""
 
-@dataclass(slots=True, eq=False)
-class Waiter:
-    """Hold a request until it is assigned to a server or rejected."""
-
-    demand: Demand
-    on_assigned: Callable[[Assignment], None]
-    on_reject: Callable[[OverloadError], None]
-    expected_wait_ms: float = 0.0
+    in_group: int
+    anywhere: int
 
 
 class ServiceQueue:
@@ -89,26 +66,30 @@
         is_model: bool,
         schedule_assign: Callable[[float], None] = _ignore_delay,
         rules: PlacementRules | None = None,
+        entry_count: Callable[[], int] = _only_entry,
     ) -> None:
         """Create an empty queue.
 
         `schedule_assign` is to call `assign` after a delay in milliseconds, when the
         limit of a server next allows a request. No server gets a request that one of
-        the `rules` excludes.
+        the `rules` excludes. `entry_count` counts the entries of the own group.
         """
         self._clock = clock
+        self._is_model = is_model
         self._rules = rules or PlacementRules()
+        self._entry_count = entry_count
         self._schedule_assign = schedule_assign
-        self._service_time_ms = (
-            INITIAL_MODEL_SERVICE_TIME_MS if is_model else INITIAL_PLAIN_SERVICE_TIME_MS
-        )
-        self._wait_ratio_by_priority: dict[int, float] = {}
+        self.estimate = WaitEstimate(is_model=is_model)
+        self._shedder = Shedder(self.estimate)
         # Set where load reports arrive late: many entries would otherwise all
         # choose the same server, the one with the lowest cost.
         self.randomizes_choice = False
         self.load_by_id: dict[str, ServerLoad] = {}
+        # The servers that entries of other groups use first.
+        self.other_group_server_ids: set[str] = set()
         self.waiters: list[Waiter] = []
-        self.peer_waiters_by_source: dict[str, list[PeerWaiter]] = {}
+        self.peers = PeerOrders()
+        self._late_checked_ms = -math.inf
 
     def submit(self, waiter: Waiter) -> None:
         """Assign the request or queue it.
@@ -119,11 +100,12 @@
         self._refill_limits(now_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
         if not usable and not self._eligible_loads(waiter.demand):
-            raise NoServerError('no server', retry_after_ms=self._service_time_ms)
+            raise NoServerError(
+                'no server', retry_after_ms=self.estimate.service_time_ms
+            )
         if usable:
-            wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
-            waiter.expected_wait_ms = wait_ms
-            self._check_wait(waiter.demand, wait_ms, usable, now_ms)
+            short = self._shortage(waiter.demand, usable, now_ms)
+            self._shedder.enter(waiter, usable, short)
         else:
             self._check_pause(waiter.demand, now_ms)
         self.waiters.append(waiter)
@@ -137,10 +119,9 @@
     def finish(self, assignment: Assignment) -> None:
         """Free the slot of an assignment and assign waiting requests."""
         now_ms = self._clock.monotonic_ms()
-        service_time_ms = now_ms - assignment.request.started_ms
-        self._service_time_ms += SERVICE_TIME_SMOOTHING * (
-            service_time_ms - self._service_time_ms
-        )
+        request = assignment.request
+        took_ms = now_ms - request.started_ms
+        self.estimate.on_finished(assignment.load, request.demand, took_ms)
         assignment.load.end(assignment.request)
         self.assign()
 
@@ -173,18 +154,26 @@
         free_slots = sum(load.free_slots for load in self.load_by_id.values())
         if not free_slots:
             return
-        self.waiters.sort(key=lambda waiter: _sort_key(waiter.demand, now_ms))
-        peer_keys = self._peer_sort_keys()
+        group_slots = sum(
+            load.free_slots for load in self._first_used(self.load_by_id.values())
+        )
+        self.waiters.sort(key=lambda waiter: sort_key_of(waiter.demand, now_ms))
+        group = self.peers.of_group(self.estimate.service_time_ms)
+        everyone = self.peers.of_all(self.estimate.service_time_ms)
         for waiter in tuple(self.waiters):
-            peers_ahead = bisect_left(peer_keys, _sort_key(waiter.demand, now_ms))
-            if peers_ahead >= free_slots:
+            sort_key = sort_key_of(waiter.demand, now_ms)
+            ahead = PeersAhead(
+                group.count_before(sort_key), everyone.count_before(sort_key)
+            )
+            if ahead.in_group >= group_slots and ahead.anywhere >= free_slots:
                 # Every later request in the order has at least as many ahead.
                 return
-            assignment = self._try_assign(waiter.demand, peers_ahead, now_ms)
+            assignment = self._try_assign(waiter.demand, ahead, now_ms)
             if assignment is not None:
                 free_slots -= 1
+                group_slots -= len(self._first_used((assignment.load,)))
                 self.waiters.remove(waiter)
-                self._update_wait_ratio(waiter, now_ms)
+                self._shedder.on_waited(waiter, now_ms)
                 waiter.on_assigned(assignment)
 
     def _refill_limits(self, now_ms: float) -> None:
@@ -204,16 +193,13 @@
             self._schedule_assign(max(MIN_ASSIGN_DELAY_MS, min(delays_ms)))
 
     def _try_assign(
-        self, demand: Demand, peers_ahead: int, now_ms: float
+        self, demand: Demand, ahead: PeersAhead, now_ms: float
     ) -> Assignment | None:
         usable = self._usable_loads(demand, now_ms)
-        free_servers = [load for load in usable if load.free_slots]
-        # Each of these servers has at least one free slot; the sum is computed
-        # only if their number does not suffice.
-        if peers_ahead >= len(free_servers) and peers_ahead >= sum(
-            load.free_slots for load in free_servers
-        ):
-            return None
+        free_servers = _left_by(ahead.anywhere, usable)
+        if not free_servers:
+            # Peers of other groups can't take these slots, or know of them too late.
+            free_servers = _left_by(ahead.in_group, self._first_used(usable))
         if not free_servers:
             return None
         load = self._choose_server(free_servers, demand, now_ms)
@@ -262,27 +248,34 @@
             eligible = [load for load in eligible if demand.allows(load.server)]
         return self._rules.allowed(eligible, demand, self._clock.monotonic_ms())
 
-    def _peer_sort_keys(self) -> list[tuple[float, float]]:
-        return sorted(
-            (waiter.rank, waiter.arrived_ms)
-            for waiters in self.peer_waiters_by_source.values()
-            for waiter in waiters
-        )
+    def _first_used(self, loads: Iterable[ServerLoad]) -> list[ServerLoad]:
+        """Return the servers whose free slots the own group may all take.
+
+        All groups use those of a plain service alike.
+        """
+        if not self._is_model:
+            return []
+        others = self.other_group_server_ids
+        return [load for load in loads if load.server.server_id not in others]
 
-    def _expected_wait_ms(
+    def _shortage(
         self, demand: Demand, usable: list[ServerLoad], now_ms: float
-    ) -> float:
-        sort_key = _sort_key(demand, now_ms)
-        ahead = bisect_left(self._peer_sort_keys(), sort_key)
-        ahead += sum(
-            _sort_key(waiter.demand, now_ms) <= sort_key for waiter in self.waiters
+    ) -> Shortage:
+        first_used = self._first_used(usable) or usable
+        slots = sum(
+            load.usable_slots(self.estimate.service_time_ms)
+            if load in first_used
+            else load.free_slots
+            for load in usable
+        )
+        order = self.peers.of_group if self._is_model else self.peers.of_all
+        return Shortage(
+            room=Room(slots, sum(load.free_slots for load in usable)),
+            waiters=self.waiters,
+            peers=order(self.estimate.service_time_ms),
+            entry_count=max(1, self._entry_count()),
+            now_ms=now_ms,
         )
-        free_slots = sum(load.free_slots for load in usable)
-        if ahead < free_slots:
-            return 0
-        slots = sum(load.usable_slots(self._service_time_ms) for load in usable)
-        ratio = self._wait_ratio_by_priority.get(demand.priority, 1)
-        return (ahead + 1 - free_slots) * self._service_time_ms / max(1, slots) * ratio
 
     def _check_pause(self, demand: Demand, now_ms: float) -> None:
         """Raise `OverloadError` if all servers want nothing for too long."""
@@ -292,23 +285,19 @@
         if pause_ms and now_ms + pause_ms > demand.give_up_ms:
             raise OverloadError('no server takes requests yet', retry_after_ms=pause_ms)
 
-    def _check_wait(
-        self, demand: Demand, wait_ms: float, usable: list[ServerLoad], now_ms: float
-    ) -> None:
-        if not wait_ms or demand.has_run:
-            return
-        first_response_ms = min(load.first_response_ms(demand) for load in usable)
-        if now_ms + wait_ms + first_response_ms > demand.give_up_ms:
-            raise OverloadError(
-                'no place in time', retry_after_ms=_retry_after(wait_ms)
-            )
-
     def _reject_expired(self, now_ms: float) -> None:
+        is_due = now_ms - self._late_checked_ms >= LATE_CHECK_INTERVAL_MS
+        if is_due:
+            self._late_checked_ms = now_ms
         for waiter in tuple(self.waiters):
             demand = waiter.demand
             if now_ms >= demand.give_up_ms:
                 self._reject(waiter, 'no place came free', now_ms)
-            elif now_ms >= demand.target_ms and self._will_expire(demand, now_ms):
+            elif (
+                is_due
+                and now_ms >= demand.target_ms
+                and self._will_expire(demand, now_ms)
+            ):
                 self._reject(waiter, 'no place in time', now_ms)
 
     def _will_expire(self, demand: Demand, now_ms: float) -> bool:
@@ -318,40 +307,23 @@
         usable = self._usable_loads(demand, now_ms)
         if not usable:
             return False
-        wait_ms = self._expected_wait_ms(demand, usable, now_ms)
-        return wait_ms > 0 and now_ms + wait_ms > demand.give_up_ms
+        return self._shedder.will_expire(demand, self._shortage(demand, usable, now_ms))
 
     def _reject(self, waiter: Waiter, reason: str, now_ms: float) -> None:
         self.waiters.remove(waiter)
-        if now_ms >= waiter.demand.give_up_ms:
-            # An earlier rejection cuts the wait short, and its length would
-            # underestimate the full wait.
-            self._update_wait_ratio(waiter, now_ms)
         usable = self._usable_loads(waiter.demand, now_ms)
-        wait_ms = self._expected_wait_ms(waiter.demand, usable, now_ms)
-        retry_after_ms = _retry_after(wait_ms)
-        waiter.on_reject(OverloadError(reason, retry_after_ms=retry_after_ms))
-
-    def _update_wait_ratio(self, waiter: Waiter, now_ms: float) -> None:
-        """Update the ratio of actual to expected wait of a priority.
-
-        Requests of a higher priority that arrive later are served first, so that
-        lower priorities wait longer than the queue ahead suggests.
-        """
-        if waiter.expected_wait_ms <= 0:
-            return
-        priority = waiter.demand.priority
-        current = self._wait_ratio_by_priority.get(priority, 1)
-        waited_ms = now_ms - waiter.demand.arrived_ms
-        observed = current * waited_ms / waiter.expected_wait_ms
-        observed = min(max(observed, MIN_WAIT_RATIO), MAX_WAIT_RATIO)
-        updated = current + WAIT_SMOOTHING * (observed - current)
-        self._wait_ratio_by_priority[priority] = updated
-
-
-def _retry_after(wait_ms: float) -> float:
-    return max(MIN_RETRY_AFTER_MS, wait_ms)
-
-
-def _sort_key(demand: Demand, now_ms: float) -> tuple[float, float]:
-    return demand.rank(now_ms), demand.arrived_ms
+        short = self._shortage(waiter.demand, usable, now_ms)
+        wait_ms = self._shedder.expect(waiter.demand, short, is_newest=False).wait_ms
+        self._shedder.on_waited(waiter, now_ms, remaining_ms=wait_ms)
+        waiter.on_reject(self._shedder.refusal(waiter, reason, wait_ms, short))
+
+
+def _left_by(ahead: int, loads: list[ServerLoad]) -> list[ServerLoad]:
+    """Return the servers with free slots if those ahead don't take all of these."""
+    free_servers = [load for load in loads if load.free_slots]
+    # Each of these servers has at least one free slot; the sum is computed only if
+    # their number does not suffice.
+    if ahead < len(free_servers):
+        return free_servers
+    free_slots = sum(load.free_slots for load in free_servers)
+    return free_servers if ahead < free_slots else []
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -93,7 +93,7 @@
         queue = peer.fleet.queue(MODEL)
         load = queue.load_by_id['full']
         load.add_peer_load(load.server.slots, 0)
-        queue._service_time_ms = LONG_SERVICE_MS
+        queue.estimate.service_time_ms = LONG_SERVICE_MS
         connection = self.begin_stream()
         self.wait_for(lambda: queue.waiters)
         load.add_peer_load(-load.server.slots, 0)
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -46,7 +46,7 @@
         self.peers.keep_only(set())
         self.assertEqual(self.loads['s1'].running, 0)
         self.assertEqual(self.loads['s1'].speeds.peers.samples, 0)
-        self.assertFalse(self.queue.peer_waiters_by_source)
+        self.assertFalse(self.queue.peers.group_waiters_by_source)
 
     def test_new_server(self):
         """Guards against a new server that seems idle.
--- a/tests/test_second_places.py
+++ b/tests/test_second_places.py
@@ -72,7 +72,7 @@
 
     def __init__(self, entry, server_id):
         self._queue = entry.fleet.queue(PLAIN)
-        self._queue._service_time_ms = LONG_SERVICE_MS
+        self._queue.estimate.service_time_ms = LONG_SERVICE_MS
         self._load = self._queue.load_by_id[server_id]
         self._load.add_peer_load(self._load.server.slots, 0)
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -10,7 +10,9 @@
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.peers.peer_state import decode_state, encode_state
 from marjoramfall.gateway.servers.server_limits import ServerLimits
-from marjoramfall.gateway.servers.service_queue import PeerWaiter, ServiceQueue, Waiter
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
+from marjoramfall.gateway.servers.shedding import Waiter
+from marjoramfall.gateway.servers.waiting_order import PeerWaiter
 from marjoramfall.gateway.shared_limits import SharedLimits
 from tests.gateway_case import GatewayCase, answer
 from tests.gateway_fakes import make_demand, make_load, make_server, make_state
@@ -116,9 +118,10 @@
     def receive(self, datagram, sender):
         """Apply the state of a peer."""
         state = decode_state(datagram)
-        self.queue.peer_waiters_by_source[sender.vm] = [
-            PeerWaiter(0, waiter.demand.arrived_ms) for waiter in sender.queue.waiters
-        ]
+        self.queue.peers.drop(sender.vm)
+        for waiter in sender.queue.waiters:
+            peer_waiter = PeerWaiter(0, waiter.demand.arrived_ms)
+            self.queue.peers.add(sender.vm, peer_waiter, is_outside=False)
         now_ms = self.clock.monotonic_ms()
         self.limits.add_peer(
             state.vm, sender.incarnation, state.limit_uses, now_ms, recent_share=0
@@ -184,7 +187,9 @@
         self.entries[0].hear_limit(LIMIT_PER_S)
         self.exchange()
         self.entries = self.entries[:1]
-        self.entries[0].queue.peer_waiters_by_source.clear()
+        peers = self.entries[0].queue.peers
+        for source in tuple(peers.group_waiters_by_source):
+            peers.drop(source)
         self.run_for(12)
         self.assertGreaterEqual(len(self.sent_ms), 0.9 * LIMIT_PER_S * 12)
 
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -4,14 +4,12 @@
 import unittest
 
 from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.servers.overload import OverloadError
 from marjoramfall.gateway.servers.server_load import HeardNotices
 from marjoramfall.gateway.servers.server_speeds import Speed
-from marjoramfall.gateway.servers.service_queue import (
-    OverloadError,
-    PeerWaiter,
-    ServiceQueue,
-    Waiter,
-)
+from marjoramfall.gateway.servers.service_queue import ServiceQueue
+from marjoramfall.gateway.servers.shedding import Waiter
+from marjoramfall.gateway.servers.waiting_order import PeerWaiter
 from tests.gateway_fakes import make_demand, make_load, make_server
 
 # Ejects a server.
@@ -173,7 +171,7 @@
         self.fill()
         self.submit(priority=1)
         peer_waiter = PeerWaiter(rank=0, arrived_ms=0)
-        self.queue.peer_waiters_by_source['entry-2'] = [peer_waiter]
+        self.queue.peers.add('entry-2', peer_waiter, is_outside=False)
         before = len(self.assigned)
         self.finish_first()
         self.assertEqual(len(self.assigned), before - 1)
