--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from marjoramfall.gateway.callers.call import MIN_RETURN_LEAD_MS, Call
+from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.model import BackendServer
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION, VersionChoice
 
@@ -60,11 +60,6 @@
         """Return the time that orders requests of the same rank."""
         return self.arrived_ms - self.lead_ms + self.team_delay_ms
 
-    @property
-    def has_returned(self) -> bool:
-        """Return whether the caller seems to have been refused before."""
-        return self.lead_ms >= MIN_RETURN_LEAD_MS
-
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
         if server.is_leaving or server.server_id in self.excluded_server_ids:
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -262,17 +262,16 @@
         self, demand: Demand, usable: list[ServerLoad], now_ms: float
     ) -> Shortage:
         first_used = self._first_used(usable) or usable
-        slots = sum(
-            load.usable_slots(self.estimate.service_time_ms)
-            if load in first_used
-            else load.free_slots
-            for load in usable
-        )
+        service_time_ms = self.estimate.service_time_ms
+        free_slots = sum(load.free_slots for load in usable)
+        slots = sum(load.usable_slots(service_time_ms) for load in first_used)
+        if len(first_used) < len(usable):
+            slots += free_slots - sum(load.free_slots for load in first_used)
         order = self.peers.of_group if self._is_model else self.peers.of_all
         return Shortage(
-            room=Room(slots, sum(load.free_slots for load in usable)),
+            room=Room(slots, free_slots),
             waiters=self.waiters,
-            peers=order(self.estimate.service_time_ms),
+            peers=order(service_time_ms),
             entry_count=max(1, self._entry_count()),
             now_ms=now_ms,
         )
@@ -314,7 +313,10 @@
         usable = self._usable_loads(waiter.demand, now_ms)
         short = self._shortage(waiter.demand, usable, now_ms)
         wait_ms = self._shedder.expect(waiter.demand, short, is_newest=False).wait_ms
-        self._shedder.on_waited(waiter, now_ms, remaining_ms=wait_ms)
+        if now_ms >= waiter.demand.give_up_ms:
+            # An earlier rejection cuts the wait short, and an estimate of the rest
+            # would confirm itself.
+            self._shedder.on_waited(waiter, now_ms)
         waiter.on_reject(self._shedder.refusal(waiter, reason, wait_ms, short))
 
 
--- a/marjoramfall/gateway/servers/shedding.py
+++ b/marjoramfall/gateway/servers/shedding.py
@@ -1,5 +1,6 @@
 """Decide which requests are refused while room is short, and when they return."""
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -19,6 +20,8 @@
 HONOURED_SHARE = 1 / 3
 # Part of the time to its target after which a waiting request may count as late.
 MAX_RESPONSE_SHARE = 0.5
+# Bounds the cost of means over servers.
+MAX_SAMPLED_SERVERS = 8
 # Longest delay of a request behind others of its team, as a part of its wait.
 MAX_TEAM_DELAY_SHARE = 0.25
 
@@ -78,14 +81,16 @@
     def enter(self, waiter: Waiter, usable: list[ServerLoad], short: Shortage) -> None:
         """Let a request wait; raises `OverloadError` if it waits too long."""
         demand = waiter.demand
-        waiter.slot_ms = self._estimate.expected_slot_ms(demand, usable)
-        if not demand.has_run:
-            demand.first_response_ms = _mean_first_response_ms(demand, usable)
-            demand.team_delay_ms = _team_delay_ms(demand, short)
-        waiter.expected = self.expect(demand, short, is_newest=True)
-        if not waiter.expected.wait_ms or demand.has_run:
+        if not self.expect(demand, short, is_newest=True).wait_ms:
+            return
+        sample = usable[:: math.ceil(len(usable) / MAX_SAMPLED_SERVERS)]
+        waiter.slot_ms = self._estimate.expected_slot_ms(demand, sample)
+        if demand.has_run:
             return
-        wait_ms = waiter.expected.wait_ms + self._promised_ms(waiter, short)
+        demand.first_response_ms = _mean_first_response_ms(demand, sample)
+        demand.team_delay_ms = _team_delay_ms(demand, short)
+        waiter.expected = self.expect(demand, short, is_newest=True)
+        wait_ms = waiter.expected.wait_ms
         first_response_ms = min(load.first_response_ms(demand) for load in usable)
         if short.now_ms + wait_ms + first_response_ms > demand.give_up_ms:
             raise self.refusal(waiter, 'no place in time', wait_ms, short)
@@ -128,14 +133,12 @@
             reason, retry_after_ms=retry_after_ms, expected_wait_ms=wait_ms
         )
 
-    def on_waited(
-        self, waiter: Waiter, now_ms: float, *, remaining_ms: float = 0
-    ) -> None:
-        """Learn from a request that got a place, or has this wait before it still."""
+    def on_waited(self, waiter: Waiter, now_ms: float) -> None:
+        """Learn from a request that got a place, or waited as long as its caller."""
         self._estimate.on_waited(
             waiter.expected.rank,
             waiter.expected.wait_ms,
-            now_ms - waiter.demand.arrived_ms + remaining_ms,
+            now_ms - waiter.demand.arrived_ms,
             now_ms,
         )
 
@@ -143,15 +146,6 @@
         ahead = short.ahead(key, is_newest=is_newest)
         return self._estimate.expected_wait_ms(key[0], ahead, short.room, short.now_ms)
 
-    def _promised_ms(self, waiter: Waiter, short: Shortage) -> float:
-        """Return how long room is kept for those who were told to come back."""
-        if waiter.demand.has_returned:
-            return 0
-        until_ms = short.now_ms + waiter.expected.wait_ms
-        priority = waiter.demand.priority
-        promised_ms = self._returns.slot_ms_due(priority, short.now_ms, until_ms)
-        return promised_ms / short.rate
-
 
 def _mean_first_response_ms(demand: Demand, usable: list[ServerLoad]) -> float:
     """Return the expected time to the first response, a part of the target at most."""
