--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -2,16 +2,20 @@
 
 import unittest
 
+import msgspec
+
 from marjoramfall.clock import PausedClock
 from marjoramfall.gateway.peers.peer_loads import PeerLoads, report_of_state
 from marjoramfall.gateway.peers.peer_state import (
     ServerSpeed,
     ServerUse,
     WaitingCall,
+    WaitingWork,
     decode_state,
     encode_state,
 )
 from marjoramfall.gateway.servers.service_queue import ServiceQueue
+from marjoramfall.gateway.servers.waiting_order import WorkAhead
 from tests.gateway_fakes import MODEL, make_load, make_state
 
 
@@ -48,6 +52,24 @@
         self.assertEqual(self.loads['s1'].speeds.peers.samples, 0)
         self.assertFalse(self.queue.peers.group_waiters_by_source)
 
+    def test_unlisted_work(self):
+        """Guards against work that peers sum up counted never, or for ever."""
+        self.report(
+            waiting=[WaitingCall(MODEL, 1, 5, 30)],
+            unlisted_work=[WaitingWork(MODEL, 1, 4, 200)],
+        )
+        ahead = self.queue.peers.of_group(0).before((1, 0), is_newest=True)
+        self.assertEqual(ahead, WorkAhead(5, 230))
+        self.report(waiting=[])
+        ahead = self.queue.peers.of_group(0).before((1, 0), is_newest=True)
+        self.assertEqual(ahead, WorkAhead())
+
+    def test_report_of_earlier_version(self):
+        """Guards against a version that tells no length of its requests."""
+        earlier = msgspec.msgpack.encode([MODEL, 1, 5])
+        call = msgspec.msgpack.decode(earlier, type=WaitingCall)
+        self.assertEqual(call, WaitingCall(MODEL, 1, 5, 0))
+
     def test_new_server(self):
         """Guards against a new server that seems idle.
 
