--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -23,17 +23,14 @@
 from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
+from marjoramfall.gateway.servers.overload import NoServerError
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_memory import MemoryRule, ServerMemory
 from marjoramfall.gateway.servers.server_notices import ServerNotices
-from marjoramfall.gateway.servers.service_queue import (
-    Assignment,
-    NoServerError,
-    ServiceQueue,
-)
+from marjoramfall.gateway.servers.service_queue import Assignment, ServiceQueue
 from marjoramfall.gateway.shared_limits import SharedLimits
 from marjoramfall.gateway.versions.exchange_results import UnansweredResults, result_of
 from marjoramfall.gateway.versions.version_moves import (
@@ -154,6 +151,7 @@
                 schedule_assign=self._limit_timer.schedule,
                 rules=self._rules,
                 data_centre_exit=DataCentreExit(service_id),
+                entry_count=self._peers.group_entry_count,
             )
             self._queue_by_service[service_id] = queue
         return queue
@@ -333,7 +331,9 @@
 
     def _remove(self, server_id: str) -> None:
         load = self._load_by_id.pop(server_id)
-        self.queue(load.server.service_id).load_by_id.pop(server_id, None)
+        queue = self.queue(load.server.service_id)
+        queue.load_by_id.pop(server_id, None)
+        queue.other_group_server_ids.discard(server_id)
         self._pool.remove(server_id)
         self.server_limits.remove(load.server)
         self.speeds.remove(server_id)
--- a/marjoramfall/gateway/server_sharing.py
+++ b/marjoramfall/gateway/server_sharing.py
@@ -115,6 +115,10 @@
         load.distance = Distance(is_local, cost_ms if is_owned else OTHER_GROUP_COST_MS)
         load.reserve_slots(0 if is_owned else OTHER_GROUP_RESERVED_SLOTS)
         queue = self._find_queue(load.server.service_id)
+        if is_owned:
+            queue.other_group_server_ids.discard(load.server.server_id)
+        else:
+            queue.other_group_server_ids.add(load.server.server_id)
         queue.randomizes_choice = self._peers.is_large and not load.is_model
         queue.data_centre_exit.is_active = self._peers.is_large
 
--- a/marjoramfall/gateway/servers/demand.py
+++ b/marjoramfall/gateway/servers/demand.py
@@ -7,8 +7,8 @@
 from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.versions.version_moves import ANY_VERSION, VersionChoice
 
-# Added to the rank of a request past its target: it goes after the requests of
-# its own priority that can still meet their targets, and is ordered by arrival
+# Added to the rank of a request that no longer meets its target: it goes after the
+# requests of its own priority that can still meet theirs, and is ordered by arrival
 # among those of the next lower priority.
 LATE_RANK_PENALTY = 1.0
 # Taken from the rank of a begun stream, whose caller leaves after its longest gap:
@@ -55,6 +55,13 @@
     may_return: bool = False
     last_failed_server_id: str = ''
     home_regions: frozenset[str] = frozenset()
+    team: str = ''
+    # How much earlier than now the caller came for the first time.
+    lead_ms: float = 0.0
+    # How long a server is expected to take for its first response.
+    first_response_ms: float = 0.0
+    # Added while other requests of the team wait at this entry.
+    team_delay_ms: float = 0.0
 
     @property
     def held_tokens(self) -> int:
@@ -67,6 +74,11 @@
             self.cautious_output_tokens, self.output_tokens
         )
 
+    @property
+    def turn_ms(self) -> float:
+        """Return the time that orders requests of the same rank."""
+        return self.arrived_ms - self.lead_ms + self.team_delay_ms
+
     def allows(self, server: BackendServer) -> bool:
         """Return whether the server is eligible by version, state and exclusions."""
         if server.is_leaving or server.server_id in self.excluded_server_ids:
@@ -81,7 +93,7 @@
         """Return the rank in the queue; the lowest rank is served first."""
         if self.is_begun:
             return self.priority - BEGUN_RANK_LEAD
-        if now_ms > self.target_ms:
+        if now_ms > self.target_ms - self.first_response_ms:
             return self.priority + LATE_RANK_PENALTY
         return self.priority
 
@@ -117,6 +129,8 @@
         is_begun=call.is_begun_stream,
         last_failed_server_id=call.last_failed_server_id,
         home_regions=call.home_regions,
+        team=call.team.name if call.team else '',
+        lead_ms=call.lead_ms,
     )
 
 
--- a/marjoramfall/gateway/servers/spare_servers.py
+++ b/marjoramfall/gateway/servers/spare_servers.py
@@ -10,8 +10,8 @@
     if queue.waiters:
         return []
     loads = [load for load in queue.usable_loads(demand, now_ms) if load.free_slots]
-    waiting = sum(map(len, queue.peer_waiters_by_source.values()))
-    return loads if sum(load.free_slots for load in loads) > waiting else []
+    free_slots = sum(load.free_slots for load in loads)
+    return loads if free_slots > queue.peers.listed_count else []
 
 
 def reserve(load: ServerLoad, demand: Demand, now_ms: float) -> Assignment:
