--- a/marjoramfall/gateway/servers/cold_servers.py
+++ b/marjoramfall/gateway/servers/cold_servers.py
@@ -151,7 +151,8 @@
         if now_ms < hold.cold_until_ms:
             return True
         self._hold_by_run.pop(server.run)
-        logger.bind(server=server.server_id, sent=hold.sent).info('server is warm')
+        if hold.sent:
+            logger.bind(server=server.server_id, sent=hold.sent).info('server is warm')
         return False
 
     def may_send(self, server: BackendServer, now_ms: float) -> bool:
