--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -21,9 +21,8 @@
 )
 from marjoramfall.gateway.servers.data_centre_exit import DataCentreExit
 from marjoramfall.gateway.servers.demand import Demand, build_demand
-from marjoramfall.gateway.servers.length_estimate import LengthEstimates
+from marjoramfall.gateway.servers.excluded_waiters import reject_excluded
 from marjoramfall.gateway.servers.outcome import Ending, Outcome
-from marjoramfall.gateway.servers.overload import NoServerError
 from marjoramfall.gateway.servers.placement_rules import PlacementRules
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.servers.server_limits import ServerLimits
@@ -72,7 +71,6 @@
         self._service_by_id: dict[str, Service] = {}
         self._queue_by_service: dict[str, ServiceQueue] = {}
         self._load_by_id: dict[str, ServerLoad] = {}
-        self.lengths = LengthEstimates()
         self._peer_loads = PeerLoads(self._load_by_id, self.queue)
         self.speeds = FleetSpeeds(
             clock,
@@ -81,6 +79,7 @@
             load_by_id=self._load_by_id,
             queue_by_service=self._queue_by_service,
         )
+        self.lengths = self.speeds.lengths
         self.paths = ServicePaths(
             clock,
             pool,
@@ -232,12 +231,7 @@
         """Place waiting requests anew, or reject them, after a change of the rules."""
         now_ms = self._clock.monotonic_ms()
         for queue in self._queue_by_service.values():
-            loads = queue.load_by_id.values()
-            for waiter in tuple(queue.waiters):
-                if not self._rules.allows_any(loads, waiter.demand, now_ms):
-                    queue.withdraw(waiter)
-                    reason = self._rules.refusal(loads, waiter.demand, now_ms)
-                    waiter.on_reject(NoServerError(reason, retry_after_ms=0))
+            reject_excluded(queue, self._rules, now_ms)
         self.assign()
 
     def revoked_by(self, assignment: Assignment) -> str | None:
--- a/marjoramfall/gateway/fleet_speeds.py
+++ b/marjoramfall/gateway/fleet_speeds.py
@@ -8,6 +8,7 @@
 from marjoramfall.gateway.peers.group_digest import Scope
 from marjoramfall.gateway.peers.peer_loads import PeerLoads
 from marjoramfall.gateway.peers.peer_table import PeerTable
+from marjoramfall.gateway.servers.length_estimate import LengthEstimates
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.server_speeds import US_PER_MS, Speed
 from marjoramfall.gateway.servers.service_queue import ServiceQueue
@@ -38,6 +39,7 @@
         self._queue_by_service = queue_by_service
         self._faded_ms = clock.monotonic_ms()
         self._logged_ms_by_server: dict[str, float] = {}
+        self.lengths = LengthEstimates()
 
     def compare(self) -> None:
         """Compare the speeds of the servers of each model service."""
