Mend what the review of uneven servers and moves has found

What callers saw: nothing yet; found by review and shown by trials of the reviewer. Cause: a place already held was checked against memory and version again, so that a stopped run was refused by both servers; a stream without length that was stopped with all answers lost looked whole (ORDER); busy answers used up the tries to stop; streams moved to ejected or cold servers; the prompt that a resumed stream reads again was not counted; speeds of an earlier incarnation came back; a request waited for a faster server as if it had a slot already; an exception in a move leaked its place. Change: one fix for each, as proposed. Evidence: two tests (scarce memory, no length and no answer); 29 tests of moves pass as before.

--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -331,6 +331,7 @@
         self._pool.remove(server_id)
         self.server_limits.remove(load.server)
         self.speeds.remove(server_id)
+        self._peer_loads.forget_speed(server_id)
 
     def _is_model(self, service_id: str) -> bool:
         service = self._service_by_id.get(service_id)
--- a/marjoramfall/gateway/peers/peer_loads.py
+++ b/marjoramfall/gateway/peers/peer_loads.py
@@ -159,6 +159,11 @@
                 server_id
             )
 
+    def forget_speed(self, server_id: str) -> None:
+        """Forget the speed of a server that has gone, or has started again."""
+        for contribution in self._contribution_by_source.values():
+            contribution.speed_by_server.pop(server_id, None)
+
     def _is_model(self, server_id: str) -> bool:
         load = self._load_by_id.get(server_id)
         return load is not None and load.is_model
--- a/marjoramfall/gateway/running_streams.py
+++ b/marjoramfall/gateway/running_streams.py
@@ -138,4 +138,5 @@
             ),
             tokens_per_event=service.tokens_per_event,
             past_moves=call.moves,
+            is_resumed=tracked.can_resume,
         )
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -179,6 +179,10 @@
             return False
         return self.handover.await_stop(self.timing.last_event_ms)
 
+    def _may_have_stopped(self) -> bool:
+        """Return whether a call may have stopped the run though none has said so."""
+        return self.handover is not None and self.handover.may_have_stopped
+
     def _is_at_start(self) -> bool:
         first_event_ms = self.timing.first_event_ms
         if first_event_ms is None:
@@ -266,7 +270,7 @@
             raise ConnectionLostError('the connection ended within an event')
         if self.timing.event_count == 0 and self._call.last_event_id is None:
             raise ConnectionLostError('the connection ended before the first event')
-        if self._has_stopped_to_move():
+        if self._has_stopped_to_move() or self._may_have_stopped():
             raise ConnectionLostError('the connection ended as the run has stopped')
 
     def _forward_part(
--- a/marjoramfall/gateway/servers/run_handover.py
+++ b/marjoramfall/gateway/servers/run_handover.py
@@ -49,6 +49,8 @@
         self.stopped_ms = 0.0
         self.is_used = False
         self.has_returned = False
+        # Set while a call may have stopped the run, also where none has said so.
+        self.may_have_stopped = False
         self._is_resumed = False
         self._on_resumed = on_resumed
         self._settled = Event()
@@ -66,6 +68,7 @@
         if self.phase is not Phase.COPYING:
             return False
         self.phase = Phase.STOPPING
+        self.may_have_stopped = True
         return True
 
     def settle_stopped(self, now_ms: float) -> bool:
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -256,7 +256,13 @@
             return any(other.meets_deadline(demand, now_ms) for other in usable)
         if demand.has_run or _is_likely_in_time(load, demand, now_ms):
             return False
-        return any(_is_likely_in_time(other, demand, now_ms) for other in usable)
+        service_time_ms = self.estimate.service_time_ms
+        return any(
+            _is_likely_in_time(
+                other, demand, now_ms + service_time_ms / other.server.slots
+            )
+            for other in usable
+        )
 
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
--- a/marjoramfall/gateway/servers/spare_servers.py
+++ b/marjoramfall/gateway/servers/spare_servers.py
@@ -9,7 +9,13 @@
     """Return the usable servers with free slots that no waiting request needs."""
     if queue.waiters:
         return []
-    loads = [load for load in queue.usable_loads(demand, now_ms) if load.free_slots]
+    loads = [
+        load
+        for load in queue.usable_loads(demand, now_ms)
+        if load.free_slots
+        and not load.is_ejected(now_ms)
+        and now_ms >= load.speeds.cold_until_ms
+    ]
     free_slots = sum(load.free_slots for load in loads)
     return loads if free_slots > queue.peers.listed_count else []
 
--- a/marjoramfall/gateway/stream_moves.py
+++ b/marjoramfall/gateway/stream_moves.py
@@ -20,6 +20,7 @@
     CopyOrder,
     CopyResult,
 )
+from marjoramfall.gateway.servers.demand import Demand, build_demand
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import Exchange
 from marjoramfall.gateway.servers.outcome import Outcome
@@ -30,9 +31,10 @@
     RunMovePolicy,
     RunningStream,
 )
-from marjoramfall.gateway.servers.server_load import ServerLoad
+from marjoramfall.gateway.servers.server_load import RunningRequest, ServerLoad
 from marjoramfall.gateway.servers.service_queue import Assignment
 from marjoramfall.gateway.servers.spare_servers import reserve, spare_loads
+from marjoramfall.gateway.versions.version_moves import ANY_VERSION
 
 LOOK_INTERVAL_MS = 500.0
 # A stopped run has sent all events; its stream is waited for no longer than this.
@@ -41,6 +43,8 @@
 # go on.
 STOP_TRIES = 3
 STOP_PAUSE_MS = 50.0
+# The exchange at the source waits for 6 s for what these calls say.
+MAX_STOP_CALLS_MS = 2500.0
 UNCERTAIN = frozenset((CopyEnding.LOST, CopyEnding.BUSY, CopyEnding.NOT_REACHED))
 
 
@@ -111,7 +115,7 @@
             place = handover.take_place()
             if place is None:
                 return self._return_to_source(call, handover, failover)
-            if self._is_eligible(call, place.load):
+            if self._is_open(call, place.load):
                 call.resume_from = handover.copy_address
                 failover.hold(place)
                 return True
@@ -153,7 +157,10 @@
         """
         tracked = tracked_by_id[stream.request_id]
         source = stream.source.server
-        demand = self._fleet.build_demand(tracked.call)
+        if not tracked.can_resume and not self._is_open(tracked.call, stream.source):
+            # It could not return to a source that takes nothing any more.
+            return []
+        demand = self._build_demand(tracked.call)
         demand.excluded_server_ids = {
             *tracked.call.excluded_server_ids,
             *tracked.refused_ids,
@@ -166,6 +173,12 @@
             if load.server.version == source.version
         ]
 
+    def _build_demand(self, call: Call) -> Demand:
+        """Return the demand of a run, which stays at servers of its version."""
+        return build_demand(
+            call, self._clock.monotonic_ms(), ANY_VERSION, self._fleet.lengths
+        )
+
     def _begin(self, tracked: TrackedStream, move: RunMove) -> None:
         call = tracked.call
         # An arrival at the destination counts for the budget.
@@ -187,6 +200,16 @@
             spawn(self._copy, tracked, handover)
 
     def _copy(self, tracked: TrackedStream, handover: RunHandover) -> None:
+        try:
+            self._copy_and_stop(tracked, handover)
+        except Exception:
+            logger.bind(request=handover.move.stream.request_id).exception(
+                'unhandled exception while a stream moves'
+            )
+            handover.end()
+            self._release(handover)
+
+    def _copy_and_stop(self, tracked: TrackedStream, handover: RunHandover) -> None:
         result = self._copies.copy(_order(handover, stops_run=False))
         handover.handle = result.handle
         _log_copy(handover, result, self._clock.monotonic_ms(), stops_run=False)
@@ -208,14 +231,22 @@
 
     def _stop(self, handover: RunHandover) -> CopyResult:
         order = _order(handover, stops_run=True)
-        result = CopyResult(CopyEnding.LOST)
-        for _ in range(STOP_TRIES):
+        give_up_ms = self._clock.monotonic_ms() + MAX_STOP_CALLS_MS
+        tries_left = STOP_TRIES
+        is_first = True
+        while True:
             result = self._copies.copy(order)
-            _log_copy(handover, result, self._clock.monotonic_ms(), stops_run=True)
-            if result.ending not in UNCERTAIN:
-                break
+            now_ms = self._clock.monotonic_ms()
+            _log_copy(handover, result, now_ms, stops_run=True)
+            # A busy source still works on a call whose answer was lost.
+            tries_left -= result.ending is not CopyEnding.BUSY
+            is_settled = result.ending not in UNCERTAIN
+            if is_settled or not tries_left or now_ms >= give_up_ms:
+                has_ended = is_first and result.ending is CopyEnding.NO_RUN
+                handover.may_have_stopped = not has_ended
+                return result
+            is_first = False
             self._clock.sleep_ms(STOP_PAUSE_MS)
-        return result
 
     def _stay(
         self, tracked: TrackedStream, handover: RunHandover, result: CopyResult
@@ -239,14 +270,19 @@
             self._fleet.finish(handover.place)
             handover.place = None
 
-    def _is_eligible(self, call: Call, load: ServerLoad) -> bool:
-        demand = self._fleet.build_demand(call)
-        demand.excluded_server_ids = set()
-        return load in self._fleet.queue(call.service_id).eligible_loads(demand)
+    def _is_open(self, call: Call, load: ServerLoad) -> bool:
+        """Return whether a server goes on with a run that it has, or has room for.
+
+        Its memory and version were checked for the place that the run holds.
+        """
+        known = self._fleet.queue(call.service_id).load_by_id
+        if known.get(load.server.server_id) is not load or load.is_leaving:
+            return False
+        place = RunningRequest(self._build_demand(call), self._clock.monotonic_ms())
+        return self._fleet.revoked_by(Assignment(load, place)) is None
 
     def _reserve(self, call: Call, load: ServerLoad) -> Assignment:
-        demand = self._fleet.build_demand(call)
-        return reserve(load, demand, self._clock.monotonic_ms())
+        return reserve(load, self._build_demand(call), self._clock.monotonic_ms())
 
     def _is_unused(self, handover: RunHandover, outcome: Outcome) -> bool:
         """Return whether nothing works on a stream that its destination has failed.
@@ -271,7 +307,7 @@
         service = self._fleet.find_service(call.service_id)
         age_ms = self._clock.monotonic_ms() - handover.stopped_ms
         is_kept = service is not None and age_ms < (service.copy_kept_ms or age_ms + 1)
-        is_possible = is_kept and self._is_eligible(call, load)
+        is_possible = is_kept and self._is_open(call, load)
         logger.bind(
             request=call.fields.attempt_id,
             source=load.server.server_id,
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -310,6 +310,23 @@
         self.assertEqual(self.destination.heads, [])
         self.assertEqual(len(self.streams_of(self.source)), 1)
 
+    def test_no_length_and_no_answer(self):
+        """Guards against a stopped stream that looks whole, as it has no length."""
+        connection = self.start(
+            answer_copy,
+            self.stop_silently,
+            answer_nothing,
+            begin=self.begin_without_length,
+        )
+        self.check_broken(connection)
+
+    def test_scarce_memory(self):
+        """Guards against counting a run twice at the server that holds its place."""
+        self.use_service(revision=3, memory_tokens=1900)
+        connection = self.start(answer_copy, self.stop)
+        self.check_whole(connection)
+        self.check_goes_on(self.streams_of(self.destination)[0])
+
     def test_source_killed(self):
         """Guards against a run elsewhere after the source died during the copy."""
         self.check_broken(self.start(self.die_at_source))
