Mend what the review of admission under shortage has found

What callers saw: nothing yet; found by review, shown by its simulations under a paused clock. Cause: callers who always name less time than their route counted as returned for ever and starved their rank; a request waited for a faster server though one of these was free; the mean first response of uneven servers made a high priority late too early; for plain services the slots of all groups were shared among the entries of one; waiting requests without an estimate were reported as no work; calls that leave did not look for a server that ends in time. Change: one fix for each; UsualTimeouts learns what callers of a route and team wait. Not mended: what early refusals could teach the estimate, the cost of one late check with a thousand late requests, promised returns that mix routes, requests that enter in a pause.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -102,6 +102,8 @@
     # Set if a peer has accepted the request from its caller.
     delegation: Delegation | None = None
     tried_delegates: set[str] = field(default_factory=set)
+    # How long callers of the route and team wait; None to take that of the route.
+    usual_timeout_ms: float | None = None
     # The regions whose servers may get the request; empty for all.
     home_regions: frozenset[str] = frozenset()
 
@@ -129,13 +131,13 @@
 
     @property
     def lead_ms(self) -> float:
-        """Return the part of the route's time that the caller has spent before.
+        """Return the part of its usual time that the caller has spent before.
 
         A refused caller comes back with what is left of its time, to any entry.
         """
-        longest_ms = MAX_LEAD_SHARE * self.route.timeout_ms
-        spent_ms = self.received_ms + self.route.timeout_ms - self.deadline_ms
-        return min(max(0, spent_ms), longest_ms)
+        usual_ms = self.usual_timeout_ms or self.route.timeout_ms
+        spent_ms = self.received_ms + usual_ms - self.deadline_ms
+        return min(max(0, spent_ms), MAX_LEAD_SHARE * usual_ms)
 
     @property
     def has_returned(self) -> bool:
--- a/marjoramfall/gateway/fleet.py
+++ b/marjoramfall/gateway/fleet.py
@@ -150,7 +150,7 @@
                 schedule_assign=self._limit_timer.schedule,
                 rules=self._rules,
                 data_centre_exit=DataCentreExit(service_id),
-                entry_count=self._peers.group_entry_count,
+                entry_count=self._sharing.counter_of(service_id),
             )
             self._queue_by_service[service_id] = queue
         return queue
--- a/marjoramfall/gateway/gateway.py
+++ b/marjoramfall/gateway/gateway.py
@@ -11,6 +11,7 @@
     EntryStopsError,
     ResponseWriter,
 )
+from marjoramfall.gateway.callers.usual_timeouts import UsualTimeouts
 from marjoramfall.gateway.delegation.messages import failure_headers
 from marjoramfall.gateway.dialect import Dialect
 from marjoramfall.gateway.forwarder import Forwarder
@@ -60,6 +61,7 @@
         self._metrics = metrics
         self._clock = clock
         self._homes = homes
+        self._timeouts = UsualTimeouts()
         self.stopping = False
         self._latest_deadline_ms = float('inf')
         self.in_flight = 0
@@ -230,8 +232,23 @@
             last_event_id=fields.last_event_id,
             delegation=delegation,
             home_regions=self._homes.find(route, team),
+            usual_timeout_ms=self._usual_timeout_ms(
+                route, team, timeout_ms, delegation
+            ),
         )
 
+    def _usual_timeout_ms(
+        self,
+        route: Route,
+        team: Team | None,
+        timeout_ms: float,
+        delegation: Delegation | None,
+    ) -> float | None:
+        """Return how long callers wait, None if a peer has used a part of it."""
+        if delegation is not None:
+            return None
+        return self._timeouts.observe(route.name, team.name if team else '', timeout_ms)
+
     def _current_config_version(self) -> int:
         config = self._registry.config
         return 0 if config is None else config.version
--- a/marjoramfall/gateway/peers/own_load.py
+++ b/marjoramfall/gateway/peers/own_load.py
@@ -109,7 +109,7 @@
                 service_id,
                 waiter.demand.rank(now_ms),
                 int(now_ms - waiter.demand.turn_ms),
-                int(waiter.slot_ms),
+                int(waiter.slot_ms or queue.estimate.service_time_ms),
             )
             for service_id, queue in self._queue_by_service.items()
             for waiter in queue.waiters
--- a/marjoramfall/gateway/server_sharing.py
+++ b/marjoramfall/gateway/server_sharing.py
@@ -66,6 +66,12 @@
         self._basis: SharingBasis | None = None
         self.owned_ids: frozenset[str] = frozenset()
 
+    def counter_of(self, service_id: str) -> Callable[[], int]:
+        """Return what counts the entries that share the servers of a service."""
+        if self._is_model(service_id):
+            return self._peers.group_entry_count
+        return self._peers.entry_count
+
     def reset(self) -> None:
         """Divide anew at the next update, after a change of servers or services."""
         self._basis = None
--- a/marjoramfall/gateway/servers/data_centre_exit.py
+++ b/marjoramfall/gateway/servers/data_centre_exit.py
@@ -91,10 +91,8 @@
             return free
         if home[0].is_model:
             return [load for load in home if _keeps(load, demand, now_ms)] or free
-        if self._draw() < self.share:
-            return away
-        staying = [load for load in home if _keeps_call(load, demand, now_ms)]
-        return staying or free
+        side = away if self._draw() < self.share else home
+        return [load for load in side if _keeps_call(load, demand, now_ms)] or free
 
     def _next_share(self) -> float:
         times = self._times
--- a/marjoramfall/gateway/servers/service_queue.py
+++ b/marjoramfall/gateway/servers/service_queue.py
@@ -253,16 +253,19 @@
         if load.meets_deadline(demand, now_ms):
             return False
         if now_ms + load.first_response_ms(demand) < demand.target_ms:
-            return any(other.meets_deadline(demand, now_ms) for other in usable)
+            faster = [other for other in usable if other.meets_deadline(demand, now_ms)]
+            return _is_only_busy(faster)
         if demand.has_run or _is_likely_in_time(load, demand, now_ms):
             return False
         service_time_ms = self.estimate.service_time_ms
-        return any(
-            _is_likely_in_time(
+        faster = [
+            other
+            for other in usable
+            if _is_likely_in_time(
                 other, demand, now_ms + service_time_ms / other.server.slots
             )
-            for other in usable
-        )
+        ]
+        return _is_only_busy(faster)
 
     def _open_loads(self, demand: Demand, now_ms: float) -> list[ServerLoad]:
         """Return the eligible servers that have not asked for a pause."""
@@ -368,6 +371,11 @@
     return staying
 
 
+def _is_only_busy(loads: list[ServerLoad]) -> bool:
+    """Return whether there are servers, and none of them has a free slot."""
+    return bool(loads) and not any(load.free_slots for load in loads)
+
+
 def _is_likely_in_time(load: ServerLoad, demand: Demand, now_ms: float) -> bool:
     end_ms = now_ms + load.response_ms(demand, demand.output_tokens)
     return end_ms <= demand.deadline_ms
--- a/marjoramfall/gateway/servers/shedding.py
+++ b/marjoramfall/gateway/servers/shedding.py
@@ -87,7 +87,7 @@
         waiter.slot_ms = self._estimate.expected_slot_ms(demand, sample)
         if demand.has_run:
             return
-        demand.first_response_ms = _mean_first_response_ms(demand, sample)
+        demand.first_response_ms = _first_response_ms(demand, sample)
         demand.team_delay_ms = _team_delay_ms(demand, short)
         waiter.expected = self.expect(demand, short, is_newest=True)
         wait_ms = waiter.expected.wait_ms
@@ -147,11 +147,15 @@
         return self._estimate.expected_wait_ms(key[0], ahead, short.room, short.now_ms)
 
 
-def _mean_first_response_ms(demand: Demand, usable: list[ServerLoad]) -> float:
-    """Return the expected time to the first response, a part of the target at most."""
-    mean_ms = sum(load.first_response_ms(demand) for load in usable) / len(usable)
+def _first_response_ms(demand: Demand, usable: list[ServerLoad]) -> float:
+    """Return the least time to the first response, a part of the target at most.
+
+    With the mean of uneven servers, requests of a high priority would count as late
+    while a fast server still serves them on time.
+    """
+    least_ms = min(load.first_response_ms(demand) for load in usable)
     longest_ms = MAX_RESPONSE_SHARE * (demand.target_ms - demand.arrived_ms)
-    return max(0, min(mean_ms, longest_ms))
+    return max(0, min(least_ms, longest_ms))
 
 
 def _team_delay_ms(demand: Demand, short: Shortage) -> float:
