--- a/review/harness2/entries.py
+++ b/review/harness2/entries.py
@@ -32,7 +32,7 @@
 region = "region"
 internalPorts = [{first_port}, {last_port}]
 seeds = []
-bootstrap = true
+bootstrap = {bootstrap}
 discovery = "platform"
 entry = "vip"
 heartbeatMs = 1200
@@ -113,22 +113,14 @@
         self.name = name
         self.host = host
         self._settings = folder / f'{name}.toml'
-        self._settings.write_text(
-            SETTINGS.format(
-                name=name,
-                ip=host,
-                store=store,
-                front_port=FRONT_PORT,
-                ready_port=READY_PORT,
-                first_port=INTERNAL_PORTS[0],
-                last_port=INTERNAL_PORTS[1],
-            )
-        )
+        self._store = store
         self._log = (folder / f'{name}.log').open('ab')
         self.process: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Start the program that the deploy file names."""
+        # True only when the whole system starts for the first time.
+        self._write_settings(bootstrap=self.process is None)
         deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
         command = deploy['roles']['entry']['run'].split()
         environment = {
@@ -169,6 +161,19 @@
             while not await self.is_ready():
                 await asyncio.sleep(POLL_S)
 
+    def _write_settings(self, *, bootstrap: bool) -> None:
+        settings = SETTINGS.format(
+            name=self.name,
+            ip=self.host,
+            store=self._store,
+            bootstrap=str(bootstrap).lower(),
+            front_port=FRONT_PORT,
+            ready_port=READY_PORT,
+            first_port=INTERNAL_PORTS[0],
+            last_port=INTERNAL_PORTS[1],
+        )
+        self._settings.write_text(settings)
+
     async def _ask_ready(self) -> bool:
         reader, writer = await asyncio.open_connection(self.host, READY_PORT)
         with closing(writer):
