Show answers that are cut while slow clients read them

Six clients read an answer of 200 kB on a kept connection at 10 kB a second. The connections are reset after about 160 kB, within the deadline, and the requests, which may not be repeated, have run.

Cause: TCP_USER_TIMEOUT of 3 s, meant for servers, is also set on the connections of callers and bounds how long a receiver may keep its window closed.

--- a/review/harness2/client.py
+++ b/review/harness2/client.py
@@ -29,7 +29,13 @@
 
 
 def encode_request(
-    method: str, target: str, body: bytes, *, attempt_id: str, deadline_ms: int
+    method: str,
+    target: str,
+    body: bytes,
+    *,
+    attempt_id: str,
+    deadline_ms: int,
+    more_headers: dict[str, str] | None = None,
 ) -> bytes:
     """Encode a request of a client."""
     headers = {
@@ -37,6 +43,7 @@
         'Marjoramfall-Attempt-Id': attempt_id,
         'Marjoramfall-Deadline-Ms': deadline_ms,
         'Authorization': f'Bearer {API_KEY}',
+        **(more_headers or {}),
     }
     return encode(f'{method} {target} HTTP/1.1', headers, body)
 
