--- a/review/harness2/entries.py
+++ b/review/harness2/entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -21,6 +22,7 @@
 READY_PORT = 8224
 INTERNAL_PORTS = (7600, 7615)
 STORE_PORT = 8225
+MOST_NUMBERS = 250
 
 SETTINGS = """
 nodeName = "{name}"
@@ -86,12 +88,11 @@
 
 def free_hosts(count: int) -> list[str]:
     """Return loopback addresses on which all ports of a machine are free."""
-    found = []
-    number = os.getpid() % 200
+    found: list[str] = []
     while len(found) < count:
-        number += 1
-        host = f'127.{40 + number // 200 % 200}.{number % 200}.{1 + number % 97}'
-        if _is_free(host):
+        numbers = (2 + secrets.randbelow(MOST_NUMBERS) for _ in range(3))
+        host = '.'.join(('127', *map(str, numbers)))
+        if host not in found and _is_free(host):
             found.append(host)
     return found
 
--- a/review/harness2/model_engine.py
+++ b/review/harness2/model_engine.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from contextlib import closing
+from contextlib import closing, contextmanager
 
 from review.harness2.http_wire import Head, encode, read_body, read_head
 
@@ -65,9 +65,14 @@
             headers = {'Marjoramfall-Instance-Id': self.server_id}
             writer.write(encode('HTTP/1.1 421 Misdirected Request', headers))
             return
+        with self._counting():
+            await self._stream(head.headers['marjoramfall-attempt-id'], writer)
+
+    @contextmanager
+    def _counting(self):
         self.running += 1
         try:
-            await self._stream(head.headers['marjoramfall-attempt-id'], writer)
+            yield
         finally:
             self.running -= 1
 
