Read on behind rows of other writers whatever numbers they hold

Entries that ran heard of no change of servers.

Cause: read_amount asked math.isfinite of the number, which raises OverflowError. The readers of rows raise InvalidRecordError only by their contract, so that the greenlet which follows the table ended.

Why it works: what a reader raises is the one error that its callers handle, and the rows beside the odd one are applied.

--- a/marjoramfall/platform/json_records.py
+++ b/marjoramfall/platform/json_records.py
@@ -1,6 +1,7 @@
 """Decode JSON that any writer may have left in the store."""
 
-import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, TypeVar
 
@@ -10,20 +11,39 @@
 Record = TypeVar('Record')
 LAST_PORT = 65_535
 MAX_SHOWN_CHARS = 20
+MAX_SHOWN_ERROR_CHARS = 200
 # Counts and times in ms that any message between entries can hold.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+MAX_COUNT = 2**63 - 1
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+WholeNumber = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+# Sums and products of such amounts stay finite, and fit into messages as whole numbers.
+MAX_AMOUNT = 2**53
+Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 
 
 class InvalidRecordError(Exception):
     """Report a record that is malformed or has invalid values."""
 
 
+@contextmanager
+def reading_record() -> Iterator[None]:
+    """Raise `InvalidRecordError` in place of any error of what reads a record.
+
+    Only a record of another writer can cause one, and it must not end the task that
+    reads on.
+    """
+    try:
+        yield
+    except InvalidRecordError:
+        raise
+    except Exception as error:
+        raise InvalidRecordError(repr(error)[:MAX_SHOWN_ERROR_CHARS]) from error
+
+
+@reading_record()
 def decode_record(encoded: bytes, record: type[Record]) -> Record:
     """Decode and validate a record; raises `InvalidRecordError`."""
-    try:
-        return msgspec.json.decode(encoded, type=record)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise InvalidRecordError(str(error)) from error
+    return msgspec.json.decode(encoded, type=record)
 
 
 def read_amount(found: object, name: str) -> float:
@@ -31,7 +51,7 @@
     if found is None:
         return 0
     is_number = isinstance(found, int | float) and not isinstance(found, bool)
-    if is_number and math.isfinite(found) and found >= 0:
+    if is_number and 0 <= found <= MAX_AMOUNT:
         return float(found)
     _log_ignored(found, name)
     return 0
--- a/marjoramfall/platform/records.py
+++ b/marjoramfall/platform/records.py
@@ -20,6 +20,7 @@
     decode_record,
     read_amount,
     read_names,
+    reading_record,
 )
 from marjoramfall.platform.wire_records import (
     WireConfig,
@@ -36,6 +37,7 @@
 MAX_SLOTS = 1_000_000
 
 
+@reading_record()
 def decode_configuration(encoded: bytes) -> Configuration:
     """Decode the operator's configuration; raises `InvalidRecordError`."""
     config = decode_record(encoded, WireConfig)
@@ -57,6 +59,7 @@
     )
 
 
+@reading_record()
 def decode_server(server_id: str, encoded: bytes) -> BackendServer:
     """Decode the registration of a backend server; raises `InvalidRecordError`."""
     record = decode_record(encoded, WireServer)
@@ -92,6 +95,7 @@
     check_address(record.address)
 
 
+@reading_record()
 def decode_move(encoded: bytes, revision: int) -> VersionMove:
     """Decode the order for a version move of a service; raises `InvalidRecordError`."""
     order = decode_record(encoded, WireRollout)
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from marjoramfall.platform.json_records import Count
+from marjoramfall.platform.json_records import Amount, Count, WholeNumber
 
 DEFAULT_SLOTS = 4
 
@@ -25,10 +25,10 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 1000
-    priority: int = 0
+    priority: WholeNumber = 0
     service: str = ''
     traffic_split: list[WireSplit] = []
-    max_attempts: int = 1
+    max_attempts: WholeNumber = 1
     public: bool = False
     resumable: bool = False
     # The largest gap wanted between events of a stream.
@@ -54,7 +54,7 @@
     """Configure a service; only a service of model servers has an `engine`."""
 
     name: str
-    max_conns: int = 0
+    max_conns: WholeNumber = 0
     engine: WireEngine | None = None
     # Read leniently: a value that is no time or rate leaves the service in force.
     cold_start_s: Any = None
@@ -66,9 +66,9 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: WholeNumber | None = None
     unit: str = ''
-    plain_tokens: int = 0
+    plain_tokens: WholeNumber = 0
     rate_per_s: float = 0
     burst: float = 0
     # Read leniently, like that of a route.
@@ -78,8 +78,8 @@
 class WireLimits(msgspec.Struct, rename='camel'):
     """Limit the size and the duration of what callers send."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
+    max_header_bytes: WholeNumber = 16384
+    max_body_bytes: WholeNumber = 4194304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
@@ -87,7 +87,7 @@
 class WireConfig(msgspec.Struct):
     """Hold the whole configuration that operators write."""
 
-    version: int
+    version: Count
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -118,4 +118,4 @@
 
     service: str
     to: str
-    duration_s: float
+    duration_s: Amount
