Read whole numbers of headers up to 18 digits

What callers saw: an answer whose Keep-Alive states a timeout of more than 4,300 digits got 502 "internal fault", though the server had run the request; nobody has reported it. An era of that length in an answer of the store ended the task that had asked.

Change: read_count in http_messages reads such numbers for the connections to servers, the store and peers, and takes a longer one as none. Numbers in headers of callers and servers are bounded by 2^53, so that no product of them is infinite, and a negative length hint counts as 0. Revisions and the clock in answers of the store are bounded as those of rows are.

--- a/marjoramfall/gateway/delegation/requests.py
+++ b/marjoramfall/gateway/delegation/requests.py
@@ -7,7 +7,7 @@
 from marjoramfall.gateway.callers.response_writer import ResponseWriter
 from marjoramfall.gateway.delegation import messages
 from marjoramfall.gateway.gateway import Gateway
-from marjoramfall.gateway.http_messages import Header, RequestHead
+from marjoramfall.gateway.http_messages import Header, RequestHead, read_count
 from marjoramfall.gateway.model import CallerLimits
 
 # Room for the headers that an entry adds to those of a caller.
@@ -29,9 +29,9 @@
         value_by_name = dict(head.headers)
         delegation = Delegation(
             service_id=value_by_name.get(messages.SERVICE, b'').decode('latin-1'),
-            runs=_read_count(value_by_name.get(messages.RUNS)),
-            config_version=_read_count(value_by_name.get(messages.CONFIG_VERSION)),
-            lost_runs=_read_count(value_by_name.get(messages.LOST_RUNS)),
+            runs=read_count(value_by_name.get(messages.RUNS)) or 0,
+            config_version=read_count(value_by_name.get(messages.CONFIG_VERSION)) or 0,
+            lost_runs=read_count(value_by_name.get(messages.LOST_RUNS)) or 0,
         )
         head.headers = [
             header
@@ -50,7 +50,3 @@
     def is_stopping(self) -> bool:
         """Return whether connections should end after their next response."""
         return self._gateway.is_stopping()
-
-
-def _read_count(text: bytes | None) -> int:
-    return int(text) if text is not None and text.isdigit() else 0
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -11,6 +11,8 @@
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 CHUNKED = b'chunked'
+# Longer whole numbers in headers are read as if there were none.
+MAX_COUNT_DIGITS = 18
 
 Header = tuple[bytes, bytes]
 
@@ -37,6 +39,12 @@
     return None
 
 
+def read_count(text: bytes | None) -> int | None:
+    """Return the whole number that a header states, None if it states none."""
+    is_count = text is not None and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_count else None
+
+
 def end_to_end_headers(headers: list[Header]) -> list[Header]:
     """Return the headers without those that concern a single connection."""
     listed = find_header(headers, b'connection') or b''
--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -28,6 +28,7 @@
     ResponseBounds,
     ResponseParser,
     find_header,
+    read_count,
 )
 from marjoramfall.gateway.turn import Turn
 
@@ -351,6 +352,7 @@
         keep_alive = find_header(response.headers, b'keep-alive') or b''
         for part in keep_alive.split(b','):
             name, _, value = part.strip().partition(b'=')
-            if name == b'timeout' and value.isdigit():
-                timeout_ms = int(value) * MS_PER_SECOND
+            timeout_s = read_count(value)
+            if name == b'timeout' and timeout_s is not None:
+                timeout_ms = timeout_s * MS_PER_SECOND
                 self.idle_timeout_ms = max(0, timeout_ms - IDLE_MARGIN_MS)
--- a/marjoramfall/platform/dialect.py
+++ b/marjoramfall/platform/dialect.py
@@ -1,7 +1,5 @@
 """Implement the wire dialect of the users' platform."""
 
-import math
-
 from marjoramfall.clock import MS_PER_SECOND
 from marjoramfall.gateway.callers.call import Call, CallFields
 from marjoramfall.gateway.dialect import Dialect
@@ -53,6 +51,7 @@
 UNAVAILABLE = 503
 # Sums and products of such counts stay within what a float holds.
 MAX_TOKENS = 1_000_000_000
+MAX_NUMBER = 2**53
 MAX_COUNT_DIGITS = 10
 # Longer than any id that the platform gives to a part of a prompt.
 MAX_PART_ID_CHARS = 32
@@ -86,7 +85,7 @@
         prompt_tokens, output_tokens = _read_token_usage(value_by_name.get(TOKEN_USAGE))
         length_hint = _read_number(value_by_name.get(LENGTH_HINT))
         likely_output_tokens = (
-            output_tokens if length_hint is None else int(length_hint)
+            output_tokens if length_hint is None else max(0, int(length_hint))
         )
         host, path = _read_target(head, value_by_name[b'host'])
         *shared_part_ids, own_part_id = _read_part_ids(
@@ -222,7 +221,7 @@
         number = float(text)
     except ValueError:
         return None
-    return number if math.isfinite(number) else None
+    return number if abs(number) <= MAX_NUMBER else None
 
 
 def _read_cold_ms(response: Response) -> float | None:
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -9,14 +9,24 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
-from marjoramfall.gateway.http_messages import Response, ResponseBounds, find_header
+from marjoramfall.gateway.http_messages import (
+    Response,
+    ResponseBounds,
+    find_header,
+    read_count,
+)
 from marjoramfall.gateway.revision import era_of, make_revision, number_of
 from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     BrokenExchangeError,
     NotReachedError,
 )
-from marjoramfall.platform.json_records import InvalidRecordError, decode_record
+from marjoramfall.platform.json_records import (
+    Amount,
+    Count,
+    InvalidRecordError,
+    decode_record,
+)
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
@@ -51,15 +61,15 @@
     part: str = ''
     key: str = ''
     value: str = ''
-    ver: int = 0
+    ver: Count = 0
     # Set by the store on deleted rows.
     tombstone: bool | int | None = None
 
 
 class _WireRows(msgspec.Struct, rename='camel'):
     rows: list[_WireRow] = []
-    ver: int = 0
-    now_ms: float = 0
+    ver: Count = 0
+    now_ms: Amount = 0
     has_more: bool = False
 
 
@@ -251,8 +261,7 @@
 
 def _read_era(response: Response) -> int:
     """Return the era that the store names, 0 if none."""
-    named = find_header(response.headers, ERA_HEADER) or b''
-    return int(named) if named.isdigit() else 0
+    return read_count(find_header(response.headers, ERA_HEADER)) or 0
 
 
 def _decode_rows(answer: _Answer) -> _WireRows:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -179,3 +179,17 @@
                 self.assertTrue(response.startswith(b'HTTP/1.1 502'), response)
                 self.doCleanups()
                 self.setUp()
+
+
+class TestLongNumbers(GatewayCase):
+    """A number in a header that Python does not convert is as none."""
+
+    def answer(self, exchange):
+        """State a timeout of more digits than are converted."""
+        answer(exchange, b'ran', extra=f'Keep-Alive: timeout={"9" * 5000}\r\n')
+
+    def test_keep_alive(self):
+        """Guards against an answer that is lost over the timeout of its connection."""
+        self.add_backend(self.answer)
+        response = self.ask('/post/1', method='POST', body=b'x')
+        self.assertTrue(response.endswith(b'ran'), response)
