Refuse ages and amounts that no message between entries can hold

What callers saw: nothing yet. A row of quarantined causes with an age or a start of more than 64 bits, a recorded start of a move at -1e308, or an infinite waiting time in the state of a peer was taken, and each state or digest of this entry failed to encode from then on: its peers would have taken it for dead.

Change: times of these records and the amounts of a peer's state that are passed on are bounded; a crash is merged only if it lies within the time for which crashes count.

--- a/marjoramfall/gateway/crashes/crash_evidence.py
+++ b/marjoramfall/gateway/crashes/crash_evidence.py
@@ -63,7 +63,7 @@
         """Add what a peer knows; return whether any of it is new."""
         now_ms = self._clock.monotonic_ms()
         is_new = False
-        for crash in report.crashes:
+        for crash in filter(_is_recent, report.crashes):
             run = ServerRun(crash.server_id, crash.born_ms)
             for request in crash.requests:
                 added = self._add_request(run, now_ms - crash.age_ms, request)
@@ -160,6 +160,10 @@
         self._suspect_ids = _all_cause_ids(self._crash_by_run.values())
 
 
+def _is_recent(crash: CrashReport) -> bool:
+    return 0 <= crash.age_ms <= CRASH_MEMORY_MS
+
+
 def _to_report(run: ServerRun, crash: Crash, now_ms: float) -> CrashReport:
     return CrashReport(
         run.server_id, run.born_ms, int(now_ms - crash.at_ms), list(crash.requests)
--- a/marjoramfall/gateway/crashes/crash_report.py
+++ b/marjoramfall/gateway/crashes/crash_report.py
@@ -1,7 +1,12 @@
 """Define the report by which entries share under what backend servers crashed."""
 
+from typing import Annotated
+
 import msgspec
 
+# What any message between entries can hold.
+MAX_BORN_MS = 2**63 - 1
+
 
 class CrashedRequest(msgspec.Struct, array_like=True, frozen=True):
     """Name a request that had just begun at a crashed server, and its prompt parts.
@@ -19,7 +24,7 @@
     """Report the crash of one incarnation of a server, `age_ms` ago."""
 
     server_id: str
-    born_ms: int
+    born_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)]
     age_ms: int
     requests: list[CrashedRequest]
 
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -1,9 +1,15 @@
 """Define the datagram by which an entry shares its state with its peers."""
 
+from typing import Annotated
+
 import msgspec
 
 from marjoramfall.gateway.crashes.crash_report import EvidenceReport
 
+# Sums of such amounts stay finite, and fit into digests as whole numbers.
+MAX_AMOUNT = 2**53
+Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+
 
 class ServerUse(msgspec.Struct, array_like=True, frozen=True):
     """Report an entry's running requests and pending prefill tokens at a server."""
@@ -42,7 +48,7 @@
 
     service_id: str
     rank: float
-    waited_ms: float
+    waited_ms: Amount
     # How long it will take a slot; 0 in reports of versions that don't say.
     expected_ms: float = 0
 
@@ -78,9 +84,9 @@
     """
 
     name: str
-    level: float
-    withheld: float = 0
-    reserved_share: float = 0
+    level: Amount
+    withheld: Amount = 0
+    reserved_share: Amount = 0
 
 
 class RetryUse(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -9,7 +9,12 @@
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.revision import era_of, number_of
 from marjoramfall.gateway.versions.version_moves import Move, Phase, VersionMoves
-from marjoramfall.platform.json_records import InvalidRecordError, decode_record
+from marjoramfall.platform.json_records import (
+    Amount,
+    Count,
+    InvalidRecordError,
+    decode_record,
+)
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 STATUS_TABLE = 'status'
@@ -31,9 +36,9 @@
     to: str
     # The revision of the operator's order within the store's era, which tells moves
     # of a service apart.
-    order_revision: int = 0
+    order_revision: Count = 0
     # The time by the store's clock at which the move started.
-    started_ms: float = 0
+    started_ms: Amount = 0
 
 
 class MoveRecorder:
--- a/marjoramfall/platform/quarantine_record.py
+++ b/marjoramfall/platform/quarantine_record.py
@@ -8,7 +8,11 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.crashes.crash_report import CrashReport, EvidenceReport
-from marjoramfall.platform.json_records import InvalidRecordError, decode_record
+from marjoramfall.platform.json_records import (
+    Amount,
+    InvalidRecordError,
+    decode_record,
+)
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 QUARANTINE_TABLE = 'quarantine'
@@ -19,7 +23,7 @@
 
 class _EvidenceRecord(msgspec.Struct, rename='camel'):
     # The store's clock at the write, at which the ages of the crashes hold.
-    written_ms: float
+    written_ms: Amount
     crashes: list[CrashReport]
 
 
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -11,14 +11,24 @@
 import msgspec
 
 from marjoramfall.clock import PausedClock
+from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
+from marjoramfall.gateway.peers.peer_state import (
+    LimitLevel,
+    WaitingCall,
+    decode_state,
+    encode_state,
+)
 from marjoramfall.gateway.registry import Registry, ServerChange, Snapshot
-from marjoramfall.platform.json_records import InvalidRecordError
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
+from marjoramfall.platform.move_status import _Status
+from marjoramfall.platform.quarantine_record import _EvidenceRecord, _to_report
 from marjoramfall.platform.records import (
     decode_configuration,
     decode_move,
     decode_server,
 )
 from marjoramfall.platform.watch import ServerWatch
+from tests.gateway_fakes import make_state
 from tests.platform_records import CONFIG, SERVER
 from tests.watch_case import WatchCase, wait_until
 
@@ -72,6 +82,8 @@
     },
 }
 MOVE = {'service': 'tutor', 'to': 'v2', 'durationS': 30}
+STATUS = {'state': 'running', 'to': 'v2', 'orderRevision': 3, 'startedMs': 4}
+EVIDENCE = {'writtenMs': 1, 'crashes': [['i-1', 1, 2, [[['part'], 'own', 'print']]]]}
 
 
 def paths_of(document, path=()):
@@ -172,6 +184,19 @@
         self.setUp()
         self.registry.put_order(decode_move(encoded, 3))
 
+    def put_status(self, encoded):
+        """Take over the start of a move, as its report to peers does."""
+        elapsed_ms = 5000 - decode_record(encoded, _Status).started_ms
+        msgspec.msgpack.encode(int(elapsed_ms))
+
+    def put_evidence(self, encoded):
+        """Merge a row of crashes, and report them to peers."""
+        record = decode_record(encoded, _EvidenceRecord)
+        quarantine = CrashQuarantine(self.clock, notify_peers=lambda: None)
+        quarantine.merge(_to_report(record, 5000))
+        state = make_state('entry-2', crash_evidence=quarantine.report(is_full=True))
+        decode_state(encode_state(state))
+
     def test_configuration(self):
         """Guards against a configuration that ends its task, or that peers can't get.
 
@@ -186,3 +211,26 @@
     def test_move(self):
         """Guards against the order of a move that ends the task that follows it."""
         self.check_all(MOVE, self.put_move)
+
+    def test_status(self):
+        """Guards against a recorded start so early that its age fits no message."""
+        self.check_all(STATUS, self.put_status)
+
+    def test_evidence(self):
+        """Guards against crashes whose ages fit no message to peers."""
+        self.check_all(EVIDENCE, self.put_evidence)
+
+
+class TestOddStates(unittest.TestCase):
+    """A state of a peer is refused whole if its amounts can't be passed on."""
+
+    def test_amounts(self):
+        """Guards against an amount of a peer that ends the task that sends digests."""
+        for odd in (float('inf'), float('-inf'), float('nan'), 1e308):
+            for change in (
+                {'waiting': [WaitingCall('tutor', 0, odd)]},
+                {'limit_levels': [LimitLevel('team', odd)]},
+            ):
+                encoded = encode_state(make_state('entry-2', **change))
+                with self.assertRaises(msgspec.ValidationError):
+                    decode_state(encoded)
