Start tasks again that an unexpected error has ended

Cause: each task was a bare greenlet; its error was printed on standard error, and nothing started it again.

Change: start_task in gateway/tasks.py runs the tasks that must not end while the process serves. A peer's address that is none is logged and left out, as it ended the task that sends states. The entry takes its incarnation from the clock of the runtime; it is only compared for being the same.

--- a/marjoramfall/gateway/delegation/service_paths.py
+++ b/marjoramfall/gateway/delegation/service_paths.py
@@ -4,8 +4,8 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
-from gevent import spawn
 from loguru import logger
 
 from marjoramfall.clock import Clock
@@ -15,6 +15,7 @@
 from marjoramfall.gateway.servers.overload import PathLostError
 from marjoramfall.gateway.servers.server_load import ServerLoad
 from marjoramfall.gateway.servers.service_queue import ServiceQueue
+from marjoramfall.gateway.tasks import start_task
 
 # Servers crash one by one. Where this many fail in a row without a response of any
 # in between, it is the path to the service that is lost.
@@ -117,7 +118,11 @@
             failed_servers=sorted(path.failed_ms_by_server),
             response_age_ms=round(now_ms - self._last_response_ms(service_id)),
         ).warning('path to a service lost')
-        spawn(self._probe_until_regained, service_id, path)
+        start_task(
+            partial(self._probe_until_regained, service_id, path),
+            self._clock,
+            name='probe a lost path',
+        )
         self._release(service_id)
         self._notify_peers()
 
--- a/marjoramfall/gateway/entry.py
+++ b/marjoramfall/gateway/entry.py
@@ -1,7 +1,6 @@
 """Assemble and run an entry, one process of the gateway."""
 
 import gc
-import time
 from collections.abc import Callable
 
 from gevent import event, spawn
@@ -31,6 +30,7 @@
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.retry_budgets import RetryBudgets
 from marjoramfall.gateway.shared_limits import SharedLimits
+from marjoramfall.gateway.tasks import start_task
 from marjoramfall.gateway.versions.version_moves import VersionMoves
 
 CONNECT_TIMEOUT_MS = 250
@@ -66,7 +66,7 @@
         self._bounds = settings.bounds
         self._clock = clock
         self._on_stale_watch = on_stale_watch
-        self._incarnation = time.time_ns()
+        self._incarnation = clock.wall_ms()
         self._started_ms = clock.monotonic_ms()
         self._sequence = 0
         self._is_listening = False
@@ -180,7 +180,7 @@
     def run(self) -> None:
         """Serve, after `listen`, until a stop has completed."""
         self._exchange.start()
-        spawn(self._maintain)
+        start_task(self._maintain, self._clock, name='maintain')
         logger.bind(
             data_centre=self._settings.data_centre, front=self._settings.front_address
         ).info('entry started')
--- a/marjoramfall/gateway/log_output.py
+++ b/marjoramfall/gateway/log_output.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
+from marjoramfall.gateway.tasks import start_task
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -43,7 +44,7 @@
     def start(self) -> None:
         """Make the descriptor non-blocking and start to write queued lines."""
         os.set_blocking(self._descriptor, False)
-        gevent.spawn(self._flush_loop)
+        start_task(self._flush_loop, self._clock, name='write log lines')
 
     def write(self, message: 'Message') -> None:
         """Queue one record; serves as a loguru sink."""
--- a/marjoramfall/gateway/peers/peer_exchange.py
+++ b/marjoramfall/gateway/peers/peer_exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 
 import msgspec
-from gevent import socket, spawn
+from gevent import socket
 from gevent.event import Event
 from loguru import logger
 
@@ -30,6 +30,7 @@
     NotReachedError,
     split_address,
 )
+from marjoramfall.gateway.tasks import start_task
 from marjoramfall.listening import binding
 
 # Changes within this time are sent in one datagram.
@@ -102,10 +103,13 @@
 
     def start(self) -> None:
         """Start the greenlets that send, receive and catch up."""
-        spawn(self._send_loop)
-        spawn(self._receive_loop)
-        spawn(self._catch_up_loop)
-        spawn(self._digest_loop)
+        for name, run in (
+            ('send states', self._send_loop),
+            ('receive states', self._receive_loop),
+            ('catch up', self._catch_up_loop),
+            ('exchange digests', self._digest_loop),
+        ):
+            start_task(run, self._clock, name=name)
 
     def schedule_datagram(self) -> None:
         """Schedule a datagram to the peers after a change of state."""
@@ -158,7 +162,7 @@
         for address in addresses:
             try:
                 self._socket.sendto(datagram, split_address(address))
-            except OSError as error:
+            except (OSError, ValueError) as error:
                 logger.bind(peer=address, details=str(error)).debug(
                     'sending a datagram to a peer failed'
                 )
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -9,6 +9,7 @@
 from marjoramfall.clock import Clock, RuntimeClock
 from marjoramfall.gateway.entry import Entry
 from marjoramfall.gateway.log_output import LogOutput, install_log_output
+from marjoramfall.gateway.tasks import start_task
 from marjoramfall.listening import CannotListenError
 from marjoramfall.platform.dialect import PlatformDialect
 from marjoramfall.platform.members import MemberDirectory
@@ -85,10 +86,13 @@
         self._entry.listen()
         for watch in self._watches:
             watch.start()
-        gevent.spawn(self._directory.run)
-        gevent.spawn(self._recorder.run)
-        gevent.spawn(self._quarantine_recorder.run)
-        gevent.spawn(self._settings_watch.run)
+        for name, run in (
+            ('follow the entries', self._directory.run),
+            ('record moves', self._recorder.run),
+            ('record quarantined causes', self._quarantine_recorder.run),
+            ('watch the settings', self._settings_watch.run),
+        ):
+            start_task(run, self._clock, name=name)
         self._entry.run()
 
     def _new_client(self) -> StoreClient:
--- a/marjoramfall/platform/watch.py
+++ b/marjoramfall/platform/watch.py
@@ -12,6 +12,7 @@
 from marjoramfall.gateway.peers.watch_duty import WatchDuty
 from marjoramfall.gateway.registry import Registry, ServerChange
 from marjoramfall.gateway.revision import era_of, number_of
+from marjoramfall.gateway.tasks import start_task
 from marjoramfall.platform.poll_wait import choose_wait_ms
 from marjoramfall.platform.records import (
     InvalidRecordError,
@@ -77,7 +78,9 @@
 
     def start(self) -> None:
         """Start a task that follows the table until `stop` is called."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = start_task(
+            self._run, self._clock, name=f'follow the table {self.table}'
+        )
 
     def stop(self) -> None:
         """Stop the task and close the connection."""
