Use a connection again only once its request was sent whole

Cause: what the system does not take of a request at once is sent by a greenlet beside the reader, under the timeout of the socket, which the reader sets to each of its waits (70 ms and more). As one was over, the sender gave up at debug level, and finish asked only whether it had ended, not whether it had sent everything.

Change: RequestSender waits for the socket by itself, as long as the connection lasts, and tells whether all was sent; only then the connection is used again. Rests below 8 kB go the same way, which blocked the reader for up to 2 s before.

Why it works: no wait of the reader ends the sender, and a connection on which bytes are due is closed with its exchange.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -25,7 +25,7 @@
     RequestParser,
 )
 from marjoramfall.gateway.model import CallerLimits
-from marjoramfall.gateway.servers.backend_connection import configure_socket, has_input
+from marjoramfall.gateway.servers.socket_state import configure_socket, has_input
 
 RECEIVE_BYTES = 65536
 # How often a connection without input is checked for header and idle timeouts.
--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -1,24 +1,10 @@
 """Send HTTP/1.1 requests over a connection to a backend server."""
 
 import errno
-import fcntl
-import select
-import struct
-import termios
 import time
 from dataclasses import dataclass
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_NODELAY,
-    TCP_USER_TIMEOUT,
-)
 
-from gevent import Greenlet, socket, spawn
+from gevent import socket
 from loguru import logger
 
 from marjoramfall.clock import MS_PER_SECOND
@@ -30,26 +16,19 @@
     find_header,
     read_count,
 )
+from marjoramfall.gateway.servers.request_sender import RequestSender
+from marjoramfall.gateway.servers.socket_state import (
+    configure_socket,
+    has_input,
+    unacknowledged_bytes,
+)
 from marjoramfall.gateway.turn import Turn
 
 # Also what a greenlet parses before it may give way: some milliseconds at most.
 RECEIVE_BYTES = 16_384
-INT_BYTES = struct.calcsize('i')
-# If more than this is left after the first send, another greenlet sends it while
-# the response is read: a server may answer before it has read the whole body.
-CONCURRENT_SEND_BYTES = 8192
 FIRST_ERROR_STATUS = 400
 # Responses to earlier requests that are discarded while waiting for one.
 MAX_DISCARDED_RESPONSES = 8
-# TCP keepalive detects a dead peer after idle + count * interval seconds.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-# Linux ends a connection after this time with a single probe unanswered, whatever
-# the count, so that a shorter one would end it while a peer pauses for a second.
-USER_TIMEOUT_MS = MS_PER_SECOND * (
-    KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S
-)
 SEND_TIMEOUT_MS = 2000
 # Idle connections expire this long before the server's own keep-alive timeout.
 IDLE_MARGIN_MS = 800
@@ -88,29 +67,6 @@
         self.is_lost = is_lost
 
 
-def configure_socket(connection: socket.socket) -> None:
-    """Disable Nagle's algorithm and detect dead peers."""
-    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
-    connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def has_input(connection: socket.socket) -> bool:
-    """Return whether data or the end of the connection can be read at once."""
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def unacknowledged_bytes(connection: socket.socket) -> int:
-    """Return how many bytes the peer has not acknowledged; raises `OSError`."""
-    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
-    return struct.unpack('i', answer)[0]
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of `host:port`."""
     host, _, port = address.rpartition(':')
@@ -159,7 +115,7 @@
         self._is_reused = False
         self._discarded_count = 0
         self._turn = Turn()
-        self._sender: Greenlet | None = None
+        self._sender: RequestSender | None = None
         try:
             self._socket = socket.create_connection(
                 split_address(address), timeout=connect_timeout_ms / MS_PER_SECOND
@@ -177,8 +133,9 @@
     def send(self, message: bytes, *, expects_body: bool = True) -> None:
         """Send a request; `expects_body` is false if its response has no body.
 
-        Raises `NotReachedError` if no byte was sent, and `BrokenExchangeError`
-        if only part of the request was sent.
+        What the system does not take at once is sent while the response is read: a
+        server may answer before it has read the whole body. Raises `NotReachedError`
+        if no byte was sent.
         """
         self._parser.expects_body = expects_body
         self._socket.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
@@ -186,11 +143,10 @@
             sent = self._socket.send(message)
         except OSError as error:
             raise NotReachedError(f'{self.address}: {error}') from error
-        unsent = memoryview(message)[sent:]
-        if len(unsent) > CONCURRENT_SEND_BYTES:
-            self._sender = spawn(self._send_beside_reader, unsent)
-        elif unsent:
-            self._send_remaining(unsent)
+        if sent < len(message):
+            self._sender = RequestSender(
+                self._socket, memoryview(message)[sent:], address=self.address
+            )
 
     def read_response(
         self, timeout_ms: float, expected: ExpectedHeader | None = None
@@ -231,7 +187,7 @@
         """Mark the connection idle and return whether it can be reused."""
         self.idle_since_ms = now_ms
         self._turn.reset()
-        if self._sender is not None and not self._sender.ready():
+        if not self._has_sent_all():
             return False
         self._sender = None
         # The head of a further response may have arrived in part.
@@ -250,7 +206,7 @@
 
     def was_received(self) -> bool:
         """Return whether the host of the server has acknowledged the request."""
-        if self._sender is not None and not self._sender.ready():
+        if not self._has_sent_all():
             return False
         try:
             return unacknowledged_bytes(self._socket) == 0
@@ -263,10 +219,12 @@
     def close(self) -> None:
         """Close the socket and cancel a pending send; may be called twice."""
         if self._sender is not None:
-            self._sender.kill(block=False)
-            self._sender = None
+            self._sender.stop()
         self._socket.close()
 
+    def _has_sent_all(self) -> bool:
+        return self._sender is None or self._sender.has_sent_all
+
     def _first_matching(self, expected: ExpectedHeader | None) -> Response | None:
         responses = self._parser.responses
         while responses:
@@ -292,21 +250,6 @@
         if self._discarded_count > MAX_DISCARDED_RESPONSES:
             raise BrokenExchangeError('too many responses to earlier requests')
 
-    def _send_remaining(self, unsent: memoryview) -> None:
-        try:
-            self._socket.sendall(unsent)
-        except OSError as error:
-            raise ConnectionLostError(str(error)) from error
-
-    def _send_beside_reader(self, unsent: memoryview) -> None:
-        try:
-            self._send_remaining(unsent)
-        except ConnectionLostError as error:
-            # The greenlet that reads gets a response, an error or a timeout.
-            logger.bind(address=self.address, details=str(error)).debug(
-                'the rest of a request was not sent'
-            )
-
     def _receive(self, timeout_s: float) -> None:
         if timeout_s <= 0:
             raise self._timeout_error()
--- /dev/null
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -0,0 +1,58 @@
+"""Set up sockets and tell what the system knows of their connections."""
+
+import fcntl
+import select
+import struct
+import termios
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
+
+from gevent import socket
+
+from marjoramfall.clock import MS_PER_SECOND
+
+INT_BYTES = struct.calcsize('i')
+# TCP keepalive detects a dead peer after idle + count * interval seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+# Linux ends a connection after this time with a single probe unanswered, whatever
+# the count, so that a shorter one would end it while a peer pauses for a second.
+USER_TIMEOUT_MS = MS_PER_SECOND * (
+    KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S
+)
+
+
+def configure_socket(connection: socket.socket) -> None:
+    """Disable Nagle's algorithm and detect dead peers."""
+    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def has_input(connection: socket.socket) -> bool:
+    """Return whether data or the end of the connection can be read at once."""
+    return _poll(connection, select.POLLIN)
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return how many bytes the peer has not acknowledged; raises `OSError`."""
+    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+    return struct.unpack('i', answer)[0]
+
+
+def _poll(connection: socket.socket, events: int) -> bool:
+    poll = select.poll()
+    poll.register(connection.fileno(), events)
+    return bool(poll.poll(0))
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -16,8 +16,8 @@
 from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     ServerTimeoutError,
-    configure_socket,
 )
+from marjoramfall.gateway.servers.socket_state import configure_socket
 
 TIMEOUT_MS = 100
 REQUEST = b'POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n'
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -12,7 +12,7 @@
 from marjoramfall.gateway.delegation.requests import DelegatedRequests
 from marjoramfall.gateway.http_messages import RequestParser
 from marjoramfall.gateway.model import CallerLimits
-from marjoramfall.gateway.servers.backend_connection import has_input
+from marjoramfall.gateway.servers.socket_state import has_input
 from tests.gateway_case import ATTEMPT, GatewayCase, answer
 
 BODY = bytes(300_000)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -14,7 +14,7 @@
 from marjoramfall.gateway.entry_settings import EntryBounds, GatewaySettings
 from marjoramfall.gateway.model import RepeatRule
 from marjoramfall.gateway.registry import ServerChange
-from marjoramfall.gateway.servers.backend_connection import has_input
+from marjoramfall.gateway.servers.socket_state import has_input
 from marjoramfall.platform.dialect import PlatformDialect
 from tests.gateway_case import ATTEMPT, TIMEOUT_S, answer
 from tests.gateway_fakes import make_config, make_route, make_server
