Leave the reset of a connection to the reader of its answer

What callers saw: an engine answered an upload of 3 MB at once with a 200 without a length, sent a part of it and reset the connection while the upload was written.

Cause: the system reports a reset once, to whoever uses the socket first. If that was the greenlet that sends the rest of the request, the reader found a plain end, which completes an answer without a length.

Change: the sender looks for a pending error before each send and leaves it to the reader; a reset that arrives just between the two is recorded and keeps the end that is read after it from completing an answer. A broken pipe is no such reset: it is reported after an end of the engine's own bytes.

--- a/marjoramfall/gateway/servers/backend_connection.py
+++ b/marjoramfall/gateway/servers/backend_connection.py
@@ -268,7 +268,12 @@
             raise ConnectionLostError(str(error)) from error
         if received:
             self._parse(received)
-        elif not self._parser.feed_eof():
+        else:
+            self._read_end()
+
+    def _read_end(self) -> None:
+        was_reset = self._sender is not None and self._sender.was_reset
+        if was_reset or not self._parser.feed_eof():
             raise ConnectionLostError('the connection ended early')
 
     def _timeout_error(self) -> ServerTimeoutError:
--- a/marjoramfall/gateway/servers/socket_state.py
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -46,6 +46,12 @@
     return _poll(connection, select.POLLIN)
 
 
+def has_failed(connection: socket.socket) -> bool:
+    """Return whether an error of the connection is pending or was reported."""
+    # Errors are reported whatever is asked for.
+    return _poll(connection, 0)
+
+
 def unacknowledged_bytes(connection: socket.socket) -> int:
     """Return how many bytes the peer has not acknowledged; raises `OSError`."""
     answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,8 +1,10 @@
 """Test answers that a server gives before it has read a long body.
 
-The pattern is that of review/6: a server answers early and reads on later.
+The patterns are those of review/6 and of what operators of similar systems reported: a
+server answers early and reads on later, or resets the connection within the upload.
 """
 
+import struct
 import unittest
 from contextlib import suppress
 
@@ -11,6 +13,7 @@
 
 from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
+    ConnectionLostError,
     ServerTimeoutError,
 )
 
@@ -24,7 +27,10 @@
 PAUSE_S = 0.2
 HEAD_END = b'\r\n\r\n'
 PART = b'part'
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\n' + PART
 FRAMED = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n' + PART
+# With a linger time of 0, closing resets the connection.
+RESETTING = struct.pack('ii', 1, 0)
 
 
 class UploadCase(unittest.TestCase):
@@ -120,3 +126,49 @@
         self.time_out()
         response = self.connection.read_response(TIMEOUT_MS)
         self.assertFalse(self.finish(response))
+
+
+class TestResetUpload(UploadCase):
+    """A server resets the connection after an early part of its answer."""
+
+    def answer(self, accepted):
+        """Send a part of an answer without a length, and reset the connection."""
+        accepted.sendall(UNFRAMED)
+        self.may_read_on.wait()
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
+        accepted.close()
+
+    def test_sender_first(self):
+        """Guards against a part as the whole answer where the sender is told first.
+
+        The system reports the reset once, and its end to all who read after that.
+        """
+        self.send()
+        response = self.connection.read_response(TIMEOUT_MS)
+        self.may_read_on.set()
+        sleep(PAUSE_S)
+        with self.assertRaises(ConnectionLostError):
+            self.connection.read_all(response, TIMEOUT_MS)
+
+
+class TestEndedAnswer(UploadCase):
+    """A server ends its early answer, and reads the body."""
+
+    def answer(self, accepted):
+        """Send an answer whose end is that of the connection."""
+        accepted.sendall(UNFRAMED)
+        accepted.shutdown(socket.SHUT_WR)
+        self.read_on(accepted)
+
+    def test_whole(self):
+        """Guards against refusing a whole answer as its request is still sent."""
+        self.send()
+        response = self.connection.read_response(TIMEOUT_MS)
+        self.assertEqual(self.connection.read_all(response, TIMEOUT_MS), PART)
+
+    def test_closed_while_sent(self):
+        """Guards against refusing a whole answer as its server closes after it."""
+        self.send()
+        response = self.connection.read_response(TIMEOUT_MS)
+        sleep(PAUSE_S)
+        self.assertEqual(self.connection.read_all(response, TIMEOUT_MS), PART)
