Take a status that is none of HTTP for no answer

Cause: the parser takes any three digits. Below 200 they counted as an interim response, above 599 as a final one.

Change: a status outside 100 to 599 is malformed, so that the exchange ends at once: a request that may be repeated goes elsewhere, another one gets 502. The connections of marjoramfall/connection check the same, and no longer read on for ever after the end of a connection that has brought no final response.

Evidence: TestNoStatus.test_below and test_above of tests.test_broken_answers and test_no_status of tests.test_gateway_messages failed on (504, 999 passed on) and pass; tests.test_backend_client test_malformed did not end there within 20 s.

--- a/marjoramfall/connection/http_connection.py
+++ b/marjoramfall/connection/http_connection.py
@@ -15,6 +15,7 @@
     BackendTimeoutError,
     MalformedResponseError,
 )
+from marjoramfall.http_status import is_status
 
 RECEIVE_BYTES = 16 * 1024
 # Bounds the memory that a server with an endless header can take.
@@ -156,5 +157,12 @@
             if received:
                 raise MalformedResponseError(str(error)) from error
             raise BackendConnectionBrokenError(str(error)) from error
+        self._check_parsed()
+
+    def _check_parsed(self) -> None:
+        if self._parser.headers_complete and not is_status(self._parser.get_code()):
+            raise MalformedResponseError('the status is none of HTTP')
+        if self._has_ended and not self._parser.is_complete:
+            raise BackendConnectionBrokenError('the connection ended early')
         if self._parser.has_surplus:
             raise MalformedResponseError('bytes follow the end of the response')
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -6,6 +6,8 @@
 
 import httptools
 
+from marjoramfall.http_status import is_status
+
 FIRST_FINAL_STATUS = 200
 HEAD_METHOD = b'HEAD'
 NO_CONTENT = 204
@@ -338,6 +340,8 @@
         """Add a final response to `responses` once its head is complete."""
         response = self.current
         response.status = self._parser.get_status_code()
+        if not is_status(response.status):
+            self._fail('the status is none of HTTP')
         response.has_head = True
         response.keep_alive = self._parser.should_keep_alive()
         has_length = find_header(response.headers, b'content-length') is not None
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -220,7 +220,10 @@
         endless = b'X-Filler: %s\r\n' % (b'x' * http_connection.MAX_HEAD_BYTES)
         cases = (
             (b'\x00garbage\r\n\r\n', MalformedResponseError),
+            (whole.replace(b'200', b'000'), MalformedResponseError),
+            (whole.replace(b'200', b'999'), MalformedResponseError),
             (whole[:-1], BackendConnectionBrokenError),
+            (b'HTTP/1.1 100 Continue\r\n\r\n', BackendConnectionBrokenError),
             (b'%ssurplus' % whole, MalformedResponseError),
             (whole + whole, MalformedResponseError),
             (start + endless * 2, MalformedResponseError),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -193,3 +193,34 @@
         self.add_backend(self.answer)
         response = self.ask('/post/1', method='POST', body=b'x')
         self.assertTrue(response.endswith(b'ran'), response)
+
+
+class TestNoStatus(GatewayCase):
+    """An answer whose status is none of HTTP is no answer, and is known at once."""
+
+    def ask_once(self, path, status, **options):
+        """Return the response where the only server answers with a status."""
+        self.backend = self.add_backend(partial(answer, body=b'ran', status=status))
+        return self.ask(path, **options)
+
+    def test_below(self):
+        """Guards against waiting for the real status until the caller's deadline."""
+        response = self.ask_once('/post/1', '000 None', method='POST', body=b'x')
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+        self.assertEqual(len(self.backend.heads), 1)
+
+    def test_above(self):
+        """Guards against a status that is none as the answer of a caller."""
+        response = self.ask_once('/post/1', '999 None', method='POST', body=b'x')
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+        self.assertEqual(len(self.backend.heads), 1)
+
+    def test_repeat(self):
+        """Guards against a request that is not repeated though its engine failed."""
+        series = ScriptSeries(
+            partial(answer, status='000 None'), partial(answer, body=b'ran')
+        )
+        self.add_backend(series)
+        self.add_backend(series)
+        response = self.ask('/read/1')
+        self.assertTrue(response.endswith(b'ran'), response)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -150,6 +150,15 @@
         with self.assertRaises(ConnectionLostError):
             self.connection.read_all(response, TIMEOUT_MS)
 
+    def test_one_report(self):
+        """Guards against a sender that takes the only report of a reset."""
+        self.send()
+        response = self.connection.read_response(TIMEOUT_MS)
+        self.may_read_on.set()
+        sleep(PAUSE_S)
+        with self.assertRaisesRegex(ConnectionLostError, 'reset'):
+            self.connection.read_all(response, TIMEOUT_MS)
+
 
 class TestEndedAnswer(UploadCase):
     """A server ends its early answer, and reads the body."""
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -142,6 +142,14 @@
         self.assertFalse(parser.feed_eof())
         self.assertFalse(parser.responses[0].is_complete)
 
+    def test_no_status(self):
+        """Guards against a status below 100 as interim, or one above 599 as final."""
+        for status in ('000', '042', '099', '600', '999'):
+            with self.subTest(status=status), self.assertRaises(BadMessageError):
+                ResponseParser(ResponseBounds()).feed(
+                    f'HTTP/1.1 {status} None\r\nContent-Length: 0\r\n\r\n'.encode()
+                )
+
     def test_interim_response(self):
         """Guards against an interim response taken for the final one."""
         parser = ResponseParser(ResponseBounds())
