Deliver large answers in parts in place of 502

Change: from 245,760 bytes on, an answer is passed on as it arrives, here and from a peer. Its call may not run again from then on, so that no second run completes it; a 5xx of that size is not passed on where the request may go elsewhere.

--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -93,6 +93,8 @@
     sends_away: int = 0
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
+    # Set once the caller has the start of a body that is no stream.
+    is_partly_delivered: bool = False
     # The media type of a stream that has begun.
     stream_type: bytes | None = None
     unreached_servers: int = 0
@@ -178,7 +180,12 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Return whether the request may run more than once."""
+        """Return whether the request may run more than once.
+
+        The rest of a body that was begun can only come from its own run.
+        """
+        if self.is_partly_delivered:
+            return False
         return self.route.repeat_rule is not RepeatRule.AT_MOST_ONCE
 
     @property
--- a/marjoramfall/gateway/delegation/exchange.py
+++ b/marjoramfall/gateway/delegation/exchange.py
@@ -1,6 +1,7 @@
 """Send a request to a peer that reaches its service and deliver the response."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import TypeVar
 
 from marjoramfall.clock import MS_PER_SECOND, Clock
@@ -21,6 +22,11 @@
     NotReachedError,
     ServerTimeoutError,
 )
+from marjoramfall.gateway.servers.body_delivery import (
+    deliver_in_parts,
+    is_whole,
+    read_start,
+)
 from marjoramfall.gateway.servers.event_splitter import (
     EventSplitter,
     StreamOverheadError,
@@ -157,12 +163,16 @@
         return response.status == OK and media_type == self._call.stream_type
 
     def _deliver_buffered(self, response: Response, writer: ResponseWriter) -> None:
-        body = b''
-        while not response.is_complete:
-            body += self._read_part(response)
-        body += response.take_body()
+        read_part = partial(self._read_part, response)
+        body = read_start(read_part)
         self._call.first_byte_ms = self._clock.monotonic_ms()
-        writer.send_response(response.status, response.headers, body, response.reason)
+        if is_whole(response):
+            writer.send_response(
+                response.status, response.headers, body, response.reason
+            )
+            return
+        self._call.is_partly_delivered = True
+        deliver_in_parts(response, writer, body, read_part)
 
     def _deliver_stream(
         self, response: Response, writer: ResponseWriter, splitter: EventSplitter
--- a/marjoramfall/gateway/servers/exchange.py
+++ b/marjoramfall/gateway/servers/exchange.py
@@ -14,6 +14,11 @@
     NotReachedError,
     ServerTimeoutError,
 )
+from marjoramfall.gateway.servers.body_delivery import (
+    deliver_in_parts,
+    is_whole,
+    read_start,
+)
 from marjoramfall.gateway.servers.connection_pool import ConnectionPool
 from marjoramfall.gateway.servers.event_splitter import (
     EventSplitter,
@@ -222,24 +227,49 @@
 
     def _deliver_buffered(self, response: Response, writer: ResponseWriter) -> Outcome:
         self._is_answered = True
-        body = self._connection.read_all(response, self._watch.deadline_timeout_ms())
+        body = read_start(partial(self._read_body_part, response))
+        if not is_whole(response):
+            return self._deliver_large(response, writer, body)
         now_ms = self._clock.monotonic_ms()
         self._release(response)
-        if response.status >= FIRST_SERVER_ERROR_STATUS:
-            self.load.on_error()
-            if self._failover.is_possible():
-                return Outcome(
-                    Ending.FAILED, f'answered {response.status}', response, body
-                )
-        else:
-            self.load.on_success(now_ms)
-            if not self.load.is_model:
-                # Without a model, the speed of a server is its response time.
-                self.load.speeds.add_event_sample(now_ms - self.timing.sent_ms)
+        self._record_status(response, now_ms)
+        if self._may_be_better_elsewhere(response):
+            return Outcome(Ending.FAILED, f'answered {response.status}', response, body)
         self._call.first_byte_ms = now_ms
         writer.send_response(response.status, response.headers, body, response.reason)
         return Outcome(Ending.DELIVERED)
 
+    def _deliver_large(
+        self, response: Response, writer: ResponseWriter, start: bytes
+    ) -> Outcome:
+        now_ms = self._clock.monotonic_ms()
+        self._record_status(response, now_ms)
+        if self._may_be_better_elsewhere(response):
+            return Outcome(Ending.FAILED, f'answered {response.status}')
+        self._call.first_byte_ms = now_ms
+        self._call.is_partly_delivered = True
+        deliver_in_parts(
+            response, writer, start, partial(self._read_body_part, response)
+        )
+        self._release(response)
+        return Outcome(Ending.DELIVERED)
+
+    def _read_body_part(self, response: Response) -> bytes:
+        return self._connection.read_more(response, self._watch.deadline_timeout_ms())
+
+    def _record_status(self, response: Response, now_ms: float) -> None:
+        if response.status >= FIRST_SERVER_ERROR_STATUS:
+            self.load.on_error()
+            return
+        self.load.on_success(now_ms)
+        if not self.load.is_model:
+            # Without a model, the speed of a server is its response time.
+            self.load.speeds.add_event_sample(now_ms - self.timing.sent_ms)
+
+    def _may_be_better_elsewhere(self, response: Response) -> bool:
+        is_failure = response.status >= FIRST_SERVER_ERROR_STATUS
+        return is_failure and self._failover.is_possible()
+
     def _deliver_stream(
         self, response: Response, writer: ResponseWriter, splitter: EventSplitter
     ) -> Outcome:
