Keep the connections of callers that read slowly

Cause: connections of callers had the user timeout of connections to servers, 3 s, which on Linux also bounds how long the other side may keep its window closed.

Change: connections of callers have none. Keep-alive probes still end one whose caller is gone while nothing is unacknowledged, and a write of over 120 s ends it as well.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -25,7 +25,7 @@
     RequestParser,
 )
 from marjoramfall.gateway.model import CallerLimits
-from marjoramfall.gateway.servers.socket_state import configure_socket, has_input
+from marjoramfall.gateway.servers.socket_state import configure_caller_socket, has_input
 
 RECEIVE_BYTES = 65536
 # How often a connection without input is checked for header and idle timeouts.
@@ -102,7 +102,7 @@
     def run(self) -> None:
         """Serve requests until the caller disconnects or the connection closes."""
         try:
-            configure_socket(self._socket)
+            configure_caller_socket(self._socket)
             is_open = True
             while is_open and not self._is_closed:
                 is_open = self._read_once()
@@ -134,7 +134,7 @@
         if self._is_waiting_for_room:
             self._room.granted.wait(TIMEOUT_CHECK_INTERVAL_S)
             return True
-        # A timeout set on the socket would also apply to the worker's writes.
+        # The timeout set on the socket is that of the worker's writes.
         try:
             socket.wait_read(self._socket.fileno(), timeout=TIMEOUT_CHECK_INTERVAL_S)
         except TimeoutError:
--- a/marjoramfall/gateway/servers/socket_state.py
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -31,13 +31,23 @@
 )
 
 
+# No caller waits for so long for an answer to be written.
+WRITE_TIMEOUT_S = 120.0
+
+
+def configure_caller_socket(connection: socket.socket) -> None:
+    """Disable Nagle's algorithm and detect dead callers, but not by what is unread.
+
+    A user timeout would also end the connection of a caller that reads slowly, as it
+    counts the time for which the caller's window is closed.
+    """
+    _probe_when_idle(connection)
+    connection.settimeout(WRITE_TIMEOUT_S)
+
+
 def configure_socket(connection: socket.socket) -> None:
-    """Disable Nagle's algorithm and detect dead peers."""
-    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    """Disable Nagle's algorithm and detect dead servers and peers."""
+    _probe_when_idle(connection)
     connection.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
@@ -58,6 +68,14 @@
     return struct.unpack('i', answer)[0]
 
 
+def _probe_when_idle(connection: socket.socket) -> None:
+    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    connection.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+
+
 def _poll(connection: socket.socket, events: int) -> bool:
     poll = select.poll()
     poll.register(connection.fileno(), events)
