Leave a server with a running stream only once the run has stopped

Change: streams move only by the call that stops the run, as those that may not be resumed did before, and go on from its copy; where a service cannot move runs, they stay. The way without a copy is removed.

--- a/marjoramfall/gateway/running_streams.py
+++ b/marjoramfall/gateway/running_streams.py
@@ -8,7 +8,7 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.callers.call import Call
 from marjoramfall.gateway.fleet import Fleet
-from marjoramfall.gateway.model import RepeatRule, Service
+from marjoramfall.gateway.model import Service
 from marjoramfall.gateway.servers.event_splitter import EventSplitter
 from marjoramfall.gateway.servers.exchange import Exchange
 from marjoramfall.gateway.servers.run_handover import Phase
@@ -36,13 +36,6 @@
     # Destinations without room for it.
     refused_ids: set[str] = field(default_factory=set)
 
-    @property
-    def can_resume(self) -> bool:
-        """Return whether the stream may go on elsewhere without its memory."""
-        call = self.call
-        is_resumable = call.route.repeat_rule is RepeatRule.RESUMABLE
-        return is_resumable and call.attempts_left > 0
-
     def pause(self, until_ms: float) -> None:
         """Leave the stream where it is until then."""
         self.paused_until_ms = until_ms
@@ -54,15 +47,18 @@
             self.call.moves -= 1
 
     def is_movable(self, service: Service, now_ms: float) -> bool:
-        """Return whether the stream could move at all now."""
+        """Return whether the stream could move at all now.
+
+        Only a server that can be told to stop a run is left: some work on after their
+        connection was closed, beside the server at which the stream goes on.
+        """
         handover = self.exchange.handover
         is_moving = handover is not None and handover.phase is not Phase.ENDED
         if is_moving or now_ms < self.paused_until_ms:
             return False
         if not self.call.fields.output_tokens or not service.is_model:
             return False
-        has_way = service.moves_runs or self.can_resume
-        return has_way and self.exchange.timing.event_count >= MIN_EVENTS
+        return service.moves_runs and self.exchange.timing.event_count >= MIN_EVENTS
 
     def measure_gap_ms(self) -> float:
         """Return the mean time between events since the last look, or of all."""
@@ -138,5 +134,4 @@
             ),
             tokens_per_event=service.tokens_per_event,
             past_moves=call.moves,
-            is_resumed=tracked.can_resume,
         )
--- a/marjoramfall/gateway/servers/run_moves.py
+++ b/marjoramfall/gateway/servers/run_moves.py
@@ -50,8 +50,6 @@
     remaining_tokens: float
     tokens_per_event: float
     past_moves: int = 0
-    # Set if the stream goes on without its memory, and its prompt is read again.
-    is_resumed: bool = False
 
     @property
     def remaining_events(self) -> float:
@@ -157,10 +155,7 @@
 def _build_move(
     stream: RunningStream, service: Service, load: ServerLoad, now_ms: float
 ) -> RunMove:
-    if stream.is_resumed:
-        moved_ms = _prefill_ms(stream, load)
-    else:
-        moved_ms = transfer_ms(stream, service, load)
+    moved_ms = transfer_ms(stream, service, load)
     rest_ms = stream.remaining_events * load.speeds.event_ms
     return RunMove(
         stream=stream,
@@ -172,11 +167,6 @@
     )
 
 
-def _prefill_ms(stream: RunningStream, load: ServerLoad) -> float:
-    tokens = stream.prompt_tokens + stream.generated_tokens
-    return load.speeds.token_ms * (tokens + load.pending_prefill_tokens)
-
-
 def _is_worth(move: RunMove) -> bool:
     speeds = move.destination.speeds
     if not speeds.own.samples and not speeds.peers.samples:
--- a/marjoramfall/gateway/stream_moves.py
+++ b/marjoramfall/gateway/stream_moves.py
@@ -157,7 +157,7 @@
         """
         tracked = tracked_by_id[stream.request_id]
         source = stream.source.server
-        if not tracked.can_resume and not self._is_open(tracked.call, stream.source):
+        if not self._is_open(tracked.call, stream.source):
             # It could not return to a source that takes nothing any more.
             return []
         demand = self._build_demand(tracked.call)
@@ -191,13 +191,8 @@
         call.moves += 1
         self._handover_by_call[id(call)] = handover
         tracked.exchange.handover = handover
-        _log_begin(move, copies=not tracked.can_resume)
-        if tracked.can_resume:
-            handover.begin_stop()
-            handover.settle_stopped(self._clock.monotonic_ms())
-            tracked.exchange.stop_reading()
-        else:
-            spawn(self._copy, tracked, handover)
+        _log_begin(move)
+        spawn(self._copy, tracked, handover)
 
     def _copy(self, tracked: TrackedStream, handover: RunHandover) -> None:
         try:
@@ -353,14 +348,13 @@
     )
 
 
-def _log_begin(move: RunMove, *, copies: bool) -> None:
+def _log_begin(move: RunMove) -> None:
     stream = move.stream
     speeds = move.destination.speeds
     logger.bind(
         request=stream.request_id,
         source=stream.source.server.server_id,
         destination=move.destination.server.server_id,
-        copies=copies,
         priority=stream.priority,
         slack_ms=round(move.slack_ms),
         stays_ms=round(move.stay_end_ms - stream.deadline_ms),
