Read no further behind a request in place of ending its connection

Cause: more than 262,144 bytes behind a request that is being served ended its connection.

Change: beyond that size nothing is read until the request has been answered. The connection is checked each 100 ms for its end meanwhile.

--- a/marjoramfall/gateway/callers/caller_connection.py
+++ b/marjoramfall/gateway/callers/caller_connection.py
@@ -25,14 +25,19 @@
     RequestParser,
 )
 from marjoramfall.gateway.model import CallerLimits
-from marjoramfall.gateway.servers.socket_state import configure_caller_socket, has_input
+from marjoramfall.gateway.servers.socket_state import (
+    configure_caller_socket,
+    has_hung_up,
+    has_input,
+)
 
 RECEIVE_BYTES = 65536
 # How often a connection without input is checked for header and idle timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 1.0
-# Bytes of later requests that are buffered while one is served; more end the
-# connection.
+# Bytes of later requests that are buffered while one is served; more are not read.
 MAX_PIPELINED_BYTES = 262144
+# How often a connection that is not read is checked for its end.
+END_CHECK_INTERVAL_S = 0.1
 # Below this, a request may be on its way on a connection that was just accepted.
 MIN_IDLE_MS = 100.0
 REQUEST_TIMEOUT = 408
@@ -134,6 +139,9 @@
         if self._is_waiting_for_room:
             self._room.granted.wait(TIMEOUT_CHECK_INTERVAL_S)
             return True
+        if self._worker is not None and len(self._pipelined) >= MAX_PIPELINED_BYTES:
+            self._worker.join(END_CHECK_INTERVAL_S)
+            return not has_hung_up(self._socket)
         # The timeout set on the socket is that of the worker's writes.
         try:
             socket.wait_read(self._socket.fileno(), timeout=TIMEOUT_CHECK_INTERVAL_S)
@@ -145,7 +153,7 @@
         self._last_activity_ms = self._clock.monotonic_ms()
         if self._worker is not None or self._is_waiting_for_room:
             self._pipelined += received
-            return len(self._pipelined) <= MAX_PIPELINED_BYTES
+            return True
         return self._parse(received)
 
     def _parse(self, received: bytes) -> bool:
--- a/marjoramfall/gateway/servers/socket_state.py
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -56,6 +56,11 @@
     return _poll(connection, select.POLLIN)
 
 
+def has_hung_up(connection: socket.socket) -> bool:
+    """Return whether the peer has ended the connection, also behind unread data."""
+    return _poll(connection, select.POLLRDHUP)
+
+
 def has_failed(connection: socket.socket) -> bool:
     """Return whether an error of the connection is pending or was reported."""
     # Errors are reported whatever is asked for.
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -3,7 +3,7 @@
 import gc
 from unittest.mock import patch
 
-from gevent import sleep
+from gevent import sleep, socket, spawn
 from gevent.event import Event
 
 from marjoramfall.gateway.callers.body_budget import SMALL_BODY_BYTES, BodyBudget
@@ -26,6 +26,10 @@
     return sum(isinstance(found, types) for found in gc.get_objects())
 
 
+# More than is buffered behind a request that is being served.
+LONG = bytes(600_000)
+
+
 class TestServedBodies(GatewayCase):
     """Bodies of up to some MB come faster than the cyclic collector runs."""
 
@@ -181,3 +185,42 @@
             self.begin(f'Content-Length: {len(BODY)}').close()
         self.add_backend(answer)
         self.assertIn(b' 200 ', self.ask('/read/1', method='POST', body=BODY))
+
+
+class TestPipelinedUploads(GatewayCase):
+    """A request that is being served outlasts a long one behind it.
+
+    The pattern is a second upload that was sent before the answer to the first: the
+    entry ended the connection, and the first got none (second review).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.may_answer = Event()
+
+    def hold(self, exchange):
+        """Answer once the test says so."""
+        self.may_answer.wait()
+        answer(exchange)
+
+    def pipeline(self):
+        """Send two uploads, the second while the first is served."""
+        backend = self.add_backend(self.hold)
+        connection = self.send('/read/1', method='POST', body=b'x')
+        self.wait_for(lambda: backend.heads)
+        spawn(self.send, '/read/2', method='POST', body=LONG, connection=connection)
+        sleep(PAUSE_S)
+        return connection
+
+    def test_answered(self):
+        """Guards against a request that loses its connection to the one behind it."""
+        connection = self.pipeline()
+        self.may_answer.set()
+        self.assertIn(b' 200 ', self.receive(connection))
+        self.assertIn(b' 200 ', self.receive(connection))
+
+    def test_caller_gone(self):
+        """Guards against work for a caller that has left, as nothing more is read."""
+        connection = self.pipeline()
+        connection.shutdown(socket.SHUT_WR)
+        self.wait_for(lambda: not self.gateway.in_flight)
