Remove the rows of entries that have left

Cause: rows of the table of entries were never removed, and an entry that starts counts each that it has not heard among those that may use the limits of teams.

Change: an entry removes its row as it stops; the first live entry of a group removes those of members that it has not heard for 30 s. An entry that was only cut off writes its row again, as after a restoration of the store.

--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -236,6 +236,18 @@
             if peer.received_ms >= oldest_ms:
                 yield peer
 
+    def is_unheard(self, vm: str) -> bool:
+        """Return whether an entry should send its state here, but does not."""
+        if vm == self._own_vm or not self.groups.has_member(vm):
+            return False
+        peer = self._peer_by_vm.get(vm)
+        oldest_ms = self._clock.monotonic_ms() - SILENCE_TIMEOUT_MS
+        return peer is None or peer.received_ms < oldest_ms
+
+    def is_first_of_group(self, uptime_ms: int) -> bool:
+        """Return whether this entry is the first of the live ones of its group."""
+        return self.relay_vm(uptime_ms) == self._own_vm
+
     def is_in_touch(self) -> bool:
         """Return whether a peer was heard lately, or none is known.
 
--- a/marjoramfall/platform/daemon.py
+++ b/marjoramfall/platform/daemon.py
@@ -80,8 +80,8 @@
 
     def run(self) -> None:
         """Serve until a signal; raises `CannotListenError`."""
-        gevent.signal_handler(signal.SIGTERM, self._entry.begin_stop)
-        gevent.signal_handler(signal.SIGINT, self._entry.begin_stop)
+        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGINT, self._begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._settings_watch.reload)
         self._entry.listen()
         for watch in self._watches:
@@ -95,6 +95,10 @@
             start_task(run, self._clock, name=name)
         self._entry.run()
 
+    def _begin_stop(self) -> None:
+        self._entry.begin_stop()
+        self._directory.withdraw(self._new_client())
+
     def _new_client(self) -> StoreClient:
         return StoreClient(self._settings.store_address, self._clock)
 
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -13,7 +13,7 @@
     check_address,
     decode_record,
 )
-from marjoramfall.platform.store import Row, StoreClient, StoreError
+from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 ENTRY_TABLE = 'entries'
 RETRY_DELAY_MS = 500
@@ -21,6 +21,11 @@
 # centres. Read soon again while entries are still being added.
 MIN_READ_INTERVAL_MS = 2000
 MAX_READ_INTERVAL_MS = 60_000
+# While rows of entries that were not heard may have to be removed.
+UNHEARD_READ_INTERVAL_MS = 10_000
+# The row of an entry that none of its group hears for so long is removed; longer than
+# the time for which a silent entry may use its share of the limits.
+UNHEARD_ROW_MS = 30_000
 # How often an entry checks whether the store was restored.
 CHECK_INTERVAL_MS = 500
 
@@ -50,8 +55,11 @@
         self._client = client
         self._peers = peers
         self._clock = clock
+        self._started_ms = clock.monotonic_ms()
         self._vm = vm
         self._is_registered = False
+        self._is_leaving = False
+        self._unheard_since_ms: dict[str, float] = {}
         self._read_interval_ms = MIN_READ_INTERVAL_MS
         self._own_record = msgspec.json.encode(_EntryRecord(address, data_centre))
 
@@ -84,9 +92,11 @@
         for row in rows.rows:
             self._add_peer(row)
         self._peers.reading = MemberReading.DONE
+        self._remove_unheard(rows)
         self._choose_interval(len(self._peers.member_by_vm) - known_count)
         known_vms = {member.key for member in rows.rows}
-        if self._is_registered and self._vm not in known_vms:
+        is_missing = self._vm not in known_vms
+        if self._is_registered and is_missing and not self._is_leaving:
             logger.bind(era=era_of(rows.revision)).warning(
                 'row of this entry missing in the store'
             )
@@ -95,6 +105,49 @@
         if write_error is not None:
             raise write_error
 
+    def withdraw(self, client: StoreClient) -> None:
+        """Remove the row of this entry as it stops, by a client of its own.
+
+        Rows of entries that have left count as entries that may be serving at each
+        start of another one.
+        """
+        if self._is_leaving:
+            return
+        self._is_leaving = True
+        try:
+            client.remove_row(ENTRY_TABLE, self._vm)
+        except StoreError as error:
+            logger.bind(details=str(error)).warning('row of this entry not removed')
+        else:
+            logger.info('row of this entry removed')
+        finally:
+            client.close()
+
+    def _remove_unheard(self, rows: RowSet) -> None:
+        """Remove the rows of entries that have left without doing so themselves.
+
+        One entry of the group does so; an entry that was only cut off writes its row
+        again.
+        """
+        now_ms = self._clock.monotonic_ms()
+        since_by_vm = self._unheard_since_ms
+        self._unheard_since_ms = {
+            row.key: since_by_vm.get(row.key, now_ms)
+            for row in rows.rows
+            if self._peers.is_unheard(row.key)
+        }
+        if not self._peers.is_first_of_group(int(now_ms - self._started_ms)):
+            return
+        for row in rows.rows:
+            unheard_ms = now_ms - self._unheard_since_ms.get(row.key, now_ms)
+            if unheard_ms >= UNHEARD_ROW_MS:
+                self._client.remove_row(
+                    ENTRY_TABLE, row.key, expected_revision=row.revision
+                )
+                logger.bind(peer=row.key, unheard_ms=round(unheard_ms)).info(
+                    'row of an entry removed that was not heard'
+                )
+
     def _choose_interval(self, added_count: int) -> None:
         if added_count:
             logger.bind(added=added_count, members=len(self._peers.member_by_vm)).info(
@@ -102,9 +155,10 @@
             )
             self._read_interval_ms = MIN_READ_INTERVAL_MS
         else:
-            self._read_interval_ms = min(
-                2 * self._read_interval_ms, MAX_READ_INTERVAL_MS
-            )
+            longest_ms = MAX_READ_INTERVAL_MS
+            if self._unheard_since_ms:
+                longest_ms = UNHEARD_READ_INTERVAL_MS
+            self._read_interval_ms = min(2 * self._read_interval_ms, longest_ms)
 
     def _rest(self) -> None:
         """Wait until the rows have to be read again."""
@@ -119,7 +173,7 @@
 
     def _write_first_row(self) -> StoreError | None:
         """Write the row of this entry unless that is done; return why it failed."""
-        if self._is_registered:
+        if self._is_registered or self._is_leaving:
             return None
         try:
             self._write_own_row()
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -160,7 +160,9 @@
         encoded = base64.b64encode(content).decode('ascii')
         return self._transact(table, key, expected_revision, encoded_content=encoded)
 
-    def remove_row(self, table: str, key: str, *, expected_revision: int) -> bool:
+    def remove_row(
+        self, table: str, key: str, *, expected_revision: int | None = None
+    ) -> bool:
         """Delete a row; return False if its revision is not the expected one."""
         return self._transact(table, key, expected_revision, encoded_content=None)
 
