Count servers that crash at one moment as one crash of a served part

Cause: three crashes with three different requests prove a part that was served for their cause; engines lost together have them at once, and the part that all requests share is in each.

Change: for a part that was served, crashes within 50 ms of each other count as one, so that three different moments are needed.

Evidence: tests.test_crash_causes test_common_loss failed without the change and passes.

--- a/marjoramfall/gateway/crashes/crash_causes.py
+++ b/marjoramfall/gateway/crashes/crash_causes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from marjoramfall.gateway.crashes.crash_report import CrashedRequest
 
@@ -10,6 +11,8 @@
 MIN_CRASHES = 2
 MIN_REQUESTS = 2
 MIN_CRASHES_OF_ONE_REQUEST = 3
+# Servers that crash within this time may have one cause beside their requests.
+SAME_MOMENT_MS = 50.0
 # Popular parts are in many crashes by chance.
 MIN_CRASHES_OF_SERVED_PART = 3
 MIN_REQUESTS_OF_SERVED_PART = 3
@@ -75,6 +78,13 @@
         """Return the time of the newest crash."""
         return max(crash.at_ms for crash in self.crashes)
 
+    @property
+    def moment_count(self) -> int:
+        """Return at how many different moments the servers crashed."""
+        times_ms = sorted(crash.at_ms for crash in self.crashes)
+        gaps_ms = (later - earlier for earlier, later in pairwise(times_ms))
+        return 1 + sum(gap_ms > SAME_MOMENT_MS for gap_ms in gaps_ms)
+
     @property
     def is_proven(self) -> bool:
         """Return whether the crashes suffice to refuse requests."""
@@ -84,7 +94,7 @@
             return crash_count >= MIN_CRASHES_OF_ONE_REQUEST
         if self.was_served:
             return (
-                crash_count >= MIN_CRASHES_OF_SERVED_PART
+                self.moment_count >= MIN_CRASHES_OF_SERVED_PART
                 and request_count >= MIN_REQUESTS_OF_SERVED_PART
             )
         if crash_count >= MIN_CRASHES_OF_ONE_REQUEST:
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -12,9 +12,11 @@
 from marjoramfall.gateway.peers.peer_exchange import MAX_DATAGRAM_BYTES
 from marjoramfall.gateway.peers.peer_state import encode_state
 from marjoramfall.gateway.servers.outcome import GatewayFailureError
-from tests.gateway_fakes import make_state
+from tests.gateway_fakes import MODEL, make_server, make_state
 from tests.quarantine_case import QuarantineCase, make_call
 
+SERVERS_OF_ONE_LOSS = 5
+
 
 class TestBlame(QuarantineCase):
     """The part that explains the crashes is refused, and no other."""
@@ -57,6 +59,15 @@
             self.crash(make_call(f'first-{own}', 'crashing', own))
         self.assertTrue(self.is_refused('first', 'crashing', 'own-9'))
 
+    def test_common_loss(self):
+        """Guards against refusing a part as all its servers went down at once."""
+        self.serve('popular', 'own-0')
+        for number in range(SERVERS_OF_ONE_LOSS):
+            server = make_server(f'lost-{number}', service_id=MODEL)
+            self.quarantine.on_crash(make_call('popular', f'own-{number}'), server)
+            self.clock.advance_ms(5)
+        self.assertFalse(self.is_refused('popular', 'own-9'))
+
     def test_crashes_of_other_causes(self):
         """Guards against refusing popular parts while servers crash one by one."""
         for number in range(20):
