Keep the bounds of numbers in messages in one module

Callers see no change. Cause: the bounds of amounts stood in two modules, and those of whole numbers in two. Change: gateway/message_bounds.py holds them.

--- a/marjoramfall/gateway/crashes/crash_report.py
+++ b/marjoramfall/gateway/crashes/crash_report.py
@@ -1,11 +1,8 @@
 """Define the report by which entries share under what backend servers crashed."""
 
-from typing import Annotated
-
 import msgspec
 
-# What any message between entries can hold.
-MAX_BORN_MS = 2**63 - 1
+from marjoramfall.gateway.message_bounds import Count
 
 
 class CrashedRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -24,7 +21,7 @@
     """Report the crash of one incarnation of a server, `age_ms` ago."""
 
     server_id: str
-    born_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)]
+    born_ms: Count
     age_ms: int
     requests: list[CrashedRequest]
 
--- a/marjoramfall/gateway/peers/peer_state.py
+++ b/marjoramfall/gateway/peers/peer_state.py
@@ -1,14 +1,9 @@
 """Define the datagram by which an entry shares its state with its peers."""
 
-from typing import Annotated
-
 import msgspec
 
 from marjoramfall.gateway.crashes.crash_report import EvidenceReport
-
-# Sums of such amounts stay finite, and fit into digests as whole numbers.
-MAX_AMOUNT = 2**53
-Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+from marjoramfall.gateway.message_bounds import Amount
 
 
 class ServerUse(msgspec.Struct, array_like=True, frozen=True):
--- a/marjoramfall/gateway/servers/socket_state.py
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -29,8 +29,6 @@
 USER_TIMEOUT_MS = MS_PER_SECOND * (
     KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S
 )
-
-
 # No caller waits for so long for an answer to be written.
 WRITE_TIMEOUT_S = 120.0
 
--- a/marjoramfall/platform/json_records.py
+++ b/marjoramfall/platform/json_records.py
@@ -3,22 +3,17 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from ipaddress import AddressValueError, IPv4Address
-from typing import Annotated, TypeVar
+from typing import TypeVar
 
 import msgspec
 from loguru import logger
 
+from marjoramfall.gateway.message_bounds import MAX_AMOUNT
+
 Record = TypeVar('Record')
 LAST_PORT = 65_535
 MAX_SHOWN_CHARS = 20
 MAX_SHOWN_ERROR_CHARS = 200
-# Counts and times in ms that any message between entries can hold.
-MAX_COUNT = 2**63 - 1
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-WholeNumber = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
-# Sums and products of such amounts stay finite, and fit into messages as whole numbers.
-MAX_AMOUNT = 2**53
-Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 
 
 class InvalidRecordError(Exception):
--- a/marjoramfall/platform/move_status.py
+++ b/marjoramfall/platform/move_status.py
@@ -6,15 +6,11 @@
 from loguru import logger
 
 from marjoramfall.clock import Clock
+from marjoramfall.gateway.message_bounds import Amount, Count
 from marjoramfall.gateway.peers.peer_table import PeerTable
 from marjoramfall.gateway.revision import era_of, number_of
 from marjoramfall.gateway.versions.version_moves import Move, Phase, VersionMoves
-from marjoramfall.platform.json_records import (
-    Amount,
-    Count,
-    InvalidRecordError,
-    decode_record,
-)
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 STATUS_TABLE = 'status'
--- a/marjoramfall/platform/quarantine_record.py
+++ b/marjoramfall/platform/quarantine_record.py
@@ -8,11 +8,8 @@
 from marjoramfall.clock import Clock
 from marjoramfall.gateway.crashes.crash_quarantine import CrashQuarantine
 from marjoramfall.gateway.crashes.crash_report import CrashReport, EvidenceReport
-from marjoramfall.platform.json_records import (
-    Amount,
-    InvalidRecordError,
-    decode_record,
-)
+from marjoramfall.gateway.message_bounds import Amount
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 from marjoramfall.platform.store import Row, RowSet, StoreClient, StoreError
 
 QUARANTINE_TABLE = 'quarantine'
--- a/marjoramfall/platform/store.py
+++ b/marjoramfall/platform/store.py
@@ -15,18 +15,14 @@
     find_header,
     read_count,
 )
+from marjoramfall.gateway.message_bounds import Amount, Count
 from marjoramfall.gateway.revision import era_of, make_revision, number_of
 from marjoramfall.gateway.servers.backend_connection import (
     BackendConnection,
     BrokenExchangeError,
     NotReachedError,
 )
-from marjoramfall.platform.json_records import (
-    Amount,
-    Count,
-    InvalidRecordError,
-    decode_record,
-)
+from marjoramfall.platform.json_records import InvalidRecordError, decode_record
 
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
--- a/marjoramfall/platform/wire_records.py
+++ b/marjoramfall/platform/wire_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from marjoramfall.platform.json_records import Amount, Count, WholeNumber
+from marjoramfall.gateway.message_bounds import Amount, Count, WholeNumber
 
 DEFAULT_SLOTS = 4
 
