--- a/marjoramfall/connection/http_connection.py
+++ b/marjoramfall/connection/http_connection.py
@@ -161,7 +161,7 @@
 
     def _check_parsed(self) -> None:
         if self._parser.headers_complete and not is_status(self._parser.get_code()):
-            raise MalformedResponseError('the status is none of HTTP')
+            raise MalformedResponseError('invalid HTTP status code')
         if self._has_ended and not self._parser.is_complete:
             raise BackendConnectionBrokenError('the connection ended early')
         if self._parser.has_surplus:
--- a/marjoramfall/gateway/callers/call.py
+++ b/marjoramfall/gateway/callers/call.py
@@ -93,7 +93,7 @@
     sends_away: int = 0
     last_event_id: bytes | None = None
     first_byte_ms: float | None = None
-    # Set once the caller has the start of a body that is no stream.
+    # Set once the start of a body that is no stream was sent to the caller.
     is_partly_delivered: bool = False
     # The media type of a stream that has begun.
     stream_type: bytes | None = None
--- a/marjoramfall/gateway/crashes/crash_causes.py
+++ b/marjoramfall/gateway/crashes/crash_causes.py
@@ -11,7 +11,7 @@
 MIN_CRASHES = 2
 MIN_REQUESTS = 2
 MIN_CRASHES_OF_ONE_REQUEST = 3
-# Servers that crash within this time may have one cause beside their requests.
+# Servers that crash within this time may have a common cause other than requests.
 SAME_MOMENT_MS = 50.0
 # Popular parts are in many crashes by chance.
 MIN_CRASHES_OF_SERVED_PART = 3
--- a/marjoramfall/gateway/http_messages.py
+++ b/marjoramfall/gateway/http_messages.py
@@ -13,7 +13,7 @@
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 CHUNKED = b'chunked'
-# Longer whole numbers in headers are read as if there were none.
+# Longer whole numbers in headers are ignored.
 MAX_COUNT_DIGITS = 18
 
 Header = tuple[bytes, bytes]
@@ -42,7 +42,7 @@
 
 
 def read_count(text: bytes | None) -> int | None:
-    """Return the whole number that a header states, None if it states none."""
+    """Return the whole number in a header, None if it holds none."""
     is_count = text is not None and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
     return int(text) if is_count else None
 
@@ -341,7 +341,7 @@
         response = self.current
         response.status = self._parser.get_status_code()
         if not is_status(response.status):
-            self._fail('the status is none of HTTP')
+            self._fail('invalid HTTP status code')
         response.has_head = True
         response.keep_alive = self._parser.should_keep_alive()
         has_length = find_header(response.headers, b'content-length') is not None
--- a/marjoramfall/gateway/peers/peer_table.py
+++ b/marjoramfall/gateway/peers/peer_table.py
@@ -237,7 +237,7 @@
                 yield peer
 
     def is_unheard(self, vm: str) -> bool:
-        """Return whether an entry should send its state here, but does not."""
+        """Return whether a member of the own group has sent no state lately."""
         if vm == self._own_vm or not self.groups.has_member(vm):
             return False
         peer = self._peer_by_vm.get(vm)
--- a/marjoramfall/gateway/servers/body_delivery.py
+++ b/marjoramfall/gateway/servers/body_delivery.py
@@ -9,7 +9,7 @@
 # A body is held back up to this size: until its end, its server may still fail, and
 # the request go to another one.
 MAX_HELD_BODY_BYTES = 245_760
-# A longer body that states no length is taken for one without end.
+# A longer body without a stated length is treated as endless.
 MAX_UNSTATED_BODY_BYTES = 33_554_432
 CONTENT_LENGTH = b'content-length'
 
--- a/marjoramfall/gateway/servers/request_sender.py
+++ b/marjoramfall/gateway/servers/request_sender.py
@@ -46,7 +46,7 @@
             if self._is_stopped:
                 return False
             if has_failed(self._socket):
-                # Left to the reader, which takes an end without it for a proper one.
+                # Left to the reader, to which the end would look proper otherwise.
                 self._log_failure('the connection has failed')
                 return False
             unsent = unsent[self._socket.send(unsent) :]
--- a/marjoramfall/gateway/servers/socket_state.py
+++ b/marjoramfall/gateway/servers/socket_state.py
@@ -34,7 +34,7 @@
 
 
 def configure_caller_socket(connection: socket.socket) -> None:
-    """Disable Nagle's algorithm and detect dead callers, but not by what is unread.
+    """Disable Nagle's algorithm and detect dead callers of idle connections.
 
     A user timeout would also end the connection of a caller that reads slowly, as it
     counts the time for which the caller's window is closed.
--- a/marjoramfall/platform/json_records.py
+++ b/marjoramfall/platform/json_records.py
@@ -22,7 +22,7 @@
 
 @contextmanager
 def reading_record() -> Iterator[None]:
-    """Raise `InvalidRecordError` in place of any error of what reads a record.
+    """Raise `InvalidRecordError` in place of any error raised within the block.
 
     Only a record of another writer can cause one, and it must not end the task that
     reads on.
--- a/marjoramfall/platform/members.py
+++ b/marjoramfall/platform/members.py
@@ -21,10 +21,10 @@
 # centres. Read soon again while entries are still being added.
 MIN_READ_INTERVAL_MS = 2000
 MAX_READ_INTERVAL_MS = 60_000
-# While rows of entries that were not heard may have to be removed.
+# Applies while rows of silent entries may have to be removed.
 UNHEARD_READ_INTERVAL_MS = 10_000
-# The row of an entry that none of its group hears for so long is removed; longer than
-# the time for which a silent entry may use its share of the limits.
+# The row of an entry that was silent for so long is removed; longer than the time for
+# which a silent entry may use its share of the limits.
 UNHEARD_ROW_MS = 30_000
 # How often an entry checks whether the store was restored.
 CHECK_INTERVAL_MS = 500
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -196,7 +196,7 @@
 
 
 class TestNoStatus(GatewayCase):
-    """An answer whose status is none of HTTP is no answer, and is known at once."""
+    """An answer with an invalid status code is no answer, and is known at once."""
 
     def ask_once(self, path, status, **options):
         """Return the response where the only server answers with a status."""
