--- a/tests/test_server_faults.py
+++ b/tests/test_server_faults.py
@@ -82,6 +82,14 @@
     send_forever(exchange, late * 512)
 
 
+def endless_rejection(exchange):
+    """Reject a request with a body that never ends."""
+    head = 'HTTP/1.1 503 Full\r\nMarjoramfall-Not-Executed: 1\r\n'
+    head += f'Marjoramfall-Attempt-Id: {read_attempt(exchange)}\r\n\r\n'
+    exchange.write(head.encode())
+    send_forever(exchange, BLOCK)
+
+
 class EndlessEvent:
     """Send an event, then one that never ends, and count its blocks."""
 
@@ -249,6 +257,11 @@
                 self.doCleanups()
                 self.setUp()
 
+    def test_rejection(self):
+        """Guards against memory taken by the body of a rejection, which is held."""
+        self.add_backend(endless_rejection)
+        self.assertIn(b'503 Service Unavailable', self.ask('/read/1'))
+
     def test_body(self):
         """Guards against memory taken by bodies without end, or a cut one as whole.
 
