Keep the ports of servers that tests can't reach from other listeners

Callers see no change.

Cause: closed_address gave a port that it had just released. A listener that the same test opened later, that of a gateway, could get it, and so was reached as a server.

Change: the port stays bound without listening, so that connections to it are refused and nobody else gets it. What the tests check is the same.

--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -5,6 +5,7 @@
 """
 
 import unittest
+from collections import deque
 
 from gevent import socket
 
@@ -19,11 +20,16 @@
 NOW_MS = 100_000
 
 
+# Bound but not listening, so that no listener of a test gets one of their ports.
+RESERVED = deque(maxlen=64)
+
+
 def closed_address():
-    """Return an address where nothing listens."""
-    with socket.socket() as listener:
-        listener.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{listener.getsockname()[1]}'
+    """Return an address where nothing listens, nor does later in the test."""
+    reserved = socket.socket()
+    reserved.bind(('127.0.0.1', 0))
+    RESERVED.append(reserved)
+    return f'127.0.0.1:{reserved.getsockname()[1]}'
 
 
 class TestCrashedServers(GatewayCase):
