--- a/review/harness3/wire.py
+++ b/review/harness3/wire.py
@@ -11,36 +11,26 @@
 
 @dataclass
 class Message:
-    """Hold a request or a response; header names are lowercase."""
+    """Hold a request; header names are lowercase."""
 
     first_line: str = ''
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
 
-    @property
-    def status(self) -> int:
-        """Return the status of a response."""
-        return int(self.first_line.split(' ')[1])
-
-    @property
-    def method(self) -> str:
-        """Return the method of a request."""
-        return self.first_line.split(' ')[0]
-
     @property
     def target(self) -> str:
         """Return the target of a request."""
         return self.first_line.split(' ')[1]
 
 
-def read_message(reader, *, is_response: bool = False) -> Message | None:
+def read_message(reader) -> Message | None:
     """Return the next message, None if the connection ended before it."""
     first_line = reader.readline()
     if not first_line.strip():
         return None
     message = Message(first_line.decode('latin-1').strip())
     message.headers = _read_headers(reader)
-    message.body = _read_body(reader, message.headers, is_response=is_response)
+    message.body = _read_body(reader, message.headers)
     return message
 
 
@@ -62,12 +52,12 @@
         headers[name.strip().lower()] = text.strip()
 
 
-def _read_body(reader, headers: dict[str, str], *, is_response: bool) -> bytes:
+def _read_body(reader, headers: dict[str, str]) -> bytes:
     if headers.get('transfer-encoding') == 'chunked':
         return _read_chunks(reader)
     length = headers.get('content-length')
     if length is None:
-        return reader.read() if is_response else b''
+        return b''
     return _read_exactly(reader, int(length))
 
 
